--- /dev/null
+++ b/roadhead/api/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface to users and workers."""
--- /dev/null
+++ b/roadhead/api/server.py
@@ -0,0 +1,179 @@
+"""Requests of users and workers."""
+
+import logging
+
+from roadhead.jobs.job import FINAL, KEY, answer
+from roadhead.runtime.loop import Timeout
+from roadhead.state.client import Conflict, Unavailable, Unsure
+from roadhead.wire import http, messages
+
+log = logging.getLogger("roadhead.api")
+
+CANCEL = "c/x/"
+REFUSED = (503, messages.error("not able to say now"), 1)
+
+
+class Api:
+    def __init__(self, loop, node, max_streams, create_s, patience_s):
+        self._loop = loop
+        self._node = node
+        self._max_streams = max_streams
+        self._create_s = create_s
+        self._patience_s = patience_s
+        self._streams = 0
+
+    def accept(self, stream):
+        if self._streams >= self._max_streams:
+            stream.close()
+            return
+        self._streams += 1
+        self._loop.spawn(self._serve(stream), "http")
+
+    async def _serve(self, stream):
+        try:
+            await http.serve(self._loop, stream, self._handle, self._patience_s)
+        finally:
+            self._streams -= 1
+
+    async def _handle(self, request):
+        path = request.target.partition("?")[0]
+        if path == "/v1/report":
+            if request.method != "POST":
+                return 405, b"", None
+            return self._report(request.body)
+        if path == "/ready":
+            if request.method != "GET":
+                return 405, b"", None
+            return (200 if self._node.ready() else 503), b"", None
+        try:
+            if path == "/v1/jobs":
+                if request.method != "POST":
+                    return 405, b"", None
+                return await self._submit(request.body)
+            if path.startswith("/v1/jobs/"):
+                job_id, slash, verb = path[len("/v1/jobs/"):].partition("/")
+                if not slash:
+                    if request.method != "GET":
+                        return 405, b"", None
+                    return await self._poll(job_id)
+                if verb == "cancel":
+                    if request.method != "POST":
+                        return 405, b"", None
+                    return await self._cancel(job_id)
+        except (Unavailable, Unsure, Conflict, Timeout) as error:
+            # Whatever is not known for sure is said to be so, never guessed (safety 5).
+            log.debug("%s %s: %r", request.method, path, error)
+            return REFUSED
+        return 404, messages.error("no such path"), None
+
+    # Workers
+
+    def _report(self, body):
+        node = self._node
+        if not node.member.joined:
+            return 503, b"", None
+        try:
+            report = messages.read(body, messages.Report)
+            report.check()
+        except messages.Invalid as error:
+            return 400, messages.error(str(error)), None
+        home = node.member.term.home(report.machine)
+        if home != node.label:
+            return 421, messages.redirect(home), None
+        if not node.may_renew():
+            return 503, b"", None
+        machine = node.home.take_report(report)
+        if machine is None:
+            return 503, b"", None
+        return 200, messages.report_answer(node.member.token, node.home.answer_orders(machine)), None
+
+    # Users
+
+    def _known(self, job_id):
+        record = self._node.book.finals.get(job_id)
+        return None if record is None else answer(record, job_id)
+
+    def _state(self, record, job_id):
+        """A job's state from its record just read, with the counts of its owner if that is us."""
+        if record["s"] in FINAL:
+            self._node.book.remember(job_id, record)
+            return answer(record, job_id)
+        job = self._node.book.jobs.get(job_id)
+        if job is None or job.state != "open":
+            return answer(record, job_id)
+        return messages.job_status(job_id, job.status(), job.done.count, job.running())
+
+    async def _submit(self, body):
+        node = self._node
+        try:
+            spec = messages.read(body, messages.JobSpec)
+            spec.check()
+        except messages.Invalid as error:
+            return 400, messages.error(str(error)), None
+        known = self._known(spec.id)
+        if known is not None:
+            return 200, known, None
+        if not node.member.joined or not node.home.types:
+            return REFUSED
+        if spec.id in node.book.jobs:
+            record, _stamp = await node.read(KEY + spec.id)
+            return (200, self._state(record, spec.id), None) if record else REFUSED
+        fault = node.impossible(spec)
+        if fault:
+            record, _stamp = await node.read(KEY + spec.id)
+            if record:
+                return 200, self._state(record, spec.id), None
+            return 422, messages.error(fault), None
+        if node.member.lapsed() or node.book.recorder.backlog() > node.most_creating:
+            return 503, messages.error("too much at once"), 2
+        new, record = await self._loop.within(self._create_s, node.book.create(spec))
+        if new:
+            return 201, messages.job_status(spec.id, "pending"), None
+        if record is None:
+            return REFUSED
+        return 200, self._state(record, spec.id), None
+
+    async def _poll(self, job_id):
+        if not messages.JOB_ID.match(job_id):
+            return 404, messages.error("no such job"), None
+        known = self._known(job_id)
+        if known is not None:
+            return 200, known, None
+        record, _stamp = await self._node.read(KEY + job_id)
+        if record is None:
+            return 404, messages.error("no such job"), None
+        return 200, self._state(record, job_id), None
+
+    async def _cancel(self, job_id):
+        node = self._node
+        if not messages.JOB_ID.match(job_id):
+            return 404, messages.error("no such job"), None
+        for _ in range(5):
+            known = node.book.finals.get(job_id)
+            if known is None:
+                known, stamp = await node.read(KEY + job_id)
+            if known is None:
+                return 404, messages.error("no such job"), None
+            if known["s"] in FINAL:
+                node.book.remember(job_id, known)
+                if known["s"] == "cancelled":
+                    node.cancelled([job_id])
+                return 200, messages.job_status(job_id, known["s"]), None
+            done = known["done"]
+            record = {
+                "s": "cancelled",
+                "n": known["spec"]["legs"],
+                "d": sum(done[1::2]) - sum(done[0::2]),
+            }
+            try:
+                await node.state.multi(
+                    [(KEY + job_id, stamp)],
+                    [{"put": KEY + job_id, "data": record}, {"put": CANCEL + job_id, "data": True}],
+                )
+            except (Conflict, Unsure):
+                continue
+            node.book.remember(job_id, record)
+            node.book.cancelled(job_id, record)
+            node.cancelled([job_id])
+            return 200, messages.job_status(job_id, "cancelled"), None
+        return REFUSED
--- /dev/null
+++ b/roadhead/cloud/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the cloud."""
--- /dev/null
+++ b/roadhead/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, the idle list and placement (JIQ-DIO's dispatcher)."""
--- /dev/null
+++ b/roadhead/dispatch/dispatcher.py
@@ -0,0 +1,239 @@
+"""A dispatcher: the idle list of granted room, the queue order, and random placement.
+
+No sockets here: grants come in as calls, frames go out through `send(home, frame)`.
+"""
+
+import logging
+
+from roadhead.homes.machine import fits
+from roadhead.wire import frames
+
+log = logging.getLogger("roadhead.dispatch")
+
+
+class Listing:
+    """Granted room on the idle list. `unacked`: starts sent that the room does not allow for."""
+
+    __slots__ = ("home", "images", "room", "serial", "spot", "taken", "type", "unacked", "until",
+                 "zone", "id")
+
+    def __init__(self, frame, until):
+        self.id = frame.machine
+        self.home = frame.home
+        self.serial = frame.serial
+        self.type = frame.type
+        self.zone = frame.zone
+        self.spot = frame.spot
+        self.images = set(frame.images)
+        self.taken = 0
+        self.unacked = []
+        self.room = (0.0, 0.0, 0.0)
+        self.until = until
+
+    def update(self, frame, until):
+        del self.unacked[: max(0, frame.taken - self.taken)]
+        self.taken = max(self.taken, frame.taken)
+        self.until = until
+        self.room = (frame.cpus, frame.gpus, frame.memory)
+        for need in self.unacked:
+            self._use(need)
+
+    def _use(self, need):
+        self.room = tuple(free - part for free, part in zip(self.room, need, strict=True))
+
+    def take(self, need):
+        self.unacked.append(need)
+        self._use(need)
+
+
+class Dispatcher:
+    def __init__(self, loop, label, member, book, aims, random, send, counters, gap_s, default_aim_s):
+        self._loop = loop
+        self.label = label
+        self._member = member
+        self._book = book
+        self._aims = aims  # class -> seconds in which its work should be under way
+        self._default_aim_s = default_aim_s
+        self._random = random
+        self._send = send
+        self._count = counters.add
+        self._gap_s = gap_s
+        self.idle = {}  # machine -> Listing
+        self._placing = False
+        self._demand = None
+        self._demand_at = -1e9
+        self._demand_timer = None
+        self.time_of_day = None
+
+    def changed(self):
+        if not self._placing:
+            self._placing = True
+            self._loop.call_soon(self._place)
+
+    # The idle list
+
+    def on_grant(self, frame):
+        until = self._loop.now() + frame.lapse_s
+        listing = self.idle.get(frame.machine)
+        if listing is None or listing.serial != frame.serial:
+            listing = self.idle[frame.machine] = Listing(frame, until)
+            self._count("grants_received")
+        listing.update(frame, until)
+        self.changed()
+
+    def on_revoke(self, frame):
+        listing = self.idle.get(frame.machine)
+        if listing is not None and listing.serial <= frame.serial:
+            del self.idle[frame.machine]
+
+    def on_refused(self, frame):
+        listing = self.idle.pop(frame.machine, None)
+        if listing is not None:
+            self._send(listing.home, frames.Return(listing.id, listing.serial, len(self.idle)))
+
+    def home_down(self, label):
+        for name in [n for n, listing in self.idle.items() if listing.home == label]:
+            del self.idle[name]
+
+    def on_term(self):
+        """Grants are of the term that gave them."""
+        self.idle.clear()
+        self._demand = None
+        self.changed()
+
+    # The queue
+
+    def due_in(self, job):
+        """Seconds until the job should be complete, or its aim is missed."""
+        since = self.time_of_day() - job.accepted_at
+        due_s = job.spec.due_s
+        if due_s is None:
+            due_s = self._aims.get(job.spec.klass, self._default_aim_s)
+        return due_s - since
+
+    def waiting(self):
+        """Jobs with startable tasks, in queue order: urgency, then what is due first."""
+        now = self._loop.now()
+        jobs = [
+            job
+            for job in self._book.jobs.values()
+            if job.free and job.state == "open" and not job.unsynced and job.not_before <= now
+        ]
+        jobs.sort(key=lambda job: (job.rank, self.due_in(job)))
+        return jobs
+
+    def _allowed(self, job, listing):
+        spec = job.spec
+        if listing.spot and not spec.spot:
+            return False
+        if spec.zone and spec.zone != listing.zone:
+            return False
+        if spec.types and listing.type not in spec.types:
+            return False
+        return self._zone_allowed(job, listing.zone)
+
+    @staticmethod
+    def _zone_allowed(job, zone):
+        """`together` and `scatter`, counting every task that may be on a machine."""
+        spec = job.spec
+        if spec.one_zone and any(b.zone != zone for b in job.bound.values()):
+            return False
+        if spec.spread:
+            here = sum(binding.zone == zone for binding in job.bound.values())
+            return here < (spec.tasks + 1) // 2
+        return True
+
+    def _place(self):
+        self._placing = False
+        waiting = self.waiting()
+        for job in waiting:
+            if not self.idle:
+                break
+            self._place_job(job)
+        waiting = [job for job in waiting if job.free]
+        self._return_useless(waiting)
+        self._tell_demand(waiting)
+
+    def _place_job(self, job):
+        need = job.need
+        zoned = job.spec.one_zone or job.spec.spread
+        now = self._loop.now()
+        fitting = [
+            listing
+            for listing in self.idle.values()
+            if listing.until > now and fits(need, listing.room) and self._allowed(job, listing)
+        ]
+        if not fitting:
+            self._count("empty_list")
+        while job.free and fitting:
+            # At random among those that fit; those that have the image come first.
+            place = self._random.randrange(len(fitting))
+            listing = fitting[place]
+            if zoned and not self._zone_allowed(job, listing.zone):
+                fitting.pop(place)
+                continue
+            self._start(job, listing)
+            if not fits(need, listing.room):
+                fitting.pop(place)
+
+    def _start(self, job, listing):
+        index, attempt = self._book.bind(job, listing.id, listing.zone)
+        listing.take(job.need)
+        spec = job.spec
+        self._send(listing.home, frames.Start(
+            self._member.term.number, listing.id, listing.serial, job.id, index, attempt,
+            len(self.idle) - 1, *job.need, spec.image or "", spec.save_s, spec.checkpoint_s > 0,
+        ))
+
+    def _return_useless(self, waiting):
+        """Room that nothing waiting fits goes back at once."""
+        shapes = {job.shape: job for job in waiting}
+        for listing in list(self.idle.values()):
+            if not any(
+                fits(job.need, listing.room) and self._allowed(job, listing)
+                for job in shapes.values()
+            ):
+                del self.idle[listing.id]
+                self._send(listing.home, frames.Return(listing.id, listing.serial, len(self.idle)))
+
+    def _tell_demand(self, waiting):
+        """What still waits, to every home: the room that fits it may then be granted here."""
+        rows = {}
+        for job in waiting:
+            row = rows.get(job.shape)
+            due_in = self.due_in(job)
+            if row is None:
+                rows[job.shape] = [len(job.free), len(job.free) * job.spec.estimate_s, due_in]
+            else:
+                row[0] += len(job.free)
+                row[1] += len(job.free) * job.spec.estimate_s
+                row[2] = min(row[2], due_in)
+        demand = {shape: row[0] for shape, row in rows.items()}
+        if demand == self._demand:
+            return
+        now = self._loop.now()
+        if now < self._demand_at + self._gap_s:
+            if self._demand_timer is None:
+                self._demand_timer = self._loop.call_at(self._demand_at + self._gap_s, self._again)
+            return
+        self._demand = demand
+        self._demand_at = now
+        frame = frames.Demand(len(self.idle), [
+            (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, due_in)
+            for (rank, cpus, gpus, memory, spot, zone, types, klass), (count, work, due_in)
+            in list(rows.items())[:64]
+        ])
+        for label in self._member.term.members:
+            self._send(label, frame)
+
+    def _again(self):
+        self._demand_timer = None
+        self.changed()
+
+    def tell_again(self):
+        """A controller joined or its link came up: it has yet to hear what waits here."""
+        self._demand = None
+        self._demand_at = -1e9
+        self.changed()
+
+
--- /dev/null
+++ b/roadhead/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Renting and returning machines."""
--- /dev/null
+++ b/roadhead/fleet/fleet.py
@@ -0,0 +1,241 @@
+"""The fleet's duties: the catalogue, the machine list, renting (one renter a term), returning."""
+
+import logging
+
+from roadhead.cloud.client import CloudTrouble, NoCapacity
+from roadhead.fleet.plan import Want, offers, plan
+from roadhead.membership.term import pick
+from roadhead.runtime.loop import Signal
+
+log = logging.getLogger("roadhead.fleet")
+
+HIRE_MOST = 50
+RELEASE_MOST = 100
+
+
+class Fleet:
+    def __init__(self, loop, cloud, member, home, deployment, tuning, aims, default_aim_s, random,
+                 counters):
+        self._loop = loop
+        self._cloud = cloud
+        self._member = member
+        self._home = home
+        self._zones = deployment.zones
+        self._lag_s = deployment.cloud.list_lag_s
+        self._lease_s = deployment.workers.lease_s
+        self._tuning = tuning
+        self._aims = aims
+        self._default_aim_s = default_aim_s
+        self._random = random
+        self._count = counters.add
+        self.types = {}
+        self.demand = {}  # label -> rows of its newest Demand
+        self.fleet = {}  # label -> rows of its newest HomeNews
+        self._hired = {}  # machine -> (shape key, when), until it is listed as running
+        self._refused = {}  # shape key -> (until, how often)
+        self._names = 0
+        self._releasing = set()
+        self._wake = Signal()
+
+    def duties(self):
+        return [self._catalogue(), self._list(), self._rent()]
+
+    def wake(self):
+        self._wake.set()
+
+    async def _catalogue(self):
+        while True:
+            try:
+                self.types = await self._cloud.catalogue()
+                self._home.types = self.types
+            except CloudTrouble as error:
+                log.info("catalogue: %s", error)
+            # Spot prices move slowly; an empty catalogue is asked for again soon.
+            await self._loop.sleep(5 * self._lease_s if self.types else self._lag_s / 3)
+
+    # The list
+
+    async def _list(self):
+        while True:
+            asked_at = self._loop.now()
+            try:
+                listed = await self._cloud.machines()
+            except (CloudTrouble, NoCapacity) as error:
+                log.info("list: %s", error)
+                await self._loop.sleep(self._lag_s / 2)
+                continue
+            if self._member.joined:
+                self._listed(listed, asked_at)
+            await self._loop.sleep(self._lag_s if not self._home.clean() else 2 * self._lag_s)
+
+    def _listed(self, listed, asked_at):
+        home = self._home
+        term = self._member.term
+        now = self._loop.now()
+        names = set()
+        mine = []
+        for item in listed:
+            names.add(item.id)
+            if item.status != "starting":
+                self._hired.pop(item.id, None)
+            elif item.id not in self._hired:
+                self._hired[item.id] = ((item.type, item.zone, item.spot), now - item.age_s)
+            if term.home(item.id) == self._member.label:
+                mine.append(item)
+        for name, (_key, since) in list(self._hired.items()):
+            if name not in names and asked_at > since + 2 * self._lag_s:
+                del self._hired[name]
+        failed = home.covered(mine, asked_at)
+        if failed:
+            self.release(failed)
+        stuck = []
+        for item in mine:
+            kind = self.types.get(item.type)
+            machine = home.machines.get(item.id)
+            if (
+                item.status == "starting"
+                and kind is not None
+                and item.age_s > self._tuning.stuck_ratio * kind.boot_s
+                and (machine is None or machine.heard_at is None)
+            ):
+                log.info("machine %s does not come up", item.id)
+                stuck.append(item.id)
+        for machine in list(home.machines.values()):
+            if machine.id in names:
+                continue
+            known_at = max(machine.heard_at or 0.0, machine.listed_at or 0.0)
+            if asked_at > known_at + 2 * self._lag_s * 1.01:
+                stuck.append(machine.id)
+        if stuck:
+            self.release(stuck)
+
+    # Returning
+
+    def release(self, names):
+        names = [name for name in names if name not in self._releasing]
+        for name in names:
+            self._releasing.add(name)
+            machine = self._home.machines.get(name)
+            if machine is not None:
+                machine.draining = True
+        for at in range(0, len(names), RELEASE_MOST):
+            self._loop.spawn(self._release(names[at : at + RELEASE_MOST]), "release")
+
+    async def _release(self, names):
+        try:
+            await self._cloud.release(names)
+        except (CloudTrouble, NoCapacity) as error:
+            log.info("release: %s", error)
+            await self._loop.sleep(self._lag_s)
+        else:
+            self._count("machines_released", len(names))
+            for name in names:
+                self._hired.pop(name, None)
+                machine = self._home.machines.get(name)
+                if machine is not None:
+                    self._home.machine_gone(machine, "released")
+                else:
+                    self._home.gone[name] = self._loop.now()
+        finally:
+            self._releasing.difference_update(names)
+
+    def return_idle(self):
+        def idle_s(machine):
+            boot_s = machine.kind.boot_s if machine.kind is not None else self._lease_s
+            return self._tuning.idle_ratio * boot_s
+
+        machines = self._home.idle(idle_s)
+        if machines:
+            self.release([machine.id for machine in machines])
+
+    # Renting
+
+    @property
+    def renter(self):
+        return (
+            self._member.joined
+            and not self._member.lapsed()
+            and pick(self._member.term.members, "renter") == self._member.label
+        )
+
+    def _wants(self):
+        """What waits anywhere, less what the machines now busy will get to in time."""
+        wants = {}
+        for label, rows in self.demand.items():
+            if label not in self._member.term.members:
+                continue
+            for rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, klass, due_in in rows:
+                aim = self._aims.get(klass)
+                if aim is not None:
+                    wait_s = self._tuning.drain_ratio * aim
+                else:
+                    wait_s = max(due_in - estimate_s, self._tuning.drain_ratio * estimate_s)
+                    wait_s = min(wait_s, self._tuning.drain_ratio * self._default_aim_s)
+                key = (rank, cpus, gpus, memory, spot, zone, tuple(types), klass)
+                want = wants.get(key)
+                if want is None:
+                    wants[key] = Want(rank, cpus, gpus, memory, count, spot, zone, types,
+                                      estimate_s, wait_s)
+                else:
+                    total = want.count + count
+                    want.estimate_s = (
+                        want.estimate_s * want.count + estimate_s * count
+                    ) / total
+                    want.count = total
+                    want.wait_s = min(want.wait_s, wait_s)
+        return list(wants.values())
+
+    async def _rent(self):
+        while True:
+            await self._wake.wait(self._loop, self._lag_s / 1.5)
+            if not self.renter or not self.types:
+                continue
+            try:
+                await self._rent_once()
+            except CloudTrouble as error:
+                log.info("hire: %s", error)
+                await self._loop.sleep(self._lag_s)
+            await self._loop.sleep(self._lag_s / 6)
+
+    async def _rent_once(self):
+        now = self._loop.now()
+        refused = {key for key, (until, _times) in self._refused.items() if until > now}
+        coming = {}
+        for key, _since in self._hired.values():
+            coming[key] = coming.get(key, 0) + 1
+        size = sum(row[3] for rows in self.fleet.values() for row in rows) + len(self._hired)
+        orders = plan(self._wants(), offers(self.types, self._zones), coming, refused,
+                      max(0, self._tuning.largest - size))
+        for shape, count in orders:
+            count = min(count, HIRE_MOST)
+            self._names += 1
+            # The incarnation is in the name, so that no other process ever uses it again.
+            name = f"r-{self._member.incarnation}-{self._names}"
+            try:
+                names = await self._hire(name, shape, count)
+            except NoCapacity:
+                names = []
+            if len(names) < count:
+                times = self._refused.get(shape.key, (0, 0))[1] + 1
+                pause = min(2 ** times, 10) * self._lag_s
+                self._refused[shape.key] = (self._loop.now() + pause, times)
+                log.info("no more capacity for %s", shape.key)
+                self._wake.set()
+            else:
+                self._refused.pop(shape.key, None)
+            if names:
+                log.info("hired %d of %s", len(names), shape.key)
+                self._count("machines_hired", len(names))
+            for machine in names:
+                self._hired[machine] = (shape.key, self._loop.now())
+
+    async def _hire(self, name, shape, count):
+        """Hires once, whatever gets lost on the way: the same name rents nothing twice."""
+        for left in (2, 1, 0):
+            try:
+                return await self._cloud.hire(name, shape.kind.name, shape.zone, shape.spot, count)
+            except CloudTrouble:
+                if not left:
+                    raise
+                await self._loop.sleep(self._lag_s / 3)
+        return []
--- /dev/null
+++ b/roadhead/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Machines homed at this controller: reports, leases, commands and grants."""
--- /dev/null
+++ b/roadhead/homes/workers.py
@@ -0,0 +1,87 @@
+"""Direct requests to workers: one at a time for each machine, over a kept-open connection."""
+
+import logging
+
+from roadhead.wire import messages
+from roadhead.wire.http import Client, NoAnswer
+
+log = logging.getLogger("roadhead.workers")
+
+
+class Workers:
+    def __init__(self, loop, net, member, timeout_s):
+        self._loop = loop
+        self._net = net
+        self._member = member
+        self._timeout_s = timeout_s
+        self.home = None
+        self._clients = {}
+
+    def ask(self, machine):
+        """Sends the machine what it has yet to carry out, or just shows it our token."""
+        if machine.asking:
+            machine.wanting = True
+            return
+        machine.asking = True
+        self._loop.spawn(self._ask(machine), f"ask {machine.id}")
+
+    async def _ask(self, machine):
+        home = self.home
+        try:
+            while True:
+                machine.wanting = False
+                if home.machines.get(machine.id) is not machine or not self._member.joined:
+                    return
+                report, launches = await self._once(machine)
+                if home.machines.get(machine.id) is machine and self._member.joined:
+                    home.asked(machine, launches, report)
+                if report is None or not machine.wanting:
+                    return
+        finally:
+            machine.asking = False
+
+    async def _once(self, machine):
+        client = self._clients.get(machine.id)
+        if client is None or client.address != machine.address:
+            client = self._clients[machine.id] = Client(
+                self._loop, self._net, machine.address, max_idle=1, max_body=1 << 20
+            )
+        launches = []
+        # The session is a guess for a machine never heard: a wrong one is answered with a
+        # report (409), from which it is learned.
+        for _ in range(2):
+            orders, launches = machine.orders()
+            if machine.confirmed != self._member.token:
+                orders, launches = [], []
+            elif not orders:
+                return None, []
+            session = machine.session or 1
+            body = messages.commands(self._member.token, session, orders)
+            try:
+                status, data, _headers = await client.request(
+                    "POST", "/commands", body, self._timeout_s
+                )
+            except NoAnswer as error:
+                log.debug("commands to %s: %s", machine.id, error)
+                return None, launches if error.sent else []
+            if status not in (200, 409):
+                return None, launches
+            try:
+                report = messages.read(data, messages.Report)
+                report.check()
+            except messages.Invalid as error:
+                log.error("answer of %s: %s", machine.id, error)
+                return None, launches
+            if status == 200 or report.session == session:
+                return report, launches
+            self.home.observe(machine, report)
+        return None, launches
+
+    def forget(self, names):
+        for name in names:
+            client = self._clients.pop(name, None)
+            if client is not None:
+                client.close()
+
+    def trim(self):
+        self.forget([name for name in self._clients if name not in self.home.machines])
--- /dev/null
+++ b/roadhead/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs: their durable records, who owns them, and what each of their tasks is doing."""
--- /dev/null
+++ b/roadhead/jobs/book.py
@@ -0,0 +1,327 @@
+"""The jobs that this controller owns, and what becomes of each task.
+
+No sockets here: frames from homes come in as calls, frames to them go out through
+`send(home, frame)`. `changed()` is called when something may be placed.
+"""
+
+import logging
+
+from roadhead.jobs.job import FINAL, KEY, Binding, Job, from_record
+from roadhead.jobs.recorder import LATER, SOON, URGENT
+from roadhead.runtime.loop import Future
+from roadhead.wire import frames
+
+log = logging.getLogger("roadhead.jobs")
+
+CANCEL = "c/x/"
+MAX_FINALS = 20000
+
+
+class Book:
+    def __init__(self, loop, member, recorder_of, send, changed, counters, time_of_day, lease_s):
+        self._loop = loop
+        self._member = member
+        self._send = send
+        self._changed = changed
+        self._count = counters.add
+        self._time_of_day = time_of_day
+        self._lease_s = lease_s
+        self.jobs = {}  # open jobs owned here, by id
+        self.finals = {}  # id -> record of jobs known to be over
+        self._creating = {}  # id -> Future of (is new, record)
+        self._adopting = set()
+        self._syncs = {}  # number -> (label, [jobs])
+        self._sync_number = 0
+        self._attempts = 0
+        self.recorder = recorder_of(self._written, self._conflict)
+
+    @property
+    def _me(self):
+        return (self._member.label, self._member.incarnation)
+
+    def attempt(self):
+        """A number that no attempt of any incarnation has had."""
+        self._attempts += 1
+        return (self._member.incarnation << 24) + self._attempts
+
+    # Admission
+
+    def create(self, spec):
+        """A Future of (is new, record or None): durable once it completes."""
+        pending = self._creating.get(spec.id)
+        if pending is None:
+            pending = self._creating[spec.id] = Future()
+            job = Job(spec, self._me, self._time_of_day())
+            self.recorder.mark(job, URGENT)
+        return pending
+
+    def _written(self, job, recorded, state):
+        pending = self._creating.pop(job.id, None)
+        if pending is not None:
+            self._begin(job)
+            pending.set((True, None))
+            return
+        if job in self._adopting:
+            self._adopting.discard(job)
+            self._begin(job)
+            self.sync_all([job])
+            return
+        if state in FINAL:
+            self._over(job, {"s": state, "n": job.spec.tasks, "d": job.done.count})
+            return
+        for index in [i for i, b in job.bound.items() if b.status == "exited" and i in recorded]:
+            self._forget(job.id, index, job.bound.pop(index))
+
+    def _begin(self, job):
+        self.jobs[job.id] = job
+        self._changed()
+
+    def _over(self, job, record):
+        """The job's end is durable."""
+        self.remember(job.id, record)
+        self.recorder.unmark(job)
+        if record["s"] == "done":
+            self.jobs.pop(job.id, None)
+            for index, binding in job.bound.items():
+                self._forget(job.id, index, binding)
+            job.bound.clear()
+
+    def remember(self, job_id, record):
+        if len(self.finals) > MAX_FINALS:
+            self.finals.pop(next(iter(self.finals)))
+        self.finals[job_id] = record
+
+    def _conflict(self, job, record, stamp):
+        """Somebody else wrote the record, or an unanswered write of ours went through."""
+        mine = record is not None and record["s"] == "open" and tuple(record["o"]) == self._me
+        pending = self._creating.pop(job.id, None)
+        if pending is not None:
+            if mine:
+                job.stamp = stamp
+                self.recorder.unmark(job)
+                self._begin(job)
+            else:
+                self.recorder.unmark(job)
+            pending.set((mine, record))
+            return
+        if record is None:
+            log.error("record of %s is gone", job.id)
+            self.recorder.unmark(job)
+            return
+        if record["s"] in FINAL:
+            self._adopting.discard(job)
+            self.recorder.unmark(job)
+            if record["s"] == "done":
+                self._over(job, record)
+            else:
+                self.cancelled(job.id, record)
+            return
+        if mine:
+            job.stamp = stamp
+            return  # still marked: written again under the new stamp
+        if job in self._adopting and not self._member.term.serves(*record["o"]):
+            job.stamp = stamp
+            return
+        log.info("job %s belongs to %s now", job.id, record["o"])
+        self._adopting.discard(job)
+        self.recorder.unmark(job)
+        self.jobs.pop(job.id, None)
+
+    # Taking over
+
+    def adopt(self, items):
+        """Open records of dropped owners that fall to this controller."""
+        known = {job.id for job in self._adopting} | self.jobs.keys()
+        for record, stamp in items:
+            job = from_record(record, self._me, stamp)
+            if job.id not in known:
+                self._adopting.add(job)
+                self.recorder.mark(job, SOON)
+
+    def sync_all(self, jobs=None):
+        """Tells the homes what is owned here. `jobs` None: all, after a change of the term."""
+        labels = list(self._member.term.members)
+        for job in self.jobs.values() if jobs is None else jobs:
+            if job.unsynced:
+                job.unsynced = set(labels)
+        for label in labels:
+            self.sync(label, jobs)
+
+    def sync(self, label, jobs=None):
+        term = self._member.term
+        if label not in term.members:
+            return
+        jobs = list(self.jobs.values()) if jobs is None else jobs
+        claims = [
+            (binding.machine, job.id, index, binding.attempt)
+            for job in jobs
+            for index, binding in job.bound.items()
+            if term.home(binding.machine) == label
+        ]
+        self._sync_number += 1
+        for number in [n for n, (home, _) in self._syncs.items() if home == label and len(self._syncs) > 200]:
+            del self._syncs[number]
+        self._syncs[self._sync_number] = (label, [job for job in jobs if job.unsynced])
+        self._send(label, frames.Sync(term.number, self._sync_number, [j.id for j in jobs], claims))
+
+    def on_synced(self, label, frame):
+        home, jobs = self._syncs.pop(frame.number, (None, ()))
+        if home != label or frame.term != self._member.term.number:
+            # Said for an older term: a home of this one may know of more.
+            if home == label:
+                self.sync(label, [job for job in jobs if job.unsynced and job.id in self.jobs])
+            return
+        ready = False
+        for job in jobs:
+            if label in job.unsynced:
+                job.unsynced.discard(label)
+                ready = ready or not job.unsynced
+        if ready:
+            self._changed()
+
+    # News of tasks
+
+    def bind(self, job, machine, zone):
+        """Takes a free task of the job for a start; (index, attempt)."""
+        index = job.free.pop()
+        attempt = self.attempt()
+        job.bound[index] = Binding(machine, zone, attempt, "launching")
+        return index, attempt
+
+    def _unbind(self, job, index):
+        del job.bound[index]
+        if job.state == "open" and index not in job.done:
+            job.free.append(index)
+            self._changed()
+        elif job.state == "cancelled" and not job.bound:
+            self.jobs.pop(job.id, None)
+            self.recorder.drop(CANCEL + job.id)
+
+    def on_free(self, frame):
+        """The attempt is surely nowhere."""
+        job = self.jobs.get(frame.job)
+        if job is None:
+            return
+        binding = job.bound.get(frame.index)
+        if binding is None or binding.attempt != frame.attempt:
+            return
+        if binding.status == "exited":  # done, only not durable yet
+            return
+        self._unbind(job, frame.index)
+
+    on_refused = on_free
+
+    def on_task(self, label, frame):
+        job = self.jobs.get(frame.job)
+        if job is None:
+            if frame.job in self.finals:
+                self._away(label, frame)
+            return
+        index = frame.index
+        if index >= job.spec.tasks:
+            self._away(label, frame)
+            return
+        binding = job.bound.get(index)
+        if binding is not None and binding.attempt != frame.attempt:
+            if frame.status == "exited" and frame.cause == "done" and job.state == "open":
+                self._done(job, index)
+            self._away(label, frame)
+            return
+        if binding is None:
+            if index in job.done or job.state != "open":
+                self._away(label, frame)
+                return
+            if frame.status == "exited" and frame.cause != "done":
+                self._away(label, frame)
+                return
+            if not job.unsynced:
+                if frame.status == "exited":
+                    self._done(job, index)
+                self._away(label, frame)
+                return
+            # An inherited job's task, found where the old owner had it started.
+            if index in job.free:
+                job.free.remove(index)
+            binding = job.bound[index] = Binding(frame.machine, frame.zone, frame.attempt, "")
+        binding.status = frame.status
+        binding.zone = frame.zone
+        if frame.status != "exited":
+            if job.state != "open":
+                self._away(label, frame)
+            return
+        if frame.cause == "done" and job.state == "open":
+            self._done(job, index)
+            return
+        self._forget(job.id, index, binding)
+        if frame.cause in ("error", "no_such"):
+            # A job that fails everywhere is tried ever more slowly.
+            job.errors += 1
+            self._count("task_errors")
+            if job.errors >= 3:
+                pause = min(5 * self._lease_s, 0.1 * self._lease_s * 1.5 ** (job.errors - 3))
+                job.not_before = self._loop.now() + pause
+                self._loop.call_later(pause, self._changed)
+        self._unbind(job, index)
+
+    def _done(self, job, index):
+        if job.spec.kind == "daemon":
+            # A replica that ends is started again.
+            binding = job.bound.get(index)
+            if binding is not None and binding.status == "exited":
+                self._forget(job.id, index, binding)
+                self._unbind(job, index)
+            return
+        job.errors = 0
+        if not job.done.add(index):
+            return
+        binding = job.bound.get(index)
+        if index in job.free:
+            job.free.remove(index)
+        if binding is not None and binding.status != "exited":
+            self._send_home(binding, frames.Stop(binding.machine, job.id, index, binding.attempt, 0.0))
+        if job.complete():
+            job.state = "done"
+            self.recorder.mark(job, URGENT)
+        else:
+            self.recorder.mark(job, LATER)
+
+    def _away(self, label, frame):
+        """An attempt that nobody needs."""
+        key = (frame.machine, frame.job, frame.index, frame.attempt)
+        if frame.status == "exited":
+            self._send(label, frames.Forget(*key))
+        else:
+            self._send(label, frames.Stop(*key, 0.0))
+
+    def _send_home(self, binding, frame):
+        home = self._member.term.home(binding.machine)
+        if home is not None:
+            self._send(home, frame)
+
+    def _forget(self, job_id, index, binding):
+        self._send_home(binding, frames.Forget(binding.machine, job_id, index, binding.attempt))
+
+    def cancelled(self, job_id, record=None):
+        """The job is durably cancelled."""
+        job = self.jobs.get(job_id)
+        if job is None or job.state == "cancelled":
+            return
+        if job.state == "done" and record is None:
+            return  # its end is being written; the conflict tells which came first
+        job.state = "cancelled"
+        self.recorder.unmark(job)
+        if record is not None:
+            self.remember(job_id, record)
+        job.free.clear()
+        for index, binding in list(job.bound.items()):
+            if binding.status == "exited":
+                self._forget(job_id, index, binding)
+                del job.bound[index]
+            else:
+                self._send_home(binding, frames.Stop(binding.machine, job_id, index, binding.attempt, 0.0))
+        if not job.bound:
+            self.jobs.pop(job_id, None)
+            self.recorder.drop(CANCEL + job_id)
+
+    def key(self, job_id):
+        return KEY + job_id
--- /dev/null
+++ b/roadhead/jobs/job.py
@@ -0,0 +1,115 @@
+"""A job as its owner knows it, and its durable record."""
+
+import msgspec
+
+from roadhead.jobs.ranges import Ranges
+from roadhead.wire import messages
+from roadhead.wire.messages import URGENCIES, JobSpec
+
+KEY = "j/"
+RANK = {name: rank for rank, name in enumerate(URGENCIES)}
+FINAL = ("done", "cancelled")
+
+
+class Binding:
+    """A task's attempt that is, or may be, on a machine."""
+
+    __slots__ = ("attempt", "machine", "status", "zone")
+
+    def __init__(self, machine, zone, attempt, status):
+        self.machine = machine
+        self.zone = zone
+        self.attempt = attempt
+        self.status = status
+
+
+class Job:
+    """`free` holds the tasks that may be started, `bound` those that may be on a machine.
+
+    `unsynced`: homes that have yet to say what they know of an inherited job; nothing of
+    it starts before (safety 3).
+    """
+
+    __slots__ = ("accepted_at", "bound", "done", "errors", "free", "id", "not_before", "owner",
+                 "rank", "saved_count", "shape", "spec", "stamp", "state", "unsynced", "written_at")
+
+    def __init__(self, spec, owner, accepted_at, stamp=0, done=(), inherited=False):
+        self.id = spec.id
+        self.spec = spec
+        self.owner = owner
+        self.accepted_at = accepted_at  # time of day
+        self.stamp = stamp
+        self.state = "open"
+        self.done = Ranges(done)
+        self.free = list(self.done.missing(spec.tasks))
+        self.free.reverse()
+        self.bound = {}
+        self.rank = RANK[spec.urgency]
+        self.unsynced = {""} if inherited else set()
+        self.errors = 0
+        self.not_before = 0.0
+        self.saved_count = self.done.count
+        self.written_at = 0.0
+        self.shape = (
+            self.rank, spec.cpus, spec.gpus, spec.memory, spec.spot, spec.zone or "",
+            tuple(spec.types or ()), spec.klass,
+        )
+
+    @property
+    def need(self):
+        spec = self.spec
+        return spec.cpus, spec.gpus, spec.memory
+
+    def status(self):
+        if self.state != "open":
+            return self.state
+        running = self.running()
+        return "running" if running else "pending"
+
+    def running(self):
+        return sum(binding.status in ("running", "saving") for binding in self.bound.values())
+
+    def complete(self):
+        return self.spec.kind == "batch" and self.done.count >= self.spec.tasks
+
+    def record(self, largest):
+        """The value to store, of at most `largest` bytes as JSON, and the tasks recorded done.
+
+        If ragged completion does not fit, the shortest ranges are left out: their tasks
+        keep their results on their machines, which are not told to forget them.
+        """
+        if self.state != "open":
+            return {"s": self.state, "n": self.spec.tasks, "d": self.done.count}, self.done
+        record = {
+            "s": "open",
+            "o": list(self.owner),
+            "at": self.accepted_at,
+            "spec": msgspec.to_builtins(self.spec),
+            "done": self.done.flat(),
+        }
+        fits = (largest - 64 - len(msgspec.json.encode(record["spec"]))) // 14
+        if len(record["done"]) <= 2 * fits:
+            return record, self.done
+        pairs = sorted(
+            zip(self.done.starts, self.done.ends, strict=True), key=lambda pair: pair[0] - pair[1]
+        )
+        kept = Ranges([edge for pair in sorted(pairs[: max(0, fits)]) for edge in pair])
+        record["done"] = kept.flat()
+        return record, kept
+
+
+def spec_of(record):
+    return messages.parse(record["spec"], JobSpec)
+
+
+def from_record(record, owner, stamp):
+    """An inherited job."""
+    return Job(spec_of(record), owner, record["at"], stamp, record["done"], inherited=True)
+
+
+def answer(record, job_id):
+    """The answer to a poll, from a record alone."""
+    if record["s"] == "open":
+        done = sum(record["done"][1::2]) - sum(record["done"][0::2])
+        return messages.job_status(job_id, "pending" if not done else "running", done, 0)
+    return messages.job_status(job_id, record["s"], record["d"], 0)
--- /dev/null
+++ b/roadhead/jobs/recorder.py
@@ -0,0 +1,122 @@
+"""Writes job records in batches, each guarded by the stamp last known.
+
+A write without an answer is simply tried again under the same stamp: if the first one
+went through, or does so late, exactly one of the two takes effect, and the conflict
+makes us read what is there.
+"""
+
+import logging
+
+from roadhead.jobs.job import KEY
+from roadhead.runtime.loop import Signal
+from roadhead.state.client import Conflict, Unavailable, Unsure
+
+log = logging.getLogger("roadhead.recorder")
+
+MAX_BYTES = 60000
+URGENT, SOON, LATER = range(3)
+
+
+class Recorder:
+    """`on_written(job, recorded)`, `on_conflict(job, record, stamp)` tell the outcome."""
+
+    def __init__(self, loop, state, progress_s, on_written, on_conflict):
+        self._loop = loop
+        self._state = state
+        self._progress_s = progress_s
+        self._on_written = on_written
+        self._on_conflict = on_conflict
+        self._dirty = {}  # job -> urgency
+        self._drops = []
+        self._wake = Signal()
+        self.failing_since = None
+
+    def mark(self, job, urgency):
+        """The job's record is to be written."""
+        if self._dirty.get(job, LATER + 1) > urgency:
+            self._dirty[job] = urgency
+        self._wake.set()
+
+    def unmark(self, job):
+        self._dirty.pop(job, None)
+
+    def drop(self, key):
+        """A key that is no longer needed."""
+        if len(self._drops) < 1000:
+            self._drops.append(key)
+
+    def backlog(self):
+        return sum(urgency == URGENT for urgency in self._dirty.values())
+
+    def _due(self, job, urgency):
+        if urgency < LATER:
+            return True
+        return (
+            self._loop.now() >= job.written_at + self._progress_s and self._state.writes.spare(0.5)
+        )
+
+    async def run(self):
+        while True:
+            batch = self._batch()
+            if not batch:
+                await self._wake.wait(self._loop, self._progress_s / 4 if self._dirty else None)
+                continue
+            try:
+                await self._write(batch)
+                self.failing_since = None
+            except (Unavailable, Unsure) as error:
+                log.debug("write of %d records: %r", len(batch), error)
+                if self.failing_since is None:
+                    self.failing_since = self._loop.now()
+                await self._loop.sleep(0.25)
+
+    def _batch(self):
+        due = [job for job, urgency in self._dirty.items() if self._due(job, urgency)]
+        due.sort(key=lambda job: self._dirty[job])
+        burst = int(self._state.limits.txn_ops)
+        urgent = sum(self._dirty[job] == URGENT for job in due)
+        return due[: max(1, min(burst, max(urgent, int(self._state.writes.level()))))]
+
+    async def _write(self, batch):
+        conditions = []
+        writes = []
+        written = []
+        size = 0
+        largest = int(self._state.limits.value_kb * 1024)
+        for job in batch:
+            record, recorded = job.record(largest)
+            # JSON of a range edge takes up to 7 bytes; the rest of a record is its description.
+            size += 1200 + 7 * len(record.get("done", ()))
+            if written and size > MAX_BYTES:
+                break
+            count = recorded.count
+            conditions.append((KEY + job.id, job.stamp))
+            writes.append({"put": KEY + job.id, "data": record})
+            written.append((job, self._dirty.pop(job), recorded, count, job.state))
+        drops = []
+        while self._drops and len(writes) < self._state.limits.txn_ops and len(drops) < 2:
+            drops.append(self._drops.pop())
+            writes.append({"drop": drops[-1]})
+        try:
+            revision = await self._state.multi(conditions, writes)
+        except (Unavailable, Unsure, Conflict) as error:
+            self._drops += drops
+            for job, urgency, *_rest in written:
+                self.mark(job, urgency)
+            if isinstance(error, Conflict):
+                # One changed key must not hold up its neighbours: settle it, write the rest again.
+                for key in error.failed:
+                    for job, *_rest in written:
+                        if KEY + job.id == key:
+                            record, stamp = await self._state.get(key)
+                            self._on_conflict(job, record, stamp)
+                return
+            raise
+        now = self._loop.now()
+        for job, _urgency, recorded, count, state in written:
+            job.stamp = revision
+            job.written_at = now
+            job.saved_count = count
+            self._on_written(job, recorded, state)
+            if job.state == "open" and job.done.count > count and job not in self._dirty:
+                self.mark(job, SOON if job.complete() else LATER)
--- /dev/null
+++ b/roadhead/membership/member.py
@@ -0,0 +1,247 @@
+"""This process's place in the term: its lease, joining, watching, dropping the dead."""
+
+import logging
+import secrets
+
+from roadhead.membership.term import Term
+from roadhead.runtime.loop import Signal
+from roadhead.state.client import Conflict, LeaseGone, TooOld, Unavailable, Unsure
+
+log = logging.getLogger("roadhead.member")
+
+PREFIX = "c/"
+TERM = "c/term"
+MEMBER = "c/m/"
+CANCEL = "c/x/"
+DRIFT = 0.0005
+
+
+class Member:
+    """Callbacks: `on_term(old, new)` for each adopted term, `on_lost()` when this
+    incarnation was dropped, `on_cancel(jobs)` for cancellations seen."""
+
+    def __init__(self, loop, state, label, lease_s, watch_s, on_term, on_lost, on_cancel):
+        self._loop = loop
+        self._state = state
+        self.label = label
+        self._lease_s = lease_s
+        self._watch_s = watch_s
+        self._on_term = on_term
+        self._on_lost = on_lost
+        self._on_cancel = on_cancel
+        self.term = None
+        self.revision = 0
+        self.incarnation = 0
+        self._permit = None
+        self.renewed_at = -1e9
+        self.watched_at = -1e9  # send time of the newest watch or listing that was answered
+        self._present = set()
+        self._lost = Signal()
+        self._absent = Signal()
+        self._raise = Signal()
+
+    @property
+    def joined(self):
+        return self.incarnation != 0
+
+    @property
+    def token(self):
+        return self.term.token(self.label)
+
+    def lapsed(self):
+        """True if the lease may have ended: others may go on without this member."""
+        return self._loop.now() - self.renewed_at > self._lease_s * (1 - DRIFT)
+
+    def adopt(self, record, revision):
+        """Takes a term record that is newer than the one known."""
+        if revision <= self.revision:
+            return
+        old, self.term, self.revision = self.term, Term.from_record(record), revision
+        if not self.joined:
+            return
+        if not self.term.serves(self.label, self.incarnation):
+            log.info("dropped by term %d", self.term.number)
+            self.incarnation = 0
+            self._lost.set()
+            self._on_lost()
+            return
+        log.info("term %d: %s", self.term.number, sorted(self.term.members))
+        self._on_term(old, self.term)
+
+    async def run(self):
+        """Joins, serves until dropped, and joins again as a new incarnation."""
+        while True:
+            try:
+                await self._join()
+            except (Unavailable, Unsure, Conflict, LeaseGone) as error:
+                log.debug("joining: %r", error)
+                await self._loop.sleep(self._lease_s / 20)
+                continue
+            duties = [
+                self._loop.spawn(duty(), duty.__name__)
+                for duty in (self._renew, self._watch, self._drop_absent, self._raise_token)
+            ]
+            try:
+                await self._lost.wait()
+            finally:
+                for duty in duties:
+                    duty.cancel()
+
+    async def _join(self):
+        sent_at = self._loop.now()
+        self._permit = await self._state.lease(self._lease_s)
+        nonce = secrets.token_hex(6)
+        while True:
+            await self._read_all()
+            term = self.term or Term()
+            entry = term.members.get(self.label)
+            if entry is not None and entry[2] == nonce:
+                break  # an earlier try went through although its answer was lost
+            new = term.join(self.label, nonce)
+            try:
+                await self._state.multi(
+                    [(TERM, self.revision)],
+                    [
+                        {"put": TERM, "data": new.to_record()},
+                        {
+                            "put": MEMBER + self.label,
+                            "data": {"incarnation": term.next},
+                            "permit": self._permit,
+                        },
+                    ],
+                )
+            except (Conflict, Unsure):
+                continue
+        self.renewed_at = sent_at
+        self.incarnation = entry[0]
+        self._lost = Signal()
+        log.info("joined term %d as %d", self.term.number, self.incarnation)
+        self._on_term(None, self.term)
+        if set(self.term.members) - self._present:
+            self._absent.set()
+
+    async def _read_all(self):
+        sent_at = self._loop.now()
+        items, revision = await self._state.list(PREFIX)
+        self._present = {key[len(MEMBER):] for key, _, _ in items if key.startswith(MEMBER)}
+        for key, value, stamp in items:
+            if key == TERM:
+                self.adopt(value, stamp)
+        cancelled = [key[len(CANCEL):] for key, _, _ in items if key.startswith(CANCEL)]
+        if cancelled:
+            self._on_cancel(cancelled)
+        self._seen = revision
+        self.watched_at = max(self.watched_at, sent_at)
+
+    async def _renew(self):
+        while True:
+            sent_at = self._loop.now()
+            try:
+                await self._state.touch(self._permit)
+                self.renewed_at = sent_at
+            except LeaseGone:
+                # The lease ended, but nobody may have dropped us yet: if so, stay under
+                # a new lease, else the term read here shows that we are out.
+                await self._new_lease()
+            except (Unavailable, Unsure) as error:
+                log.debug("renewal: %r", error)
+                await self._loop.sleep(self._lease_s / 24)
+                continue
+            await self._loop.sleep(max(0.0, sent_at + self._lease_s / 4 - self._loop.now()))
+
+    async def _new_lease(self):
+        try:
+            sent_at = self._loop.now()
+            permit = await self._state.lease(self._lease_s)
+            await self._read_all()
+            if not self.joined:
+                return
+            await self._state.multi(
+                [(TERM, self.revision)],
+                [{
+                    "put": MEMBER + self.label,
+                    "data": {"incarnation": self.incarnation},
+                    "permit": permit,
+                }],
+            )
+            self._permit, self.renewed_at = permit, sent_at
+        except (Unavailable, Unsure, Conflict, LeaseGone) as error:
+            log.debug("new lease: %r", error)
+            await self._loop.sleep(self._lease_s / 24)
+
+    async def _watch(self):
+        while True:
+            sent_at = self._loop.now()
+            try:
+                events, revision = await self._state.changes(PREFIX, self._seen, self._watch_s)
+            except TooOld:
+                try:
+                    await self._read_all()
+                except (Unavailable, Unsure):
+                    await self._loop.sleep(self._lease_s / 24)
+                continue
+            except (Unavailable, Unsure) as error:
+                log.debug("watch: %r", error)
+                await self._loop.sleep(self._lease_s / 24)
+                continue
+            self.watched_at = max(self.watched_at, sent_at)
+            cancelled = []
+            for event in events:
+                key = event.get("put") or event.get("drop")
+                if key == TERM and "put" in event:
+                    self.adopt(event["data"], event["stamp"])
+                elif key.startswith(MEMBER):
+                    label = key[len(MEMBER):]
+                    if "put" in event:
+                        self._present.add(label)
+                    else:
+                        self._present.discard(label)
+                        self._absent.set()
+                elif key.startswith(CANCEL) and "put" in event:
+                    cancelled.append(key[len(CANCEL):])
+            self._seen = max(self._seen, revision)
+            if cancelled:
+                self._on_cancel(cancelled)
+
+    async def _drop_absent(self):
+        """Drops members whose key is gone, in one transaction that checks that it is."""
+        while True:
+            await self._absent.wait()
+            while self.joined and (absent := set(self.term.members) - self._present - {self.label}):
+                rank = sorted(set(self.term.members) - absent).index(self.label)
+                await self._loop.sleep(0.02 * self._lease_s * rank)
+                absent &= set(self.term.members) - self._present
+                if not absent:
+                    continue
+                log.info("dropping %s", sorted(absent))
+                new = self.term.drop(absent)
+                try:
+                    revision = await self._state.multi(
+                        [(TERM, self.revision), *((MEMBER + label, 0) for label in absent)],
+                        [{"put": TERM, "data": new.to_record()}],
+                    )
+                    self.adopt(new.to_record(), revision)
+                except (Unavailable, Unsure, Conflict) as error:
+                    log.debug("drop: %r", error)
+                    await self._loop.sleep(self._lease_s / 12)
+                    try:
+                        await self._read_all()
+                    except (Unavailable, Unsure):
+                        pass
+
+    def want_new_token(self):
+        """Asks for a higher token, so that unanswered commands can't be executed any more."""
+        self._raise.set()
+
+    async def _raise_token(self):
+        while True:
+            await self._raise.wait()
+            new = self.term.raise_token(self.label)
+            try:
+                revision = await self._state.multi(
+                    [(TERM, self.revision)], [{"put": TERM, "data": new.to_record()}]
+                )
+                self.adopt(new.to_record(), revision)
+            except (Unavailable, Unsure, Conflict) as error:
+                log.debug("token: %r", error)
+            await self._loop.sleep(2 * self._lease_s)
--- /dev/null
+++ b/roadhead/membership/peers.py
@@ -0,0 +1,150 @@
+"""Links between controllers: one connection a pair, dialled by the smaller label."""
+
+import logging
+
+from roadhead.runtime.loop import Cancelled, Timeout
+from roadhead.runtime.net import Closed
+from roadhead.wire.frames import BadFrame, Beat, Hello, Splitter
+
+log = logging.getLogger("roadhead.peers")
+
+
+class Link:
+    __slots__ = ("heard_at", "incarnation", "state_ok", "stream")
+
+    def __init__(self, stream, incarnation, now):
+        self.stream = stream
+        self.incarnation = incarnation
+        self.heard_at = now
+        self.state_ok = True
+
+
+class Peers:
+    """`on_frame(label, incarnation, frame)`, `on_up(label)`, `on_down(label)`."""
+
+    def __init__(self, loop, net, settings, beat_s, me, beat, on_frame, on_up, on_down):
+        self._loop = loop
+        self._net = net
+        self.label = settings.label
+        self._addresses = {member.label: member.endpoint for member in settings.members}
+        self._listen_on = settings.internal_addr
+        self._beat_s = beat_s
+        self._me = me  # () -> own incarnation, 0 before joining
+        self._beat = beat  # () -> Beat
+        self._on_frame = on_frame
+        self._on_up = on_up
+        self._on_down = on_down
+        self.links = {}
+        self._accepted = 0
+
+    def start(self):
+        self._net.listen(self._listen_on, self._accept)
+        for label in self._addresses:
+            if self.label < label:
+                self._loop.spawn(self._dial(label), f"dial {label}")
+        self._loop.spawn(self._beats(), "beats")
+
+    def _accept(self, stream):
+        if self._accepted > 8 * (len(self._addresses) + 1):
+            stream.close()
+            return
+        self._accepted += 1
+
+        async def serve():
+            try:
+                await self._talk(stream, None)
+            finally:
+                self._accepted -= 1
+
+        self._loop.spawn(serve(), "peer")
+
+    async def _dial(self, label):
+        while True:
+            if self._me():
+                try:
+                    stream = await self._net.connect(self._addresses[label], 2 * self._beat_s)
+                    await self._talk(stream, label)
+                except (Closed, Timeout):
+                    pass
+            await self._loop.sleep(self._beat_s / 2)
+
+    async def _talk(self, stream, expected):
+        """One connection, both ways, until it ends."""
+        splitter = Splitter()
+        link = label = None
+        timer = self._loop.call_later(4 * self._beat_s, stream.close)
+        try:
+            if not self._me():
+                return
+            mine = self._me()
+            stream.write(Hello(self.label, mine).encode())
+            while True:
+                data = await stream.read()
+                if not data:
+                    return
+                splitter.feed(data)
+                for frame in splitter.frames():
+                    if link is None:
+                        if type(frame) is not Hello or frame.label not in self._addresses:
+                            raise BadFrame("no hello")
+                        label = frame.label
+                        if (expected or label) != label or mine != self._me():
+                            return
+                        timer.cancel()
+                        old = self.links.get(label)
+                        if old is not None:
+                            self._drop(label, old)
+                        link = Link(stream, frame.incarnation, self._loop.now())
+                        self.links[label] = link
+                        stream.write(self._beat().encode())
+                        self._on_up(label)
+                        continue
+                    link.heard_at = self._loop.now()
+                    if type(frame) is Beat:
+                        link.state_ok = frame.state_ok
+                    self._on_frame(label, link.incarnation, frame)
+                    if self.links.get(label) is not link:
+                        return
+        except BadFrame as error:
+            log.info("peer %s: %s", label or "unknown", error)
+        except (Closed, Cancelled):
+            pass
+        finally:
+            timer.cancel()
+            stream.close()
+            if link is not None and self.links.get(label) is link:
+                self._drop(label, link)
+
+    def _drop(self, label, link):
+        link.stream.close()
+        if self.links.get(label) is link:
+            del self.links[label]
+            self._on_down(label)
+
+    async def _beats(self):
+        while True:
+            await self._loop.sleep(self._beat_s)
+            limit = self._loop.now() - 3.5 * self._beat_s
+            for label, link in list(self.links.items()):
+                if link.heard_at < limit:
+                    log.info("peer %s is silent", label)
+                    self._drop(label, link)
+                else:
+                    self.send(label, self._beat())
+
+    def send(self, label, frame):
+        """True if the frame was handed to the link; False if there is none."""
+        link = self.links.get(label)
+        if link is None:
+            return False
+        try:
+            link.stream.write(frame.encode())
+        except Closed:
+            self._drop(label, link)
+            return False
+        return True
+
+    def reset(self):
+        """Ends every link, since this process's incarnation changed."""
+        for label, link in list(self.links.items()):
+            self._drop(label, link)
--- /dev/null
+++ b/roadhead/node.py
@@ -0,0 +1,364 @@
+"""One controller: puts the parts together and passes what happens from one to another."""
+
+import logging
+import random
+import time
+
+from roadhead.api.server import Api
+from roadhead.cloud.client import CloudClient
+from roadhead.dispatch.dispatcher import Dispatcher
+from roadhead.fleet.fleet import Fleet
+from roadhead.homes.home import Home
+from roadhead.homes.workers import Workers
+from roadhead.jobs.book import Book
+from roadhead.jobs.job import FINAL, KEY, spec_of
+from roadhead.jobs.recorder import Recorder
+from roadhead.membership.member import Member
+from roadhead.membership.peers import Peers
+from roadhead.state.client import StateClient, Unavailable, Unsure
+from roadhead.telemetry import Counters
+from roadhead.wire import frames, messages
+
+log = logging.getLogger("roadhead.node")
+
+
+class Node:
+    def __init__(self, loop, net, settings, tuning, rng=None, time_of_day=time.time):
+        self._loop = loop
+        self._net = net
+        self.settings = settings
+        self._tuning = tuning
+        self._random = rng or random.Random()
+        self._time_of_day = time_of_day
+        self.label = settings.label
+        deployment = self._deployment = settings.deployment
+        workers = deployment.workers
+        self.counters = Counters()
+        self.state = StateClient(loop, net, settings.external.state, deployment.state, deployment.nodes)
+        self.cloud = CloudClient(loop, net, settings.external.cloud, deployment.cloud, deployment.nodes)
+        # A controller out of touch must stop renewing before this is up (safety 4).
+        self._blind_s = 0.8 * (workers.cancel_s - workers.lease_s)
+        self._beat_s = workers.lease_s / 12
+        self.member = Member(
+            loop, self.state, self.label,
+            lease_s=max(0.1, min(600.0, tuning.membership.lease_ratio * workers.lease_s)),
+            watch_s=self._blind_s / 4,
+            on_term=self._on_term, on_lost=self._on_lost, on_cancel=self.on_cancelled,
+        )
+        self.peers = Peers(
+            loop, net, settings, self._beat_s,
+            me=lambda: self.member.incarnation, beat=self._beat,
+            on_frame=self._on_frame, on_up=self._on_up, on_down=self._on_down,
+        )
+        self._default_aim_s = 15 * workers.lease_s
+        self.aims = {}
+        for objective in deployment.objectives:
+            if objective.within_s:
+                aim = self.aims.get(objective.klass, objective.within_s)
+                self.aims[objective.klass] = min(aim, objective.within_s)
+        self.most_creating = 4 * deployment.state.txn_ops
+        self._teams = {team.name: team for team in deployment.teams}
+        self.api = Api(
+            loop, self,
+            max_streams=int(0.75 * deployment.quota.fd_limit),
+            create_s=workers.lease_s / 3,
+            patience_s=workers.lease_s / 1.2,
+        )
+        self._duties = []
+        self._looking = set()
+        self._reset()
+
+    def _reset(self):
+        """Everything that an incarnation knows starts from nothing."""
+        loop, deployment = self._loop, self._deployment
+        for duty in self._duties:
+            duty.cancel()
+        workers = deployment.workers
+        self.workers = Workers(loop, self._net, self.member, timeout_s=workers.lease_s / 4)
+        types = self.fleet.types if hasattr(self, "fleet") else {}
+        self.home = Home(
+            loop, self.label, self.member, deployment,
+            lapse_s=self._tuning.grants.lapse_ratio * workers.lease_s,
+            random=self._random, send=self._send, ask=self.workers.ask,
+            need_spec=self._need_spec, counters=self.counters,
+        )
+        self.home.types = types
+        self.workers.home = self.home
+
+        def recorder_of(on_written, on_conflict):
+            return Recorder(loop, self.state, workers.report_s * 2, on_written, on_conflict)
+
+        self.book = Book(
+            loop, self.member, recorder_of, self._send, self._changed, self.counters,
+            self._time_of_day, workers.lease_s,
+        )
+        self.dispatcher = Dispatcher(
+            loop, self.label, self.member, self.book, self.aims, self._random, self._send,
+            self.counters, gap_s=workers.report_s / 8, default_aim_s=self._default_aim_s,
+        )
+        self.dispatcher.time_of_day = self._time_of_day
+        self.fleet = Fleet(
+            loop, self.cloud, self.member, self.home, deployment, self._tuning.fleet, self.aims,
+            self._default_aim_s, self._random, self.counters,
+        )
+        self.fleet.types = types
+        self._looking.clear()
+        duties = [self.book.recorder.run(), self._tick(), *self.fleet.duties()]
+        self._duties = [loop.spawn(duty, duty.__name__) for duty in duties]
+
+    def start(self):
+        self._net.listen(self.settings.front, self.api.accept)
+        self.peers.start()
+        self._loop.spawn(self.member.run(), "member")
+
+    # What the parts ask of one another
+
+    def _changed(self):
+        self.dispatcher.changed()
+
+    def _send(self, label, frame):
+        if label == self.label:
+            self._loop.call_soon(self._on_frame, label, self.member.incarnation, frame)
+        else:
+            self.peers.send(label, frame)
+
+    def _beat(self):
+        term = self.member.term
+        return frames.Beat(term.number if term else 0, self._state_ok())
+
+    def _state_ok(self):
+        return self._loop.now() - self.state.ok_at < self.member._lease_s / 2
+
+    def may_renew(self):
+        """Whether workers' leases may be renewed.
+
+        A controller that can learn neither from the state service nor from every other
+        member that a job was cancelled must let go of its machines in time (safety 4).
+        """
+        now = self._loop.now()
+        if now - self.member.watched_at < self._blind_s:
+            return True
+        heard = now
+        for label, (incarnation, *_rest) in self.member.term.members.items():
+            if label == self.label:
+                continue
+            link = self.peers.links.get(label)
+            if link is None or link.incarnation != incarnation:
+                return False
+            heard = min(heard, link.heard_at)
+        return now - heard < self._blind_s
+
+    def ready(self):
+        """Ready while the state service answers, or while it seems to answer nobody."""
+        if not self.member.joined or not self.home.types:
+            return False
+        if self._state_ok():
+            return True
+        return not any(link.state_ok for link in self.peers.links.values())
+
+    def impossible(self, spec):
+        """Why no machine can ever run the job, or None."""
+        team = self._teams.get(spec.team)
+        if team is None:
+            return "unknown team"
+        times = spec.tasks if spec.kind == "daemon" else 1
+        for need, most in ((spec.cpus, team.cpus_max), (spec.gpus, team.gpus_max)):
+            if most and need * times > most:
+                return "more than the team's limit"
+        for kind in self.home.types.values():
+            if (
+                spec.cpus <= kind.cpus
+                and spec.gpus <= kind.gpus
+                and spec.memory <= kind.memory
+                and (not spec.types or kind.name in spec.types)
+                and (not spec.zone or spec.zone in kind.zones)
+            ):
+                return None
+        return "fits no machine type"
+
+    async def read(self, key):
+        """A record for a user; turned away if duties need the state service more."""
+        if not self.state.requests.spare(0.1):
+            raise Unavailable("busy")
+        return await self.state.get(key)
+
+    def cancelled(self, jobs):
+        """Jobs cancelled through this controller: every home hears of it."""
+        for label in list(self.peers.links):
+            self._send(label, frames.CancelNews(list(jobs)))
+        self.home.cancel(jobs)
+
+    def on_cancelled(self, jobs):
+        self.home.cancel(jobs)
+        for job in jobs:
+            self.book.cancelled(job)
+
+    def _need_spec(self, job):
+        if job not in self._looking:
+            self._looking.add(job)
+            self._loop.spawn(self._look_up(job, self.home), f"look up {job}")
+
+    async def _look_up(self, job, home):
+        """A task was found on a machine without its job being known here."""
+        while home is self.home:
+            try:
+                record, _stamp = await self.state.get(KEY + job)
+            except (Unavailable, Unsure):
+                await self._loop.sleep(self._beat_s)
+                continue
+            if record is None:
+                log.error("task of unknown job %s found", job)
+                home.spec(job, None, True)
+            elif record["s"] in FINAL:
+                home.spec(job, None, True)
+            else:
+                spec = spec_of(record)
+                need = (spec.cpus, spec.gpus, spec.memory)
+                home.owners.setdefault(job, tuple(record["o"]))
+                home.spec(job, (need, spec.image or "", spec.save_s, spec.checkpoint_s > 0), False)
+            break
+        self._looking.discard(job)
+
+    # Terms
+
+    def _on_lost(self):
+        log.info("starting over as a new incarnation")
+        self.peers.reset()
+        self._reset()
+
+    def _on_term(self, old, new):
+        if old is None:
+            # Our own join: the term before it is not kept, so compare with what it says.
+            self.home.begin(len(new.members) == len(self.settings.members) + 1)
+            self.peers.reset()
+        else:
+            self.home.on_term(old, new)
+        self.dispatcher.on_term()
+        news = frames.TermNews(self.member.revision, messages.encode(new.to_record()))
+        for label in list(self.peers.links):
+            self._send(label, news)
+        self.book.sync_all()
+        self.dispatcher.tell_again()
+        self._loop.spawn(self._inherit(new.number), "inherit")
+
+    async def _inherit(self, number):
+        """Takes over the open jobs of owners that the term no longer names."""
+        while self.member.joined and self.member.term.number == number:
+            try:
+                items, _revision = await self.state.list(KEY)
+            except (Unavailable, Unsure):
+                await self._loop.sleep(self._beat_s)
+                continue
+            if not self.member.joined or self.member.term.number != number:
+                return
+            term = self.member.term
+            mine = []
+            for key, record, stamp in items:
+                if record["s"] in FINAL:
+                    self.book.remember(key[len(KEY):], record)
+                    continue
+                label, incarnation = record["o"]
+                if not term.serves(label, incarnation) and (
+                    term.heir(key[len(KEY):], label) == self.label
+                ):
+                    mine.append((record, stamp))
+            if mine:
+                log.info("inheriting %d jobs", len(mine))
+                self.book.adopt(mine)
+            return
+
+    # Links and frames
+
+    def _on_up(self, label):
+        term = self.member.term
+        if term is None:
+            return
+        self._send(label, frames.TermNews(self.member.revision, messages.encode(term.to_record())))
+        self.book.sync(label)
+        self.dispatcher.tell_again()
+
+    def _on_down(self, label):
+        self.dispatcher.home_down(label)
+        self.home.peer_down(label)
+
+    def _on_frame(self, label, incarnation, frame):
+        kind = type(frame)
+        member = self.member
+        if kind is frames.TermNews:
+            if member.joined:
+                try:
+                    member.adopt(messages.decode_map(frame.record), frame.revision)
+                except (messages.Invalid, KeyError, TypeError) as error:
+                    log.error("term from %s: %r", label, error)
+            return
+        if not member.joined:
+            return
+        if kind is frames.CancelNews:
+            self.on_cancelled(frame.jobs)
+            return
+        if kind is frames.Beat:
+            if frame.term < member.term.number:
+                self._send(label, frames.TermNews(
+                    member.revision, messages.encode(member.term.to_record())
+                ))
+            return
+        if not member.term.serves(label, incarnation):
+            return  # an incarnation that the term does not name has no say
+        if kind is frames.Demand:
+            self.fleet.demand[label] = list(frame.rows)
+            self.home.on_demand(label, frame)
+            self.fleet.wake()
+        elif kind is frames.Grant:
+            self.dispatcher.on_grant(frame)
+        elif kind is frames.Return:
+            self.home.on_return(label, frame)
+        elif kind is frames.Revoke:
+            self.dispatcher.on_revoke(frame)
+        elif kind is frames.Start:
+            self.home.on_start(label, incarnation, frame)
+        elif kind is frames.Refused:
+            self.book.on_refused(frame)
+            self.dispatcher.on_refused(frame)
+        elif kind is frames.TaskState:
+            self.book.on_task(label, frame)
+        elif kind is frames.Free:
+            self.book.on_free(frame)
+        elif kind is frames.Stop:
+            self.home.on_stop(frame)
+        elif kind is frames.Forget:
+            self.home.on_forget(frame)
+        elif kind is frames.Sync:
+            if frame.term == member.term.number:
+                self.home.on_sync(label, incarnation, frame)
+        elif kind is frames.Synced:
+            self.book.on_synced(label, frame)
+        elif kind is frames.HomeNews:
+            self.fleet.fleet[label] = frame.rows
+
+    # Time
+
+    async def _tick(self):
+        every = 0
+        while True:
+            await self._loop.sleep(self._beat_s)
+            if not self.member.joined:
+                continue
+            released = self.home.tick()
+            if released:
+                self.fleet.release([machine.id for machine in released])
+            self.fleet.return_idle()
+            self.dispatcher.changed()
+            every += 1
+            if every % 2 == 0:
+                news = frames.HomeNews(self.home.news())
+                for label in self.member.term.members:
+                    self._send(label, news)
+            if every % 10 == 0:
+                self.workers.trim()
+                log.info(
+                    "jobs=%d machines=%d clean=%s %s",
+                    len(self.book.jobs), len(self.home.machines), self.home.clean(),
+                    self.counters.line(),
+                )
+
+
--- /dev/null
+++ b/roadhead/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The event loop and byte streams."""
--- /dev/null
+++ b/roadhead/runtime/net.py
@@ -0,0 +1,186 @@
+"""Byte streams over non-blocking sockets. Tests put streams of their own in their place."""
+
+import errno
+import selectors
+import socket
+
+from roadhead.runtime.loop import Future
+
+READ = selectors.EVENT_READ
+WRITE = selectors.EVENT_WRITE
+CHUNK = 65536
+WRITE_LIMIT = 4 * 1024 * 1024
+
+
+class Closed(Exception):
+    """The other side, or this one, closed the connection."""
+
+
+def split(address):
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class Stream:
+    """A connection: chunks in, bytes out. Written data is bounded; a reader that stalls is cut."""
+
+    def __init__(self, loop, sock):
+        self._loop = loop
+        self._sock = sock
+        self._waiter = None
+        self._out = bytearray()
+        self._mask = READ
+        self.closed = False
+        self._chunks = []
+        self._eof = False
+        loop.selector.register(sock, READ, self._event)
+
+    def _event(self, mask):
+        if mask & WRITE:
+            self._flush()
+        if mask & READ and not self.closed:
+            try:
+                data = self._sock.recv(CHUNK)
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError:
+                data = b""
+            if data:
+                self._chunks.append(data)
+                if sum(map(len, self._chunks)) > 16 * CHUNK:
+                    self._want(self._mask & ~READ)
+            else:
+                self._eof = True
+                self._want(self._mask & ~READ)
+            if self._waiter is not None:
+                waiter, self._waiter = self._waiter, None
+                waiter.set()
+
+    def _want(self, mask):
+        if self.closed or mask == self._mask:
+            return
+        selector = self._loop.selector
+        if self._mask and mask:
+            selector.modify(self._sock, mask, self._event)
+        elif mask:
+            selector.register(self._sock, mask, self._event)
+        else:
+            selector.unregister(self._sock)
+        self._mask = mask
+
+    async def read(self):
+        """The next bytes; b"" once the other side closed."""
+        while not self._chunks:
+            if self._eof or self.closed:
+                return b""
+            self._waiter = Future()
+            await self._waiter
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        if not self._eof:
+            self._want(self._mask | READ)
+        return data
+
+    def write(self, data):
+        if self.closed:
+            raise Closed
+        if not self._out:
+            try:
+                sent = self._sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                sent = 0
+            except OSError:
+                self.close()
+                raise Closed from None
+            if sent == len(data):
+                return
+            data = data[sent:]
+        self._out += data
+        if len(self._out) > WRITE_LIMIT:
+            self.close()
+            raise Closed
+        self._want(self._mask | WRITE)
+
+    def _flush(self):
+        if self.closed or not self._out:
+            return
+        try:
+            sent = self._sock.send(self._out)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self.close()
+            return
+        del self._out[:sent]
+        if not self._out:
+            self._want(self._mask & ~WRITE)
+
+    def close(self):
+        if self.closed:
+            return
+        if self._mask:
+            self._want(0)
+        self.closed = True
+        self._sock.close()
+        if self._waiter is not None:
+            waiter, self._waiter = self._waiter, None
+            waiter.set()
+
+
+class Net:
+    """Listens and connects. `limit` bounds the streams accepted at once."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        self._listeners = []
+
+    def listen(self, address, on_stream):
+        host, port = split(address)
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+        sock.listen(256)
+        sock.setblocking(False)
+        self._listeners.append(sock)
+
+        def accept(_mask):
+            for _ in range(16):
+                try:
+                    peer, _address = sock.accept()
+                except (BlockingIOError, InterruptedError):
+                    return
+                except OSError as error:
+                    if error.errno in (errno.EMFILE, errno.ENFILE):
+                        return
+                    continue
+                peer.setblocking(False)
+                peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                on_stream(Stream(self.loop, peer))
+
+        self.loop.selector.register(sock, READ, accept)
+
+    async def connect(self, address, timeout):
+        """A stream to `address`; raises Closed or Timeout."""
+        loop = self.loop
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            code = sock.connect_ex(split(address))
+            if code == errno.EINPROGRESS:
+                ready = Future()
+                loop.selector.register(sock, WRITE, lambda _mask: ready.set())
+                try:
+                    await loop.within(timeout, ready)
+                finally:
+                    loop.selector.unregister(sock)
+                code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise Closed(errno.errorcode.get(code, str(code)))
+        except OSError as error:
+            sock.close()
+            raise Closed(str(error)) from None
+        except BaseException:
+            sock.close()
+            raise
+        return Stream(loop, sock)
--- /dev/null
+++ b/roadhead/runtime/rate.py
@@ -0,0 +1,37 @@
+"""A token bucket, for calls that the other side limits."""
+
+
+class Bucket:
+    """`rate` a second with bursts of `burst`; callers wait their turn."""
+
+    def __init__(self, loop, rate, burst):
+        self._loop = loop
+        self._rate = rate
+        self._burst = max(1.0, burst)
+        self._level = self._burst
+        self._at = loop.now()
+
+    def _refill(self):
+        now = self._loop.now()
+        self._level = min(self._burst, self._level + (now - self._at) * self._rate)
+        self._at = now
+
+    def level(self):
+        self._refill()
+        return self._level
+
+    def spare(self, share):
+        """True if more than `share` of a burst is left: for callers that may be turned away."""
+        self._refill()
+        return self._level > share * self._burst
+
+    def empty(self):
+        """The other side said that it is too much: start again from nothing."""
+        self._refill()
+        self._level = min(self._level, 0.0)
+
+    async def take(self, count=1):
+        self._refill()
+        self._level -= count
+        if self._level < 0:
+            await self._loop.sleep(-self._level / self._rate)
--- /dev/null
+++ b/roadhead/state/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the state service."""
--- /dev/null
+++ b/roadhead/state/client.py
@@ -0,0 +1,132 @@
+"""Requests to the state service, within its rates.
+
+`Unavailable`: not executed. `Unsure`: no answer, so it may have been executed or may
+still be. `Conflict`: a condition failed. Nothing here retries; callers know what is safe.
+"""
+
+import logging
+
+from roadhead.runtime.rate import Bucket
+from roadhead.wire import messages
+from roadhead.wire.http import Client, NoAnswer
+
+log = logging.getLogger("roadhead.state")
+
+
+class Unavailable(Exception):
+    pass
+
+
+class Unsure(Exception):
+    pass
+
+
+class Conflict(Exception):
+    def __init__(self, failed):
+        super().__init__(f"changed meanwhile: {failed}")
+        self.failed = failed
+
+
+class TooOld(Exception):
+    """The changes asked for are no longer kept."""
+
+
+class LeaseGone(Exception):
+    pass
+
+
+class StateClient:
+    def __init__(self, loop, net, address, limits, nodes):
+        self._loop = loop
+        self._http = Client(loop, net, address, max_idle=6)
+        self.limits = limits
+        rps, writes = limits.rps / nodes, limits.write_rps / nodes
+        self.requests = Bucket(loop, 0.95 * rps, rps)
+        self.writes = Bucket(loop, 0.95 * writes, writes)
+        self.ok_at = -1e9  # when the last request that got a proper answer was sent
+
+    async def _call(self, method, target, body=b"", timeout=3.0):
+        await self.requests.take()
+        sent_at = self._loop.now()
+        try:
+            status, data, _headers = await self._http.request(method, target, body, timeout)
+        except NoAnswer as error:
+            if error.sent:
+                raise Unsure(str(error)) from None
+            raise Unavailable(str(error)) from None
+        if status == 429:
+            self.requests.empty()
+            raise Unavailable("429")
+        if status >= 500:
+            raise Unavailable(str(status))
+        try:
+            value = messages.decode_map(data) if data else {}
+        except messages.Invalid as error:
+            raise Unsure(str(error)) from None
+        self.ok_at = max(self.ok_at, sent_at)
+        return status, value
+
+    async def get(self, key):
+        """(value, stamp), or (None, 0)."""
+        status, answer = await self._call("GET", f"/store/{key}")
+        if status == 404:
+            return None, 0
+        if status != 200:
+            raise Unavailable(f"get {key}: {status}")
+        return answer["data"], answer["stamp"]
+
+    async def list(self, prefix):
+        """All (key, value, stamp) under `prefix`, and the revision of the first page."""
+        items = []
+        after = ""
+        revision = None
+        while True:
+            target = f"/store?under={prefix}&limit=1000" + (f"&after={after}" if after else "")
+            status, answer = await self._call("GET", target, timeout=6.0)
+            if status != 200:
+                raise Unavailable(f"list {prefix}: {status}")
+            items += [(item["k"], item["data"], item["stamp"]) for item in answer["items"]]
+            if revision is None:
+                revision = answer["epoch"]
+            if not answer.get("hasNext") or not answer["items"]:
+                return items, revision
+            after = items[-1][0]
+
+    async def multi(self, conditions, writes):
+        """A transaction; returns its revision. `conditions` are (key, stamp) pairs."""
+        await self.writes.take(len(writes))
+        body = {"if": [{"k": key, "stamp": stamp} for key, stamp in conditions], "writes": writes}
+        status, answer = await self._call("POST", "/multi", messages.encode(body))
+        if status == 200:
+            return answer["epoch"]
+        if status == 409:
+            raise Conflict(answer.get("failed", []))
+        if status == 400 and answer.get("error") == "no such lease":
+            raise LeaseGone
+        log.error("transaction refused: %s %s", status, answer)
+        raise Unavailable(f"multi: {status}")
+
+    async def lease(self, life_s):
+        body = messages.encode({"lifeMs": int(life_s * 1000)})
+        status, answer = await self._call("POST", "/leases", body)
+        if status != 200:
+            raise Unavailable(f"lease: {status}")
+        return answer["permit"]
+
+    async def touch(self, permit):
+        """Renews a lease; raises LeaseGone."""
+        status, _answer = await self._call("POST", f"/leases/{permit}/touch", timeout=1.5)
+        if status == 404:
+            raise LeaseGone
+        if status != 200:
+            raise Unavailable(f"touch: {status}")
+
+    async def changes(self, prefix, after, wait_s):
+        """(events, revision): waits up to `wait_s` for changes under `prefix`."""
+        target = f"/changes?under={prefix}&after={after}&waitMs={int(wait_s * 1000)}"
+        status, answer = await self._call("GET", target, timeout=wait_s + 2.0)
+        if status == 410:
+            raise TooOld
+        if status != 200:
+            raise Unavailable(f"changes: {status}")
+        return answer["log"], answer["epoch"]
