--- /dev/null
+++ b/tests/sim.py
@@ -0,0 +1,216 @@
+"""Virtual time and a virtual network: the same loops and streams as in production, no sockets."""
+
+import heapq
+import random
+
+from roadhead.runtime.loop import Future, Loop, Timeout, Timer
+from roadhead.runtime.net import Closed
+
+
+class NoSelector:
+    def select(self, _timeout):
+        return ()
+
+
+class Sim(Loop):
+    """The one real scheduler: advances its clock to the next timer whenever nothing is ready."""
+
+    def __init__(self, seed):
+        self.time = 0.0
+        self.random = random.Random(seed)
+        super().__init__(lambda: self.time, NoSelector())
+
+    def run_until(self, end):
+        while True:
+            if self.idle:
+                when = self.next_timer()
+                if when is None or when > end:
+                    self.time = end
+                    return
+                self.time = max(self.time, when)
+            self.run_due()
+
+
+class HostLoop(Loop):
+    """A host's view of the simulation: its own drifting clock, and silence once it is dead."""
+
+    def __init__(self, sim, rate=1.0, offset=0.0):
+        self.sim = sim
+        self.rate = rate
+        self.offset = offset
+        self.alive = True
+        self.hung = False
+        self._held = []
+        super().__init__(lambda: sim.time * rate + offset, NoSelector())
+
+    def _go(self, fn, args):
+        if not self.alive:
+            return
+        if self.hung:
+            self._held.append((fn, args))
+        else:
+            fn(*args)
+
+    def call_soon(self, fn, *args):
+        self.sim.call_soon(self._go, fn, args)
+
+    def call_at(self, when, fn, *args):
+        timer = Timer(when, fn, args)
+
+        def fire():
+            if timer.fn is not None:
+                self._go(lambda: timer.fn is not None and timer.fn(*timer.args), ())
+
+        delay = max(0.0, (when - self.now()) / self.rate)
+        heapq.heappush(self.sim._timers, Timer(self.sim.time + delay, fire, ()))
+        return timer
+
+    def hang(self):
+        self.hung = True
+
+    def wake(self):
+        self.hung = False
+        held, self._held = self._held, []
+        for fn, args in held:
+            self.call_soon(fn, *args)
+
+
+class SimStream:
+    def __init__(self, net, host, peer_host):
+        self._net = net
+        self.host = host
+        self.peer_host = peer_host
+        self.peer = None
+        self.closed = False
+        self._eof = False
+        self._chunks = []
+        self._waiter = None
+
+    def _wake(self):
+        if self._waiter is not None:
+            waiter, self._waiter = self._waiter, None
+            waiter.set()
+
+    def _deliver(self, data):
+        if self.closed:
+            return
+        if data is None:
+            self._eof = True
+        else:
+            self._chunks.append(data)
+        self._wake()
+
+    async def read(self):
+        while not self._chunks:
+            if self._eof or self.closed:
+                return b""
+            self._waiter = Future()
+            await self._waiter
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        return data
+
+    def write(self, data):
+        if self.closed:
+            raise Closed
+        self._net.carry(self, bytes(data))
+
+    def close(self):
+        if not self.closed:
+            self.closed = True
+            self._net.carry(self, None)
+            self._wake()
+
+
+class Network:
+    """Carries bytes between hosts with a latency, in order; cuts hold them back or lose them."""
+
+    def __init__(self, sim, latency=0.001):
+        self.sim = sim
+        self.latency = latency
+        self.listeners = {}  # address -> (host, on_stream)
+        self.loops = {}  # host -> HostLoop
+        self.cuts = {}  # frozenset(host, host) -> [mode, held]
+        self._streams = []
+
+    def host(self, name, loop):
+        self.loops[name] = loop
+        return HostNet(self, name, loop)
+
+    def cut_between(self, a, b):
+        return self.cuts.get(frozenset((a, b)))
+
+    def carry(self, stream, data):
+        cut = self.cut_between(stream.host, stream.peer_host)
+        if cut is not None:
+            if cut[0] == "hold":
+                cut[1].append((stream.peer, data))
+            return
+        self._post(stream.peer, data)
+
+    def _post(self, peer, data):
+        loop = self.loops.get(peer.host)
+        if loop is not None:
+            loop.call_at(loop.now() + self.latency * loop.rate, peer._deliver, data)
+
+    def cut(self, a, b, mode):
+        """`hold`: packets arrive once the cut ends; `lose`: they never do."""
+        self.cuts[frozenset((a, b))] = [mode, []]
+
+    def heal(self, a, b):
+        cut = self.cuts.pop(frozenset((a, b)), None)
+        if cut is not None:
+            for peer, data in cut[1]:
+                self._post(peer, data)
+            if cut[0] == "lose":
+                for stream in self._streams:
+                    if {stream.host, stream.peer_host} == {a, b}:
+                        stream._deliver(None)
+
+    def kill(self, name):
+        loop = self.loops.pop(name, None)
+        if loop is not None:
+            loop.alive = False
+        for address in [a for a, (host, _) in self.listeners.items() if host == name]:
+            del self.listeners[address]
+        for stream in self._streams:
+            if stream.host == name and not stream.closed:
+                stream.closed = True
+                self.carry(stream, None)
+        self._streams = [s for s in self._streams if s.host != name and s.peer_host != name or not s.closed]
+
+
+class HostNet:
+    def __init__(self, network, name, loop):
+        self._network = network
+        self.name = name
+        self.loop = loop
+
+    def listen(self, address, on_stream):
+        self._network.listeners[address] = (self.name, on_stream)
+
+    async def connect(self, address, timeout):
+        network = self._network
+        target = address.rpartition(":")[0]
+        if network.cut_between(self.name, target) is not None or (
+            target not in network.loops
+        ):
+            if target in network.loops or target.startswith("10.1."):
+                await self.loop.sleep(timeout)
+                raise Timeout
+            await self.loop.sleep(network.latency)
+            raise Closed("refused")
+        if network.loops[target].hung:
+            await self.loop.sleep(timeout)
+            raise Timeout
+        await self.loop.sleep(2 * network.latency)
+        listener = network.listeners.get(address)
+        if listener is None:
+            raise Closed("refused")
+        mine = SimStream(network, self.name, target)
+        theirs = SimStream(network, target, self.name)
+        mine.peer, theirs.peer = theirs, mine
+        network._streams = [s for s in network._streams if not s.closed]
+        network._streams += [mine, theirs]
+        network.loops[target].call_soon(listener[1], theirs)
+        return mine
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,524 @@
+"""Stand-ins for the state service, the cloud, the workers and the users.
+
+They speak the real protocol over the virtual network, can fail in the ways a scenario
+asks for, and check the Rules of the protocol at every step (`World.broken`).
+"""
+
+import cbor2
+
+from roadhead.runtime.loop import Future, Timeout
+from roadhead.wire import http
+from roadhead.wire.http import Client, NoAnswer
+
+
+class Server:
+    """An HTTP server on a host of its own. `lose` answers are executed but never sent."""
+
+    def __init__(self, world, host, address):
+        self.world = world
+        self.sim = world.sim
+        self.loop = world.host_loop(host)
+        self.net = world.network.host(host, self.loop)
+        self.host = host
+        self.lose = 0
+        self.late = []  # (matches(method, path, body), delay): executed that much later
+        self.net.listen(address, lambda stream: self.loop.spawn(self._serve(stream), host))
+
+    async def _serve(self, stream):
+        async def handle(request):
+            path, _, query = request.target.partition("?")
+            args = dict(part.split("=", 1) for part in query.split("&") if part)
+            body = cbor2.loads(request.body) if request.body else None
+            for matches, delay in list(self.late):
+                if matches(request.method, path, body):
+                    self.late.remove((matches, delay))
+                    self.loop.spawn(self._later(delay, request.method, path, args, body, stream))
+                    await Future()
+            status, answer = await self.handle(request.method, path, args, body, stream.peer_host)
+            if self.lose > 0 and request.method == "POST":
+                self.lose -= 1
+                stream.close()
+            return status, (cbor2.dumps(answer) if answer is not None else b""), None
+
+        await http.serve(self.loop, stream, handle, 60.0)
+
+    async def _later(self, delay, method, path, args, body, stream):
+        """The sender gives up on it, and then it takes effect all the same."""
+        await self.loop.sleep(min(delay, 5.0))
+        stream.close()
+        await self.loop.sleep(max(0.0, delay - 5.0))
+        await self.handle(method, path, args, body, stream.peer_host)
+
+
+class State(Server):
+    def __init__(self, world):
+        super().__init__(world, "10.2.0.1", "10.2.0.1:2379")
+        self.data = {}  # key -> (value, stamp, permit)
+        self.epoch = 0
+        self.log = []
+        self.leases = {}  # permit -> [life, ends]
+        self.permits = 0
+        self.down = False
+        self.refused_hosts = set()
+        self.waiters = []
+        self.loop.spawn(self._expire(), "leases")
+
+    async def _expire(self):
+        while True:
+            await self.loop.sleep(0.05)
+            if self.down:
+                continue
+            now = self.sim.time
+            for permit in [p for p, (_, ends) in self.leases.items() if ends <= now]:
+                self._end(permit)
+
+    def _end(self, permit):
+        del self.leases[permit]
+        keys = [k for k, (_, _, p) in self.data.items() if p == permit]
+        if keys:
+            self.epoch += 1
+            for key in keys:
+                del self.data[key]
+                self.log.append({"drop": key, "stamp": self.epoch})
+            self._wake()
+
+    def _wake(self):
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter.set()
+
+    def outage(self, on):
+        self.down = on
+        if not on:
+            for lease in self.leases.values():
+                lease[1] = self.sim.time + lease[0]
+            self._wake()
+
+    async def handle(self, method, path, args, body, host):
+        await self.loop.sleep(0.004)
+        refused = lambda: self.down or host in self.refused_hosts  # noqa: E731
+        if refused():
+            return 503, {"error": "trouble"}
+        if path == "/store":
+            prefix, after = args["under"], args.get("after", "")
+            keys = sorted(k for k in self.data if k.startswith(prefix) and k > after)
+            limit = int(args.get("limit", 1000))
+            items = [{"k": k, "data": self.data[k][0], "stamp": self.data[k][1]} for k in keys[:limit]]
+            return 200, {"items": items, "hasNext": len(keys) > limit, "epoch": self.epoch}
+        if path.startswith("/store/"):
+            key = path[len("/store/"):]
+            if key not in self.data:
+                return 404, {"epoch": self.epoch}
+            value, stamp, permit = self.data[key]
+            return 200, {"k": key, "data": value, "stamp": stamp, "permit": permit}
+        if path == "/multi":
+            return self.multi(body)
+        if path == "/leases":
+            self.permits += 1
+            life = body["lifeMs"] / 1000
+            self.leases[self.permits] = [life, self.sim.time + life]
+            return 200, {"permit": self.permits}
+        if path.startswith("/leases/"):
+            permit = int(path.split("/")[2])
+            if permit not in self.leases:
+                return 404, {}
+            lease = self.leases[permit]
+            lease[1] = self.sim.time + lease[0]
+            return 200, {}
+        if path == "/changes":
+            after, prefix = int(args["after"]), args["under"]
+            ends = self.sim.time + int(args.get("waitMs", 0)) / 1000
+            while True:
+                found = [e for e in self.log
+                         if e["stamp"] > after and (e.get("put") or e.get("drop")).startswith(prefix)]
+                if not refused() and (found or self.sim.time >= ends):
+                    return 200, {"epoch": self.epoch, "log": found}
+                waiter = Future()
+                self.waiters.append(waiter)
+                timer = self.loop.call_later(max(0.05, ends - self.sim.time), waiter.set)
+                await waiter
+                timer.cancel()
+        return 400, {}
+
+    def multi(self, body):
+        failed = [c["k"] for c in body["if"]
+                  if self.data.get(c["k"], (None, 0, None))[1] != c["stamp"]]
+        for write in body["writes"]:
+            if "put" in write and write.get("permit") and write["permit"] not in self.leases:
+                return 400, {"error": "no such lease"}
+        if failed:
+            return 409, {"failed": failed, "epoch": self.epoch}
+        if len(body["writes"]) > self.world.settings["state"]["txn_ops"]:
+            return 400, {"error": "too many"}
+        if body["writes"]:
+            self.epoch += 1
+            for write in body["writes"]:
+                if "put" in write:
+                    self.data[write["put"]] = (write["data"], self.epoch, write.get("permit"))
+                    self.log.append({"put": write["put"], "data": write["data"], "stamp": self.epoch})
+                elif self.data.pop(write["drop"], None) is not None:
+                    self.log.append({"drop": write["drop"], "stamp": self.epoch})
+            self._wake()
+        return 200, {"epoch": self.epoch}
+
+
+class Cloud(Server):
+    def __init__(self, world, kinds, capacity):
+        super().__init__(world, "10.2.0.2", "10.2.0.2:8443")
+        self.kinds = kinds
+        self.capacity = capacity
+        self.rented = {}  # name -> Worker
+        self.hires = {}
+        self.names = 0
+        self.history = []  # (when, listing)
+        self.down = False
+        self.loop.spawn(self._record(), "history")
+
+    async def _record(self):
+        while True:
+            self.history.append((self.sim.time, self._now()))
+            del self.history[:-200]
+            await self.loop.sleep(0.25)
+
+    def _now(self):
+        return [
+            {"id": w.name, "endpoint": w.address, "rig": w.kind["name"], "paddock": w.zone,
+             "loaners": w.spot, "status": w.listed(), "ageS": self.sim.time - w.born}
+            for w in sorted(self.rented.values(), key=lambda w: w.name)
+        ]
+
+    async def handle(self, method, path, args, body, host):
+        await self.loop.sleep(0.05)
+        if self.down:
+            return 503, {"error": "trouble"}
+        if path == "/catalog":
+            return 200, {"rigs": self.kinds}
+        if path == "/hosts" and method == "POST":
+            if body["hire"] in self.hires:
+                return 200, {"drovers": self.hires[body["hire"]]}
+            names = self.rent(body["rig"], body["paddock"], body["loaners"], body["count"])
+            if not names:
+                return 503, {"error": "no capacity"}
+            self.hires[body["hire"]] = names
+            return 200, {"drovers": names}
+        if path == "/hosts":
+            # At times twice as late as usual, so that a list can be older than the one before.
+            lag = self.world.settings["cloud"]["list_lag_s"] * self.sim.random.choice((0.5, 1, 1, 2))
+            before = [listing for when, listing in self.history if when <= self.sim.time - lag]
+            after = args.get("after", "")
+            listing = [m for m in (before[-1] if before else []) if m["id"] > after]
+            return 200, {"drovers": listing[:500], "hasNext": len(listing) > 500}
+        if path == "/hosts/release":
+            for name in body["drovers"]:
+                worker = self.rented.pop(name, None)
+                if worker is not None:
+                    worker.end()
+            return 200, {}
+        return 400, {}
+
+    def rent(self, kind_name, zone, spot, count):
+        names = []
+        for _ in range(count):
+            here = sum(w.kind["name"] == kind_name and w.zone == zone for w in self.rented.values())
+            if here >= self.capacity:
+                break
+            self.names += 1
+            name = f"n-{self.names:06d}"
+            kind = next(k for k in self.kinds if k["name"] == kind_name)
+            self.rented[name] = Worker(self.world, name, self.names, kind, zone, spot)
+            names.append(name)
+        return names
+
+
+class OnMachine:
+    """An attempt on a worker."""
+
+    def __init__(self, task, attempt):
+        self.task = task
+        self.attempt = attempt
+        self.status = "pulling"
+        self.cause = None
+        self.saved = False
+        self.timer = None
+
+
+class Worker(Server):
+    def __init__(self, world, name, number, kind, zone, spot):
+        host = f"10.1.{number // 200}.{number % 200 + 1}"
+        self.address = f"{host}:9000"
+        super().__init__(world, host, self.address)
+        self.name, self.kind, self.zone, self.spot = name, kind, zone, spot
+        self.born = self.sim.time
+        self.up = False
+        self.dead = False
+        self.sick = False
+        self.stuck = world.stuck_boots > 0
+        if self.stuck:
+            world.stuck_boots -= 1
+        self.session = 1
+        self.sequence = 0
+        self.token = 0
+        self.notice_at = None
+        self.tasks = {}  # (task, attempt) -> OnMachine
+        self.report_s = world.settings["workers"]["report_s"]
+        self.lease_s = world.settings["workers"]["lease_s"]
+        self.loop.spawn(self._live(), name)
+
+    def listed(self):
+        if self.dead:
+            return "failed" if self.sim.time - self.dead_at > 30 else "running"
+        return "running" if self.up else "starting"
+
+    def end(self):
+        self.dead = True
+        self.dead_at = self.sim.time
+        for item in list(self.tasks.values()):
+            self._leave(item)
+        self.tasks.clear()
+        self.world.network.kill(self.host)
+
+    async def _live(self):
+        await self.loop.sleep(self.kind["startupS"] * self.sim.random.uniform(0.6, 1.5))
+        if self.stuck:
+            return
+        self.up = True
+        self.renewed_at = self.loop.now()
+        self.loop.spawn(self._watch_lease(), "lease")
+        nodes = self.world.fronts
+        at = self.sim.random.randrange(len(nodes))
+        self.wanted = None
+        clients = {}
+        while True:
+            front = nodes[at % len(nodes)]
+            client = clients.setdefault(front, Client(self.loop, self.net, front, 1))
+            sent_at, session = self.loop.now(), self.session
+            try:
+                status, data, _ = await client.request(
+                    "POST", "/v1/report", cbor2.dumps(self.report()), 4.0)
+            except NoAnswer:
+                status, data = 0, b""
+            if status == 200:
+                answer = cbor2.loads(data)
+                if answer.get("brand", -1) >= self.token and session == self.session:
+                    self.token = answer["brand"]
+                    self.renewed_at = max(self.renewed_at, sent_at)
+                    self.execute(answer["orders"])
+                self.wanted = Future()
+                timer = self.loop.call_later(
+                    self.report_s * self.sim.random.uniform(0.75, 1.25), self.wanted.set)
+                await self.loop.sleep(0.5)
+                await self.wanted
+                timer.cancel()
+                continue
+            boss = cbor2.loads(data).get("boss") if status == 421 and data else None
+            if boss in self.world.labels and self.world.labels.index(boss) != at % len(nodes):
+                at = self.world.labels.index(boss)
+                await self.loop.sleep(self.sim.random.uniform(0, 0.5))
+            else:
+                at += 1
+                await self.loop.sleep(1.0)
+
+    async def _watch_lease(self):
+        while True:
+            await self.loop.sleep(0.1)
+            if self.loop.now() - self.renewed_at > self.lease_s:
+                self._end_session()
+                self.changed()
+
+    def changed(self):
+        if getattr(self, "wanted", None) is not None:
+            self.wanted.set()
+
+    def report(self):
+        self.sequence += 1
+        notice = None if self.notice_at is None else max(0.0, self.notice_at - self.sim.time)
+        return {
+            "drover": self.name, "endpoint": self.address, "rig": self.kind["name"],
+            "paddock": self.zone, "loaners": self.spot, "stint": self.session,
+            "tally": self.sequence, "brand": self.token, "recallS": notice,
+            "legs": [
+                {"leg": i.task, "try": i.attempt, "status": i.status, "cause": i.cause, "saved": i.saved}
+                for i in self.tasks.values()
+            ],
+        }
+
+    async def handle(self, method, path, args, body, host):
+        if path == "/inspect":
+            return 200, self.report()
+        if body["brand"] < self.token or body["stint"] != self.session:
+            return 409, self.report()
+        if body["brand"] > self.token:
+            self.token = body["brand"]
+            self.changed()
+        self.execute(body["orders"])
+        return 200, self.report()
+
+    def execute(self, orders):
+        for order in orders:
+            key = (order["leg"], order["try"])
+            item = self.tasks.get(key)
+            if order["verb"] == "launch" and item is None:
+                self._launch(*key)
+            elif order["verb"] == "stop" and item is not None and item.status != "exited":
+                job = self.world.job_of(item.task)
+                if (item.status == "running" and job["musterS"] > 0
+                        and order["letgoS"] >= job["stowS"]):
+                    item.status = "saving"
+                    item.timer.cancel()
+                    item.timer = self.loop.call_later(job["stowS"], self._saved, item)
+                elif item.status != "saving" or order["letgoS"] == 0:
+                    self._exit(item, "stopped")
+            elif order["verb"] == "forget" and item is not None and item.status == "exited":
+                del self.tasks[key]
+                self.changed()
+
+    def _launch(self, task, attempt):
+        item = self.tasks[task, attempt] = OnMachine(task, attempt)
+        job = self.world.job_of(task)
+        others = [i for i in self.tasks.values() if i is not item and i.status != "exited"]
+        used = sum(self.world.job_of(i.task)["vcpus"] for i in others)
+        if job is None:
+            self._exit(item, "no_such")
+        elif any(i.task == task for i in others):
+            self._exit(item, "in_use")
+        elif used + job["vcpus"] > self.kind["vcpus"] + 1e-6:
+            self.world.no_rooms += 1
+            self._exit(item, "no_room")
+        else:
+            item.timer = self.loop.call_later(self.world.fetch_s, self._start, item)
+            self.changed()
+
+    def _start(self, item):
+        item.status = "running"
+        self.world.on_machine(item.task, self)
+        job = self.world.job_of(item.task)
+        run_s = job["runS"] * self.sim.random.uniform(0.9, 1.1)
+        if item.task in self.world.completed:
+            run_s = 0.0
+        if self.sick or job.get("faulty"):
+            item.timer = self.loop.call_later(0.5, self._exit, item, "error")
+        else:
+            item.timer = self.loop.call_later(run_s, self._exit, item, "done")
+        self.changed()
+
+    def _saved(self, item):
+        item.saved = True
+        self._exit(item, "stopped")
+
+    def hang(self, seconds):
+        """Executes nothing for a while. If its lease ends meanwhile, its tasks are killed
+        before it does anything else, so they count as gone from that moment on."""
+        self.loop.hang()
+        left = self.renewed_at + self.lease_s - self.loop.now()
+
+        def lease_ends():
+            if self.loop.hung and not self.dead:
+                self._end_session()
+
+        self.sim.call_later(left / self.loop.rate, lease_ends)
+        self.sim.call_later(seconds, self.loop.wake)
+
+    def _end_session(self):
+        for item in list(self.tasks.values()):
+            self._leave(item)
+        self.tasks.clear()
+        self.session += 1
+        self.renewed_at = self.loop.now()
+
+    def _leave(self, item):
+        if item.timer is not None:
+            item.timer.cancel()
+        if item.status in ("running", "saving"):
+            self.world.off_machine(item.task, self)
+
+    def _exit(self, item, cause):
+        self._leave(item)
+        item.status, item.cause = "exited", cause
+        if cause == "done":
+            self.world.completed.add(item.task)
+        self.changed()
+
+
+class User:
+    """Submits a job and polls it until it is over, as the protocol says users do."""
+
+    def __init__(self, world, job):
+        self.world = world
+        self.sim = world.sim
+        self.job = job
+        self.id = job["id"]
+        self.accepted = False
+        self.told = None
+        self.gave_up = False
+        self.asked_to_cancel = False
+        self.told_cancelled_at = None
+        self.last_good_poll = None
+
+    async def _ask(self, method, path, body, timeout):
+        world = self.world
+        fronts = [f for f in world.fronts if f in world.network.listeners]
+        if not fronts:
+            return 0, None
+        client = Client(world.user_loop, world.user_net, self.sim.random.choice(fronts), 0)
+        try:
+            status, data, _ = await client.request(
+                method, path, cbor2.dumps(body) if body is not None else b"", timeout)
+        except (NoAnswer, Timeout):
+            return 0, None
+        return status, (cbor2.loads(data) if data else None)
+
+    def _hear(self, status, answer):
+        """Checks an answer of 200 or 201 against all that was said before."""
+        world = self.world
+        if status == 404 and self.accepted:
+            world.break_rule("forgotten", self.id)
+        if status not in (200, 201):
+            return
+        state = answer["status"]
+        if self.told in ("done", "cancelled") and state != self.told:
+            world.break_rule("went_back", f"{self.id}: {self.told} then {state}")
+        if state == "cancelled" and not self.asked_to_cancel:
+            world.break_rule("went_back", f"{self.id}: nobody cancelled it")
+        if state == "done" and not world.all_completed(self.job):
+            world.break_rule("not_done", self.id)
+        if state == "cancelled" and self.told_cancelled_at is None:
+            self.told_cancelled_at = self.sim.time
+            world.cancelled_at[self.id] = self.sim.time
+        self.told = state
+
+    async def run(self):
+        loop = self.world.user_loop
+        public = {k: v for k, v in self.job.items() if k not in ("runS", "faulty")}
+        begun = self.sim.time
+        while not self.accepted:
+            status, answer = await self._ask("POST", "/v1/jobs", public, 5.0)
+            if status in (200, 201):
+                self.accepted = True
+                self._hear(status, answer)
+            elif status in (400, 422):
+                self.world.refusals[self.id] = status
+                return
+            elif self.sim.time - begun > 60:
+                self.gave_up = True
+                return
+            else:
+                await loop.sleep(1.0 + self.sim.random.random())
+        while self.told not in ("done", "cancelled"):
+            await loop.sleep(4.0 + 2 * self.sim.random.random())
+            status, answer = await self._ask("GET", f"/v1/jobs/{self.id}", None, 2.0)
+            self._hear(status, answer)
+        # Long after the end, any controller must say the same.
+        for _ in range(4):
+            await loop.sleep(7.0)
+            status, answer = await self._ask("GET", f"/v1/jobs/{self.id}", None, 2.0)
+            self._hear(status, answer)
+
+    async def cancel(self):
+        self.asked_to_cancel = True
+        begun = self.sim.time
+        while self.sim.time - begun < 60:
+            status, answer = await self._ask("POST", f"/v1/jobs/{self.id}/cancel", None, 5.0)
+            if status == 200:
+                self._hear(status, answer)
+                return
+            await self.world.user_loop.sleep(1.0)
--- /dev/null
+++ b/tests/test_scenarios.py
@@ -0,0 +1,17 @@
+"""Runs every scenario: a whole deployment in virtual time, checked against the Rules."""
+
+from pathlib import Path
+
+import pytest
+
+from world import World
+
+SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
+
+
+@pytest.mark.parametrize("path", SCENARIOS, ids=lambda path: path.stem)
+def test_scenario(path):
+    world = World(path.read_text())
+    assert world.expectations, "a scenario that expects nothing shows nothing"
+    world.run()
+    assert world.check() == []
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,296 @@
+"""A whole deployment in virtual time, driven by a scenario's text."""
+
+import random
+import shlex
+
+from roadhead.node import Node
+from roadhead.settings import Tuning, parse
+from sim import HostLoop, Network, Sim
+from standins import Cloud, State, User
+
+import msgspec
+
+DEFAULTS = {
+    "controllers": 3, "seed": 1, "report_s": 2.0, "lease_s": 12.0, "cancel_s": 32.0,
+    "list_lag_s": 3.0, "txn_ops": 16, "capacity": 8, "fetch_s": 1.0, "until": 200.0,
+    "cpus_max": 0.0, "drift": 0.0005, "boot_s": 5.0,
+}
+
+
+class World:
+    def __init__(self, text):
+        self.options = dict(DEFAULTS)
+        self.actions = []  # (when, words)
+        self.expectations = []
+        self.broken = []
+        for line in text.splitlines():
+            words = shlex.split(line, comments=True)
+            if not words:
+                continue
+            if words[0] == "at":
+                self.actions.append((float(words[1]), words[2:]))
+            elif words[0] == "expect":
+                self.expectations.append(words[1:])
+            elif words[0] in self.options:
+                self.options[words[0]] = type(DEFAULTS[words[0]])(float(words[1]))
+            else:
+                raise ValueError(f"scenario: {line!r}")
+        options = self.options
+        self.sim = Sim(options["seed"])
+        self.network = Network(self.sim)
+        self.settings = {
+            "workers": {key: options[key] for key in ("report_s", "lease_s", "cancel_s")},
+            "state": {"rps": 300.0, "write_rps": 60.0, "value_kb": 8.0, "txn_ops": options["txn_ops"]},
+            "cloud": {"rps": 9.0, "list_lag_s": options["list_lag_s"]},
+        }
+        self.fetch_s = options["fetch_s"]
+        self.stuck_boots = 0
+        self.no_rooms = 0
+        self.jobs = {}
+        self.users = {}
+        self.completed = set()
+        self.running = {}  # task -> worker
+        self.cancelled_at = {}
+        self.refusals = {}
+        self.zones = ("north", "south")
+        self.labels = [f"ctl-{number}" for number in range(options["controllers"])]
+        self.fronts = [f"10.0.0.{number + 1}:8080" for number in range(options["controllers"])]
+        self.state = State(self)
+        kinds = [{
+            "name": "box", "vcpus": 4, "gpus": 0, "ramGb": 16, "cacheGb": 20, "fetchGbPerS": 1,
+            "price": 0.2, "marketPrice": 0.05, "startupS": options["boot_s"], "paddocks": list(self.zones),
+        }]
+        self.cloud = Cloud(self, kinds, options["capacity"])
+        self.user_loop = self.host_loop("10.9.0.1")
+        self.user_net = self.network.host("10.9.0.1", self.user_loop)
+        self.nodes = {}
+        for number in range(options["controllers"]):
+            self.start(number)
+        self.sim.spawn(self._check(), "checks")
+
+    def host_loop(self, _host):
+        drift = self.options["drift"]
+        rate = self.sim.random.choice((1 - drift / 2, 1.0, 1 + drift / 2))
+        return HostLoop(self.sim, rate, self.sim.random.uniform(0, 1000))
+
+    # Controllers
+
+    def _settings_of(self, number):
+        def member(n):
+            return {"label": self.labels[n], "location": self.zones[n % 2], "endpoint": f"10.0.0.{n + 1}:8081"}
+
+        document = {
+            "label": self.labels[number], "location": self.zones[number % 2],
+            "front": self.fronts[number], "internal_addr": f"10.0.0.{number + 1}:8081",
+            "members": [member(n) for n in range(len(self.labels)) if n != number],
+            "external": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+            "deployment": {
+                "nodes": len(self.labels), "zones": list(self.zones),
+                "teams": [{"name": "crew", "cpus_max": self.options["cpus_max"]}],
+                "objectives": [{"kind": "finished", "class": "c", "within_s": 60.0, "share": 0.9}],
+                **self.settings,
+            },
+        }
+        return parse(msgspec.json.encode(document))
+
+    def start(self, number):
+        host = f"10.0.0.{number + 1}"
+        loop = self.host_loop(host)
+        net = self.network.host(host, loop)
+        node = Node(loop, net, self._settings_of(number), Tuning(),
+                    random.Random(self.sim.random.random()), time_of_day=lambda: 1e9 + self.sim.time)
+        self.nodes[number] = node
+        node.start()
+
+    def crash(self, number, back_after=3.0):
+        self.network.kill(f"10.0.0.{number + 1}")
+        self.nodes.pop(number, None)
+        self.sim.call_later(back_after, self.start, number)
+
+    # The Rules
+
+    def break_rule(self, rule, text):
+        self.broken.append(f"{self.sim.time:.1f} {rule}: {text}")
+
+    def job_of(self, task):
+        return self.jobs.get(task.rpartition("/")[0])
+
+    def all_completed(self, job):
+        return all(f"{job['id']}/{index}" in self.completed for index in range(job["legs"]))
+
+    def on_machine(self, task, worker):
+        job = self.job_of(task)
+        other = self.running.get(task)
+        if other is not None and other is not worker:
+            self.break_rule("ran_twice", f"{task} on {other.name} and {worker.name}")
+        told = self.cancelled_at.get(job["id"])
+        if told is not None and self.sim.time > told + self.settings["workers"]["cancel_s"]:
+            self.break_rule("ran_cancelled", f"{task} starts")
+        if (worker.spot and not job["loaners"]) or job["paddock"] not in (None, worker.zone):
+            self.break_rule("wrong_place", f"{task} on {worker.name}")
+        zones = [w.zone for t, w in self.running.items() if self.job_of(t) is job and t != task]
+        if job["together"] and any(zone != worker.zone for zone in zones):
+            self.break_rule("wrong_place", f"{task} away from its job")
+        if job["scatter"] and zones.count(worker.zone) + 1 > (job["legs"] + 1) // 2:
+            self.break_rule("wrong_place", f"{task} too close to its job")
+        self.running[task] = worker
+        most = self.options["cpus_max"]
+        if most and sum(self.job_of(t)["vcpus"] for t in self.running) > most + 1e-6:
+            self.break_rule("quota", task)
+
+    def off_machine(self, task, worker):
+        if self.running.get(task) is worker:
+            del self.running[task]
+
+    async def _check(self):
+        while True:
+            await self.sim.sleep(0.5)
+            for task in self.running:
+                told = self.cancelled_at.get(task.rpartition("/")[0])
+                if told is not None and self.sim.time > told + self.settings["workers"]["cancel_s"]:
+                    self.break_rule("ran_cancelled", task)
+
+    # What a scenario can do
+
+    def submit(self, words):
+        given = dict(word.split("=", 1) for word in words)
+        number = len(self.jobs) + 1
+        for _ in range(int(given.pop("count", 1))):
+            job = {
+                "id": f"req-{number:06d}", "jobclass": "c", "crew": "crew", "shape": "batch",
+                "urgency": "standard", "legs": 4, "vcpus": 1.0, "gpus": 0.0, "ramGb": 1.0,
+                "kit": "img", "sizeGb": 1.0, "rigs": None, "paddock": None, "together": False,
+                "scatter": False, "loaners": True, "expectS": 10.0, "musterS": 0.0, "stowS": 0.0,
+                "dueS": None, "runS": 10.0, "faulty": False,
+            }
+            for name, text in given.items():
+                kind = type(job[name])
+                job[name] = text if job[name] is None else kind(eval(text, {}) if kind is bool else (
+                    text if kind is str else float(text)))
+            self.jobs[job["id"]] = job
+            user = self.users[job["id"]] = User(self, job)
+            self.user_loop.spawn(user.run(), job["id"])
+            number += 1
+
+    def _hosts(self, name):
+        """Hosts by a scenario's names: a controller's number, state, cloud, workers, peers."""
+        if name == "state":
+            return ["10.2.0.1"]
+        if name == "cloud":
+            return ["10.2.0.2"]
+        if name == "workers":
+            return [worker.host for worker in self.cloud.rented.values()]
+        if name == "peers":
+            return [f"10.0.0.{n + 1}" for n in range(len(self.labels))]
+        return [f"10.0.0.{int(name) + 1}"]
+
+    def do(self, words):
+        verb, *rest = words
+        if verb == "submit":
+            self.submit(rest)
+        elif verb == "crash":
+            self.crash(int(rest[0]), float(rest[1]) if len(rest) > 1 else 3.0)
+        elif verb == "outage":
+            self.state.outage(True)
+            self.sim.call_later(float(rest[0]), self.state.outage, False)
+        elif verb == "refuse":
+            self.state.refused_hosts.update(self._hosts(rest[0]))
+            self.sim.call_later(float(rest[1]), self.state.refused_hosts.clear)
+        elif verb == "cut":
+            mode = rest[3] if len(rest) > 3 else "lose"
+            for a in self._hosts(rest[0]):
+                for b in self._hosts(rest[1]):
+                    if a != b:
+                        self.network.cut(a, b, mode)
+                        self.sim.call_later(float(rest[2]), self.network.heal, a, b)
+        elif verb == "cancel":
+            user = self.users[f"req-{int(rest[0]):06d}"]
+            self.user_loop.spawn(user.cancel(), "cancel")
+        elif verb == "hang":
+            worker = sorted(self.cloud.rented.values(), key=lambda w: w.name)[int(rest[0])]
+            worker.hang(float(rest[1]))
+        elif verb in ("die", "sick", "notice"):
+            busy = sorted((w for w in self.cloud.rented.values() if w.up and not w.dead),
+                          key=lambda w: (-len(w.tasks), w.name))
+            for worker in busy[: int(rest[0])]:
+                if verb == "die":
+                    worker.end()
+                elif verb == "sick":
+                    worker.sick = True
+                else:
+                    worker.notice_at = self.sim.time + float(rest[1])
+                    worker.changed()
+                    self.sim.call_later(float(rest[1]), self._take, worker)
+        elif verb == "stuck":
+            self.stuck_boots = int(rest[0])
+        elif verb == "lose":
+            {"state": self.state, "cloud": self.cloud}[rest[0]].lose += int(rest[1])
+        elif verb == "lose-workers":
+            for worker in self.cloud.rented.values():
+                worker.lose += int(rest[0])
+        elif verb == "late-launch":
+            for worker in self.cloud.rented.values():
+                worker.late.append((lambda _m, path, body: path == "/commands" and any(
+                    order["verb"] == "launch" for order in body["orders"]), float(rest[0])))
+        elif verb == "late-hire":
+            self.cloud.late.append((lambda m, path, _b: (m, path) == ("POST", "/hosts"), float(rest[0])))
+        elif verb == "late-write":
+            self.state.late.append((lambda _m, path, _b: path == "/multi", float(rest[0])))
+        elif verb == "cloud-outage":
+            self.cloud.down = True
+            self.sim.call_later(float(rest[0]), setattr, self.cloud, "down", False)
+        else:
+            raise ValueError(f"scenario: {words}")
+
+    def _take(self, worker):
+        self.cloud.rented.pop(worker.name, None)
+        if not worker.dead:
+            worker.end()
+
+    def run(self):
+        for when, words in self.actions:
+            self.sim.call_at(when, self.do, words)
+        self.sim.run_until(self.options["until"])
+        return self
+
+    # What came of it
+
+    def counter(self, name):
+        return sum(node.counters.counts.get(name, 0) for node in self.nodes.values())
+
+    def check(self):
+        """Faults against the scenario's expectations."""
+        faults = list(self.broken)
+        for words in self.expectations:
+            if words == ["rules"]:
+                continue
+            if words[0] == "told":
+                wanted = {"done": "done", "cancelled": "cancelled"}[words[1]]
+                ids = list(self.users) if words[2] == "all" else [
+                    f"req-{int(number):06d}" for number in words[2].split(",")]
+                for job_id in ids:
+                    told = self.users[job_id].told
+                    if told != wanted:
+                        faults.append(f"{job_id} was told {told}, not {wanted}")
+            elif words[0] == "refused":
+                job_id = f"req-{int(words[2]):06d}"
+                if self.refusals.get(job_id) != int(words[1]):
+                    faults.append(f"{job_id} was not refused with {words[1]}")
+            elif words[0] == "counter":
+                value = self.counter(words[1])
+                if not (value >= float(words[3]) if words[2] == ">=" else value <= float(words[3])):
+                    faults.append(f"counter {words[1]} is {value}")
+            elif words[0] == "running":
+                if len(self.running) != int(words[1]):
+                    faults.append(f"{len(self.running)} tasks run")
+            elif words[0] == "machines":
+                if len(self.cloud.rented) > int(words[1]):
+                    faults.append(f"{len(self.cloud.rented)} machines are rented still")
+            elif words[0] == "no_rooms":
+                if self.no_rooms:
+                    faults.append(f"{self.no_rooms} starts found no room")
+            else:
+                raise ValueError(f"scenario: {words}")
+        return faults
+
+
