Fence direct launches from sending on; stay silent to workers when out of touch

Found by scenarios: cut-zone (a controller cut off launched directly on workers whose lease it no longer renewed) and late-launch-cancel (a launch repeated through a report was forgotten while the direct one could still arrive). Each safety rule is now broken once on purpose in tests/test_safety.py, and a scenario notices.

--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -14,8 +14,19 @@
 class Listing:
     """Granted room on the idle list. `unacked`: starts sent that the room does not allow for."""
 
-    __slots__ = ("home", "images", "room", "serial", "spot", "taken", "type", "unacked", "until",
-                 "zone", "id")
+    __slots__ = (
+        "home",
+        "id",
+        "images",
+        "room",
+        "serial",
+        "spot",
+        "taken",
+        "type",
+        "unacked",
+        "until",
+        "zone",
+    )
 
     def __init__(self, frame, until):
         self.id = frame.machine
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -173,7 +173,7 @@
 
     def _freed(self, machine, task, cause):
         machine.tasks.pop(task.key, None)
-        if not task.forget:
+        if not task.forget or task.job in self.cancelled:
             owner = task.owner or self.owners.get(task.job)
             self._tell(owner, frames.Free(machine.id, *task.key, cause))
 
@@ -344,6 +344,10 @@
                 self._count("grants_lapsed")
                 self._revoke(machine)
                 self._offer(machine)
+            if any(task.forget and task.loose_token == token for task in machine.tasks.values()):
+                # An unanswered launch could start the attempt again once it is forgotten;
+                # under a higher token the worker refuses it.
+                self._member.want_new_token()
             ours = machine.confirmed == token
             end = machine.renewed_at + lease_s * (1 + 2 * DRIFT) + 0.2
             if not ours:
@@ -357,18 +361,22 @@
                 self._free_claims(machine.id, "lease ended")
                 machine.confirmed = 0
             silent = now - (machine.heard_at if machine.heard_at is not None else now)
-            if machine.notice_at is not None and now > machine.notice_at + 1 and (
-                silent > 2 * self._workers.report_s
-            ):
-                release.append(machine)
-            elif silent > 4 * lease_s:
-                release.append(machine)
-            elif machine.draining and not machine.busy() and ours and machine.notice_at is None:
+            taken = machine.notice_at is not None and now > machine.notice_at + 1
+            drained = machine.draining and machine.notice_at is None and ours and self._empty(machine)
+            if drained or silent > 4 * lease_s or (taken and silent > 2 * self._workers.report_s):
                 release.append(machine)
         if self._syncs:
             self.settle()
         return release
 
+    @staticmethod
+    def _empty(machine):
+        """Nothing runs there, and no result there has yet to be recorded."""
+        return all(
+            task.status == EXITED and (task.forget or task.cause != "done")
+            for task in machine.tasks.values()
+        )
+
     def idle(self, idle_s):
         """Machines with nothing on them and no use for that long."""
         now = self._loop.now()
@@ -378,7 +386,7 @@
             if machine.confirmed == self._member.token
             and machine.holder is None
             and not machine.busy()
-            and all(t.status == EXITED and t.cause != "done" or t.forget for t in machine.tasks.values())
+            and all((t.status == EXITED and t.cause != "done") or t.forget for t in machine.tasks.values())
             and now - max(machine.idle_since, machine.confirmed_at) > idle_s(machine)
         ]
 
@@ -536,14 +544,10 @@
             self._ask(machine)
 
     def on_forget(self, frame):
-        machine, task = self._task(frame)
+        _machine, task = self._task(frame)
         if task is None or task.status != EXITED:
             return
         task.forget = True
-        if task.loose_token:
-            # The unanswered launch could start the attempt again once it is forgotten;
-            # a higher token makes the worker refuse it.
-            self._member.want_new_token()
 
     def on_sync(self, label, incarnation, frame):
         owner = (label, incarnation)
@@ -606,14 +610,22 @@
         orders, _launches = machine.orders()
         return orders
 
-    def asked(self, machine, launches, report):
-        """A direct request was answered with `report`, or went unanswered (None)."""
-        if report is not None:
-            self.observe(machine, report)
-            return
-        for task in launches:
-            if not task.seen:
-                task.loose_token = self._member.token
+    def sending(self, launches):
+        """Launches are about to be sent directly; returns those on their way for the first time.
+
+        Until the answer comes they may arrive at any later time, even if a report has shown
+        the attempt meanwhile (the launch was repeated there): it must not be forgotten.
+        """
+        fresh = [task for task in launches if not task.loose_token]
+        for task in fresh:
+            task.loose_token = self._member.token
+        return fresh
+
+    @staticmethod
+    def settled(fresh):
+        """These launches were answered, or never left."""
+        for task in fresh:
+            task.loose_token = 0
 
     def news(self):
         """Rows for the renter: machines by type, zone and kind, and their parked room."""
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -38,11 +38,37 @@
 
 
 class Machine:
-    __slots__ = ("address", "asking", "confirmed", "confirmed_at", "declined", "direct_at", "dones",
-                 "draining", "errors", "grant_lapse_at", "grant_serial", "grant_sent", "grant_taken",
-                 "heard_at", "holder", "id", "idle_since", "kind", "listed_at", "notice_at",
-                 "renewed_at", "sequence", "session", "spot", "tasks", "taken_on", "type", "wanting",
-                 "zone")
+    __slots__ = (
+        "address",
+        "asking",
+        "confirmed",
+        "confirmed_at",
+        "declined",
+        "direct_at",
+        "dones",
+        "draining",
+        "errors",
+        "grant_lapse_at",
+        "grant_sent",
+        "grant_serial",
+        "grant_taken",
+        "heard_at",
+        "holder",
+        "id",
+        "idle_since",
+        "kind",
+        "listed_at",
+        "notice_at",
+        "renewed_at",
+        "sequence",
+        "session",
+        "spot",
+        "taken_on",
+        "tasks",
+        "type",
+        "wanting",
+        "zone",
+    )
 
     def __init__(self, name, address, kind_name, zone, spot, kind, now):
         self.id = name
--- a/roadhead/homes/workers.py
+++ b/roadhead/homes/workers.py
@@ -9,11 +9,12 @@
 
 
 class Workers:
-    def __init__(self, loop, net, member, timeout_s):
+    def __init__(self, loop, net, member, timeout_s, may_command):
         self._loop = loop
         self._net = net
         self._member = member
         self._timeout_s = timeout_s
+        self._may_command = may_command
         self.home = None
         self._clients = {}
 
@@ -32,10 +33,16 @@
                 machine.wanting = False
                 if home.machines.get(machine.id) is not machine or not self._member.joined:
                     return
-                report, launches = await self._once(machine)
+                if not self._may_command():
+                    # Out of touch: a job may have been cancelled without our knowing, and a
+                    # worker whose lease has run out would still take a direct launch.
+                    return
+                report = await self._once(machine)
+                if report is None:
+                    return
                 if home.machines.get(machine.id) is machine and self._member.joined:
-                    home.asked(machine, launches, report)
-                if report is None or not machine.wanting:
+                    home.observe(machine, report)
+                if not machine.wanting:
                     return
         finally:
             machine.asking = False
@@ -46,7 +53,6 @@
             client = self._clients[machine.id] = Client(
                 self._loop, self._net, machine.address, max_idle=1, max_body=1 << 20
             )
-        launches = []
         # The session is a guess for a machine never heard: a wrong one is answered with a
         # report (409), from which it is learned.
         for _ in range(2):
@@ -54,28 +60,32 @@
             if machine.confirmed != self._member.token:
                 orders, launches = [], []
             elif not orders:
-                return None, []
+                return None
             session = machine.session or 1
             body = messages.commands(self._member.token, session, orders)
+            fresh = self.home.sending(launches)
             try:
                 status, data, _headers = await client.request(
                     "POST", "/commands", body, self._timeout_s
                 )
             except NoAnswer as error:
                 log.debug("commands to %s: %s", machine.id, error)
-                return None, launches if error.sent else []
+                if not error.sent:
+                    self.home.settled(fresh)
+                return None
+            self.home.settled(fresh)
             if status not in (200, 409):
-                return None, launches
+                return None
             try:
                 report = messages.read(data, messages.Report)
                 report.check()
             except messages.Invalid as error:
                 log.error("answer of %s: %s", machine.id, error)
-                return None, launches
+                return None
             if status == 200 or report.session == session:
-                return report, launches
+                return report
             self.home.observe(machine, report)
-        return None, launches
+        return None
 
     def forget(self, names):
         for name in names:
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -205,7 +205,7 @@
         binding = job.bound.get(frame.index)
         if binding is None or binding.attempt != frame.attempt:
             return
-        if binding.status == "exited":  # done, only not durable yet
+        if binding.status == "exited" and job.state == "open":  # done, only not durable yet
             return
         self._unbind(job, frame.index)
 
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -70,7 +70,7 @@
         return sum(binding.status in ("running", "saving") for binding in self.bound.values())
 
     def complete(self):
-        return self.spec.kind == "batch" and self.done.count >= self.spec.tasks
+        return self.spec.kind != "daemon" and self.done.count >= self.spec.tasks
 
     def record(self, largest):
         """The value to store, of at most `largest` bytes as JSON, and the tasks recorded done.
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -74,7 +74,8 @@
         for duty in self._duties:
             duty.cancel()
         workers = deployment.workers
-        self.workers = Workers(loop, self._net, self.member, timeout_s=workers.lease_s / 4)
+        self.workers = Workers(loop, self._net, self.member, timeout_s=workers.lease_s / 4,
+                               may_command=self.may_renew)
         types = self.fleet.types if hasattr(self, "fleet") else {}
         self.home = Home(
             loop, self.label, self.member, deployment,
--- a/roadhead/wire/messages.py
+++ b/roadhead/wire/messages.py
@@ -83,7 +83,8 @@
         """Raises Invalid for values that no job can have."""
         if not JOB_ID.match(self.id):
             raise Invalid("id")
-        if self.kind not in ("batch", "daemon"):
+        # A group's tasks wait on their machines for one another; it is placed like a batch.
+        if self.kind not in ("batch", "daemon", "group"):
             raise Invalid("shape")
         if self.urgency not in URGENCIES:
             raise Invalid("urgency")
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -177,7 +177,7 @@
             if stream.host == name and not stream.closed:
                 stream.closed = True
                 self.carry(stream, None)
-        self._streams = [s for s in self._streams if s.host != name and s.peer_host != name or not s.closed]
+        self._streams = [s for s in self._streams if (s.host != name and s.peer_host != name) or not s.closed]
 
 
 class HostNet:
--- /dev/null
+++ b/tests/test_safety.py
@@ -0,0 +1,103 @@
+"""Each safety rule once broken on purpose: the scenario named must notice, or it guards nothing."""
+
+from pathlib import Path
+
+import pytest
+from world import World
+
+from roadhead.api.server import Api
+from roadhead.homes.home import Home
+from roadhead.homes.machine import Machine
+from roadhead.jobs.job import Job
+from roadhead.membership.term import Term
+from roadhead.node import Node
+from roadhead.wire import frames, messages
+
+SCENARIOS = Path(__file__).parent / "scenarios"
+
+
+def never_fenced(patch):
+    """1: tokens stay the same when the members change."""
+    real = Term._renewed
+
+    def renewed(self, members, changed):
+        new = real(self, members, changed)
+        for label, entry in new.members.items():
+            new.members[label] = (entry[0], 1, entry[2])
+        return new
+
+    patch.setattr(Term, "_renewed", renewed)
+
+
+def freed_when_silent(patch):
+    """2: tasks of a machine that was silent for a while are taken for gone."""
+    real = Home.tick
+
+    def tick(self):
+        now = self._loop.now()
+        for machine in list(self.machines.values()):
+            if now - (machine.heard_at or now) > 0.4 * self._workers.lease_s:
+                for task in machine.tasks.values():
+                    self._tell(task.owner, frames.Free(machine.id, *task.key, "silent"))
+        return real(self)
+
+    patch.setattr(Home, "tick", tick)
+
+
+def started_unsynced(patch):
+    """3: inherited jobs start at once."""
+    real = Job.__init__
+
+    def init(self, *args, **kwargs):
+        real(self, *args, **{**kwargs, "inherited": False})
+
+    patch.setattr(Job, "__init__", init)
+
+
+def renews_blindly(patch):
+    """4: a controller out of touch goes on renewing workers."""
+    patch.setattr(Node, "may_renew", lambda self: True)
+
+
+def told_before_durable(patch):
+    """5: a job is called accepted before its record is written."""
+    real = Api._submit
+
+    async def submit(self, body):
+        answer = await real(self, body)
+        if answer[0] == 503:
+            return 200, self._node_answer(body), None
+        return answer
+
+    def node_answer(self, body):
+        spec = messages.read(body, messages.JobSpec)
+        return messages.job_status(spec.id, "pending")
+
+    patch.setattr(Api, "_submit", submit)
+    patch.setattr(Api, "_node_answer", node_answer, raising=False)
+
+
+def forgets_loose_launches(patch):
+    """2: an attempt is forgotten although an unanswered launch of it may still arrive."""
+    real = Machine.orders
+
+    def orders(self):
+        for task in self.tasks.values():
+            task.loose_token = 0
+        return real(self)
+
+    patch.setattr(Machine, "orders", orders)
+
+
+@pytest.mark.parametrize(("sabotage", "scenario"), [
+    (never_fenced, "takeover-room"),
+    (freed_when_silent, "hung-machine"),
+    (started_unsynced, "takeover-running"),
+    (renews_blindly, "cut-zone"),
+    (told_before_durable, "crash-all-outage"),
+    (forgets_loose_launches, "late-launch-cancel"),
+])
+def test_breaking_a_safety_rule_is_noticed(sabotage, scenario, monkeypatch):
+    sabotage(monkeypatch)
+    world = World((SCENARIOS / f"{scenario}.txt").read_text()).run()
+    assert world.broken != [], sabotage.__doc__
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -3,7 +3,6 @@
 from pathlib import Path
 
 import pytest
-
 from world import World
 
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,201 @@
+"""Garbage in, bounded answers out: HTTP, frames, done ranges and settings."""
+
+import json
+
+import cbor2
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from roadhead.jobs.job import Job
+from roadhead.jobs.ranges import Ranges
+from roadhead.settings import SettingsError, parse, parse_tuning
+from roadhead.wire import frames, messages
+from roadhead.wire.http import MAX_BODY, MAX_HEAD, BadMessage, Parser, request_bytes
+
+fixed = settings(derandomize=True, database=None, max_examples=150, deadline=None)
+
+JOB = {
+    "id": "req-000001", "jobclass": "c", "crew": "t", "shape": "batch", "urgency": "high", "legs": 3,
+    "vcpus": 1, "gpus": 0, "ramGb": 2.5, "kit": "img", "sizeGb": 1, "together": False,
+    "scatter": False, "loaners": True, "expectS": 10, "musterS": 0, "stowS": 0,
+}
+
+PLATFORM = {
+    "label": "a", "location": "z", "front": "10.0.0.1:80", "internal_addr": "10.0.0.1:81",
+    "members": [{"label": "b", "location": "z", "endpoint": "10.0.0.2:81"}],
+    "external": {"cloud": "10.0.0.3:1", "state": "10.0.0.4:1"},
+    "deployment": {
+        "nodes": 2, "teams": [{"name": "t"}],
+        "workers": {"report_s": 2, "lease_s": 12, "cancel_s": 30},
+        "state": {"rps": 10, "write_rps": 5, "value_kb": 8, "txn_ops": 4},
+        "cloud": {"rps": 4, "list_lag_s": 3},
+    },
+}
+
+
+@fixed
+@given(st.binary(max_size=300), st.integers(1, 40))
+def test_http_garbage_is_refused_or_waits(data, step):
+    parser = Parser()
+    try:
+        for at in range(0, len(data), step):
+            parser.feed(data[at : at + step])
+            parser.next()
+    except BadMessage as bad:
+        assert bad.status in (400, 413, 431)
+
+
+@fixed
+@given(st.binary(max_size=500), st.integers(1, 60))
+def test_http_requests_survive_any_cut(body, step):
+    data = request_bytes("POST", "/v1/jobs", "h", body) * 2
+    parser = Parser()
+    found = []
+    for at in range(0, len(data), step):
+        parser.feed(data[at : at + step])
+        while (message := parser.next()) is not None:
+            found.append((message.method, message.target, message.body))
+    assert found == [("POST", "/v1/jobs", body)] * 2
+    assert parser.empty
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * MAX_HEAD, 431),
+    (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (MAX_BODY + 1), 413),
+    (b"POST / HTTP/1.1\r\nContent-Length: 9999999999999999999999\r\n\r\n", 413),
+    (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+    (b"GET /\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+])
+def test_http_refuses(data, status):
+    parser = Parser()
+    parser.feed(data)
+    with pytest.raises(BadMessage) as caught:
+        parser.next()
+    assert caught.value.status == status
+
+
+counts = st.integers(0, 2**64 - 1)
+texts = st.text(max_size=20)
+
+
+@fixed
+@given(st.lists(st.tuples(texts, texts, counts, counts), max_size=5), counts, st.integers(1, 30))
+def test_frames_survive_any_cut(rows, number, step):
+    sent = [
+        frames.Sync(number, 1, [row[0] for row in rows], rows),
+        frames.TaskState("m", "z", "j", 1, number, "exited", "done", True),
+    ]
+    data = b"".join(frame.encode() for frame in sent)
+    splitter = frames.Splitter()
+    found = []
+    for at in range(0, len(data), step):
+        splitter.feed(data[at : at + step])
+        found += splitter.frames()
+    assert found == sent
+
+
+@fixed
+@given(st.binary(min_size=1, max_size=200))
+def test_frame_garbage_ends_in_bad_frame_only(data):
+    splitter = frames.Splitter()
+    splitter.feed(data)
+    try:
+        assert all(isinstance(frame, frames.Frame) for frame in splitter.frames())
+    except frames.BadFrame:
+        pass
+
+
+@fixed
+@given(st.lists(st.integers(0, 60), max_size=80))
+def test_ranges_are_sets(numbers):
+    ranges = Ranges()
+    known = set()
+    for number in numbers:
+        assert ranges.add(number) is (number not in known)
+        known.add(number)
+    assert ranges.count == len(known)
+    assert [n for n in range(61) if n in ranges] == sorted(known)
+    assert list(ranges.missing(61)) == [n for n in range(61) if n not in known]
+    assert Ranges(ranges.flat()).flat() == ranges.flat()
+    assert all(end < start for end, start in zip(ranges.ends, ranges.starts[1:], strict=False))
+
+
+def test_record_of_ragged_completion_fits():
+    spec = messages.parse({**JOB, "legs": 100_000}, messages.JobSpec)
+    job = Job(spec, ("a", 1), 0.0)
+    for index in range(0, 100_000, 2):
+        job.done.add(index)
+    job.done.add(1)
+    record, recorded = job.record(8192)
+    assert len(msgspec.json.encode(record)) <= 8192
+    assert 0 in recorded and 1 in recorded and 2 in recorded  # the longest range is kept
+    assert all(index in job.done for index in range(0, 100_000) if index in recorded)
+
+
+@pytest.mark.parametrize("change", [
+    {"id": "job-1"}, {"id": 7}, {"legs": 0}, {"legs": 100_001}, {"legs": 1.5}, {"legs": True},
+    {"vcpus": float("nan")}, {"vcpus": -1}, {"ramGb": 2**64}, {"ramGb": "2"}, {"urgency": "soon"},
+    {"shape": "crowd"}, {"rigs": "box"}, {"together": 1}, {"crew": None}, {"dueS": float("inf")},
+])
+def test_bad_jobs_are_invalid(change):
+    with pytest.raises(messages.Invalid):
+        messages.read(cbor2.dumps({**JOB, **change}), messages.JobSpec).check()
+
+
+@pytest.mark.parametrize("name", sorted(JOB.keys() - {"kit"}))
+def test_missing_fields_are_invalid(name):
+    with pytest.raises(messages.Invalid):
+        messages.read(cbor2.dumps({k: v for k, v in JOB.items() if k != name}), messages.JobSpec)
+
+
+def test_unknown_fields_are_ignored_and_null_may_be_left_out():
+    spec = messages.read(cbor2.dumps({**JOB, "colour": "red"}), messages.JobSpec)
+    spec.check()
+    assert (spec.types, spec.zone, spec.due_s, spec.cpus) == (None, None, None, 1.0)
+
+
+@fixed
+@given(st.binary(max_size=200))
+def test_cbor_garbage_is_invalid(data):
+    try:
+        messages.read(data, messages.Report).check()
+    except messages.Invalid:
+        return
+    raise AssertionError("random bytes made a report")
+
+
+def test_settings_ignore_unknown_fields():
+    assert parse(json.dumps({**PLATFORM, "colour": "red"}).encode()).label == "a"
+
+
+@pytest.mark.parametrize("change", [
+    {"front": "10.0.0.1"}, {"front": "10.0.0.999:80"}, {"label": ""}, {"label": "b"}, {"label": 3},
+    {"members": None}, {"external": {}},
+])
+def test_bad_settings_are_faults(change):
+    with pytest.raises(SettingsError):
+        parse(json.dumps({**PLATFORM, **change}).encode())
+
+
+@fixed
+@given(st.recursive(
+    st.none() | st.booleans() | st.floats() | st.integers() | texts,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(texts, inner, max_size=3), max_leaves=8,
+), st.sampled_from(sorted(PLATFORM)))
+def test_settings_of_any_shape_load_or_fault(value, name):
+    try:
+        parse(json.dumps({**PLATFORM, name: value}).encode())
+    except SettingsError as error:
+        assert error.faults
+
+
+def test_tuning():
+    assert parse_tuning(b"[fleet]\nidle_ratio = 2").fleet.idle_ratio == 2
+    for bad in (b"[fleet]\nidle = 2", b"[fleet]\nidle_ratio = -1", b"[other]", b"no toml"):
+        with pytest.raises(SettingsError):
+            parse_tuning(bad)
--- a/tests/world.py
+++ b/tests/world.py
@@ -3,12 +3,12 @@
 import random
 import shlex
 
-from roadhead.node import Node
-from roadhead.settings import Tuning, parse
+import msgspec
 from sim import HostLoop, Network, Sim
 from standins import Cloud, State, User
 
-import msgspec
+from roadhead.node import Node
+from roadhead.settings import Tuning, parse
 
 DEFAULTS = {
     "controllers": 3, "seed": 1, "report_s": 2.0, "lease_s": 12.0, "cancel_s": 32.0,
@@ -77,7 +77,8 @@
 
     def _settings_of(self, number):
         def member(n):
-            return {"label": self.labels[n], "location": self.zones[n % 2], "endpoint": f"10.0.0.{n + 1}:8081"}
+            endpoint = f"10.0.0.{n + 1}:8081"
+            return {"label": self.labels[n], "location": self.zones[n % 2], "endpoint": endpoint}
 
         document = {
             "label": self.labels[number], "location": self.zones[number % 2],
@@ -207,7 +208,7 @@
             user = self.users[f"req-{int(rest[0]):06d}"]
             self.user_loop.spawn(user.cancel(), "cancel")
         elif verb == "hang":
-            worker = sorted(self.cloud.rented.values(), key=lambda w: w.name)[int(rest[0])]
+            worker = sorted(self.cloud.rented.values(), key=lambda w: (-len(w.tasks), w.name))[int(rest[0])]
             worker.hang(float(rest[1]))
         elif verb in ("die", "sick", "notice"):
             busy = sorted((w for w in self.cloud.rented.values() if w.up and not w.dead),
