--- a/run.py
+++ b/run.py
@@ -1,11 +1,12 @@
 """Starts roadhead from a checkout, with the libraries that the build put under target/."""
 
+import os
 import sys
-from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent
-sys.pycache_prefix = str(ROOT / "target" / "pycache")
-sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
+ROOT = os.path.dirname(os.path.abspath(__file__))
+# The build compiles everything into target/; a controller may not write there.
+sys.pycache_prefix = os.path.join(ROOT, "target", "pycache")
+sys.path[:0] = [ROOT, os.path.join(ROOT, "target", "deps")]
 
 if __name__ == "__main__":
     from roadhead.cli import main
