--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -203,9 +203,20 @@
         coming = {}
         for key, _since in self._hired.values():
             coming[key] = coming.get(key, 0) + 1
-        size = sum(row[3] for rows in self.fleet.values() for row in rows) + len(self._hired)
-        orders = plan(self._wants(), offers(self.types, self._zones), coming, refused,
-                      max(0, self._tuning.largest - size))
+        machines = {}
+        busy = 0.0
+        for rows in self.fleet.values():
+            for type_name, zone, spot, count, _idle, free_cpus, _gpus, _memory in rows:
+                key = (type_name, zone, spot)
+                machines[key] = machines.get(key, 0) + count
+                if type_name in self.types:
+                    busy += count - free_cpus / max(1e-6, self.types[type_name].cpus)
+        for key, count in coming.items():
+            # Homes count machines from when they are listed, up or not.
+            machines[key] = max(0, machines.get(key, 0) - count)
+        size = sum(machines.values()) + len(self._hired)
+        orders = plan(self._wants(), offers(self.types, self._zones), machines, busy, coming,
+                      refused, max(0, self._tuning.largest - size), 1 / self._tuning.drain_ratio)
         for shape, count in orders:
             count = min(count, HIRE_MOST)
             self._names += 1
--- a/roadhead/fleet/plan.py
+++ b/roadhead/fleet/plan.py
@@ -64,49 +64,52 @@
                 most = min(most, int((size + 1e-6) / need))
         return most
 
-    def at_once(self):
-        """Tasks that should run side by side for the work to be under way in time."""
-        if self.wait_s <= self.estimate_s or self.estimate_s <= 0:
-            return self.count
-        return min(self.count, max(1, -int(-self.count * self.estimate_s // self.wait_s)))
 
+def plan(wants, shapes, machines, busy, coming, refused, largest, patience):
+    """[(shape, count)] to rent, so that waiting work drains in time.
 
-def plan(wants, shapes, coming, refused, largest):
-    """[(shape, count)] to rent.
-
-    `coming`: {shape key: machines rented, not yet up}; `refused`: keys lately without capacity.
+    `machines`: {shape key: machines up}; `busy`: the part of them in use; `coming`: {shape
+    key: machines rented, not yet up}; `refused`: keys lately without capacity. A shape dearer
+    than the cheapest is rented only for work that would otherwise take `patience` times as
+    long as it should.
     """
-    spare = dict(coming)
-    left_over = {}
     by_key = {shape.key: shape for shape in shapes}
-    orders = {}
+    rented = {}
+    backlog = 0.0  # of what comes first, in seconds of a machine of the cheapest shape
     for want in sorted(wants, key=lambda want: (want.rank, want.wait_s)):
-        short = float(want.at_once())
-        for pool in (left_over, spare):
-            for key in pool:
-                shape = by_key.get(key)
-                slots = want.slots(shape) if shape is not None else 0
-                if slots and pool[key] > 0 and short > 0:
-                    used = min(pool[key], short / slots)
-                    pool[key] -= used
-                    short -= used * slots
-        if short <= 1e-6:
-            continue
-        usable = [
-            (shape.price / slots, shape.key, slots)
-            for shape in shapes
-            if shape.key not in refused and (slots := want.slots(shape))
-        ]
+        usable = sorted(
+            ((shape.price / slots, shape.key, slots)
+             for shape in shapes if (slots := want.slots(shape))),
+        )
         if not usable:
             continue
-        cheapest = min(usable)[0]
-        # Zones and types of about the same price share the load: a zone may fail.
-        near = [entry for entry in usable if entry[0] <= cheapest * 1.02]
-        _price, key, slots = min(near, key=lambda entry: (orders.get(entry[1], 0), entry[1]))
-        count = -int(-short // slots)
-        if sum(orders.values()) + count > largest:
-            count = largest - sum(orders.values())
-        if count > 0:
-            orders[key] = orders.get(key, 0) + count
-            left_over[key] = left_over.get(key, 0.0) + count - short / slots
-    return [(by_key[key], count) for key, count in orders.items()]
+        cheapest, _key, per_machine = usable[0]
+        backlog += want.count * want.estimate_s / per_machine
+        have = sum(
+            count * want.slots(by_key[key])
+            for pool in (machines, coming, rented)
+            for key, count in pool.items()
+            if key in by_key
+        )
+        total = sum(machines.values())
+        running = busy / total * want.estimate_s / 2 if total else 0.0  # of each slot
+        for price, key, slots in _by_turns(usable, rented):
+            if key in refused:
+                continue
+            wait_s = want.wait_s * (patience if price > 1.2 * cheapest else 1.0)
+            if want.estimate_s > 0:
+                needed = backlog * per_machine / max(1e-3, wait_s)
+                short = min(float(want.count), needed - have * max(0.0, 1 - running / wait_s))
+            else:
+                short = float(want.count)
+            count = min(-int(-max(0.0, short - 1e-6) // slots), largest)
+            if count > 0:
+                rented[key] = rented.get(key, 0) + count
+                largest -= count
+            break
+    return [(by_key[key], count) for key, count in rented.items()]
+
+
+def _by_turns(usable, rented):
+    """Offers by price; those of about the same price take turns, since a zone may fail."""
+    return sorted(usable, key=lambda offer: (round(offer[0] * 1e6), rented.get(offer[1], 0)))
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -627,6 +627,26 @@
         for task in fresh:
             task.loose_token = 0
 
+    def usage(self):
+        """CPUs of the machines heard: (all, held by running tasks, by others, parked, granted)."""
+        total = running = other = parked = granted = 0.0
+        for machine in self.machines.values():
+            if machine.kind is None or not machine.confirmed:
+                continue
+            total += machine.kind.cpus
+            free = machine.room()[0]
+            if machine.holder is None:
+                parked += free
+            else:
+                granted += free
+            for task in machine.tasks.values():
+                if task.need is not None and task.status != EXITED:
+                    if task.status == "running":
+                        running += task.need[0]
+                    else:
+                        other += task.need[0]
+        return total, running, other, parked, granted
+
     def news(self):
         """Rows for the renter: machines by type, zone and kind, and their parked room."""
         rows = {}
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -357,8 +357,10 @@
             if every % 10 == 0:
                 self.workers.trim()
                 log.info(
-                    "jobs=%d machines=%d clean=%s %s",
+                    "jobs=%d machines=%d clean=%s cpus=%.0f running=%.0f preparing=%.0f parked=%.0f "
+                    "granted=%.0f waiting=%d %s",
                     len(self.book.jobs), len(self.home.machines), self.home.clean(),
+                    *self.home.usage(), sum(len(job.free) for job in self.book.jobs.values()),
                     self.counters.line(),
                 )
 
