--- a/roadhead/fleet/plan.py
+++ b/roadhead/fleet/plan.py
@@ -75,6 +75,8 @@
     """
     by_key = {shape.key: shape for shape in shapes}
     rented = {}
+    spare = {key: float(count) for key, count in coming.items() if key in by_key}
+    total = sum(machines.values())
     backlog = 0.0  # of what comes first, in seconds of a machine of the cheapest shape
     for want in sorted(wants, key=lambda want: (want.rank, want.wait_s)):
         usable = sorted(
@@ -84,27 +86,31 @@
         if not usable:
             continue
         cheapest, _key, per_machine = usable[0]
-        backlog += want.count * want.estimate_s / per_machine
-        have = sum(
-            count * want.slots(by_key[key])
-            for pool in (machines, coming, rented)
-            for key, count in pool.items()
-            if key in by_key
+        # Machines on their way serve what comes first.
+        left = float(want.count)
+        for key in spare:
+            slots = want.slots(by_key[key])
+            if slots and left > 0:
+                used = min(spare[key], left / slots)
+                spare[key] -= used
+                left -= used * slots
+        backlog += left * want.estimate_s / per_machine
+        up = sum(
+            count * want.slots(by_key[key]) for key, count in machines.items() if key in by_key
         )
-        total = sum(machines.values())
         running = busy / total * want.estimate_s / 2 if total else 0.0  # of each slot
         for price, key, slots in _by_turns(usable, rented):
             if key in refused:
                 continue
             wait_s = want.wait_s * (patience if price > 1.2 * cheapest else 1.0)
+            short = left
             if want.estimate_s > 0:
                 needed = backlog * per_machine / max(1e-3, wait_s)
-                short = min(float(want.count), needed - have * max(0.0, 1 - running / wait_s))
-            else:
-                short = float(want.count)
+                short = min(left, needed - up * max(0.0, 1 - running / wait_s))
             count = min(-int(-max(0.0, short - 1e-6) // slots), largest)
             if count > 0:
                 rented[key] = rented.get(key, 0) + count
+                spare[key] = spare.get(key, 0.0) + max(0.0, count - left / slots)
                 largest -= count
             break
     return [(by_key[key], count) for key, count in rented.items()]
