--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -431,6 +431,15 @@
             self.label, machine.spot, *(max(0.0, part) for part in room), images, self._lapse_s,
         ))
 
+    @staticmethod
+    def _standing(machine):
+        """Parked room is granted from cheap and full machines first, so that others run empty."""
+        kind = machine.kind
+        if kind is None:
+            return (0.0, 0.0)
+        price = kind.spot_price if machine.spot and kind.spot_price is not None else kind.price
+        return (round(price / max(kind.cpus, 1e-6), 3), machine.room()[0])
+
     def _offer(self, machine):
         """The joining rule: room goes to a random controller last heard empty, else to any.
 
@@ -480,7 +489,7 @@
     def on_demand(self, label, frame):
         self.demand[label] = [frame.length, list(frame.rows)]
         machines = [m for m in self.machines.values() if m.holder is None]
-        self._random.shuffle(machines)
+        machines.sort(key=self._standing)
         for machine in machines:
             machine.declined.discard(label)
             self._offer(machine)
