Images first; say again what waits; duties go on after a fault

Fault found by the zones scenario: a home counted a waiting task as served by a grant that came back unused, and its controller saw no change to tell; the task waited for ever.

--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -35,7 +35,7 @@
         self.type = frame.type
         self.zone = frame.zone
         self.spot = frame.spot
-        self.images = set(frame.images)
+        self.images = set()
         self.taken = 0
         self.unacked = []
         self.room = (0.0, 0.0, 0.0)
@@ -45,6 +45,7 @@
         del self.unacked[: max(0, frame.taken - self.taken)]
         self.taken = max(self.taken, frame.taken)
         self.until = until
+        self.images = set(frame.images)
         self.room = (frame.cpus, frame.gpus, frame.memory)
         for need in self.unacked:
             self._use(need)
@@ -96,9 +97,12 @@
         listing = self.idle.get(frame.machine)
         if listing is not None and listing.serial <= frame.serial:
             del self.idle[frame.machine]
+            self._demand = None
+            self.changed()
 
     def on_refused(self, frame):
         listing = self.idle.pop(frame.machine, None)
+        self._demand = None
         if listing is not None:
             self._send(listing.home, frames.Return(listing.id, listing.serial, len(self.idle)))
 
@@ -176,8 +180,18 @@
         ]
         if not fitting:
             self._count("empty_list")
+        if job.spec.image:
+            # At random among those that fit and have the image, then among the others: what
+            # a task waits for its image counts as waiting.
+            ready = [listing for listing in fitting if job.spec.image in listing.images]
+            if ready and len(ready) < len(fitting):
+                self._fill(job, need, zoned, ready)
+                fitting = [listing for listing in fitting if job.spec.image not in listing.images]
+        self._fill(job, need, zoned, fitting)
+
+    def _fill(self, job, need, zoned, fitting):
+        """Starts the job's tasks at random on `fitting` listings."""
         while job.free and fitting:
-            # At random among those that fit; those that have the image come first.
             place = self._random.randrange(len(fitting))
             listing = fitting[place]
             if zoned and not self._zone_allowed(job, listing.zone):
@@ -205,6 +219,9 @@
                 for job in shapes.values()
             ):
                 del self.idle[listing.id]
+                if waiting and not listing.taken and not listing.unacked:
+                    # The home took part of what waits for served by this grant: say it again.
+                    self._demand = None
                 self._send(listing.home, frames.Return(listing.id, listing.serial, len(self.idle)))
 
     def _tell_demand(self, waiting):
@@ -230,8 +247,9 @@
         self._demand = demand
         self._demand_at = now
         frame = frames.Demand(len(self.idle), [
-            (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, due_in)
-            for (rank, cpus, gpus, memory, spot, zone, types, klass), (count, work, due_in)
+            (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, due_in,
+             image)
+            for (rank, cpus, gpus, memory, spot, zone, types, klass, image), (count, work, due_in)
             in list(rows.items())[:64]
         ])
         for label in self._member.term.members:
@@ -241,6 +259,12 @@
         self._demand_timer = None
         self.changed()
 
+    def refresh(self):
+        """Says again what waits, in case homes and renter have lost count of it."""
+        if self._demand:
+            self._demand = None
+            self.changed()
+
     def tell_again(self):
         """A controller joined or its link came up: it has yet to hear what waits here."""
         self._demand = None
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -38,7 +38,7 @@
         self._wake = Signal()
 
     def duties(self):
-        return [self._catalogue(), self._list(), self._rent()]
+        return [self._catalogue, self._list, self._rent]
 
     def wake(self):
         self._wake.set()
@@ -164,7 +164,7 @@
         for label, rows in self.demand.items():
             if label not in self._member.term.members:
                 continue
-            for rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, klass, due_in in rows:
+            for rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, klass, due_in, _i in rows:
                 aim = self._aims.get(klass)
                 if aim is not None:
                     wait_s = self._tuning.drain_ratio * aim
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -13,6 +13,8 @@
 
 DRIFT = 0.0005
 ANSWER_S = 4.0  # a worker drops responses that took longer (PROTOCOL)
+IMAGES_MOST = 16  # of a machine, told with its grants
+ROW_IMAGE = 11
 ROW_URGENCY, ROW_CPUS, ROW_GPUS, ROW_MEMORY, ROW_COUNT, ROW_SPOT, ROW_ZONE, ROW_TYPES = range(8)
 
 
@@ -262,6 +264,11 @@
             task.seen = True
             task.status, task.cause = item.status, item.cause
             task.saved = bool(item.saved)
+            if item.status == "running" and was != "running" and task.image:
+                machine.images.pop(task.image, None)
+                machine.images[task.image] = True
+                if len(machine.images) > IMAGES_MOST:
+                    machine.images.pop(next(iter(machine.images)))
             if task.status == EXITED and was != EXITED:
                 self._exited(machine, task)
             if job in self.cancelled:
@@ -425,10 +432,10 @@
             return
         machine.grant_sent = state
         machine.grant_lapse_at = self._loop.now() + self._lapse_s
-        images = sorted({t.image for t in machine.tasks.values() if t.image})
         self._send(machine.holder, frames.Grant(
             machine.id, machine.grant_serial, machine.grant_taken, machine.type, machine.zone,
-            self.label, machine.spot, *(max(0.0, part) for part in room), images, self._lapse_s,
+            self.label, machine.spot, *(max(0.0, part) for part in room), list(machine.images),
+            self._lapse_s,
         ))
 
     @staticmethod
@@ -489,7 +496,9 @@
     def on_demand(self, label, frame):
         self.demand[label] = [frame.length, list(frame.rows)]
         machines = [m for m in self.machines.values() if m.holder is None]
-        machines.sort(key=self._standing)
+        most = min((row[ROW_URGENCY] for row in frame.rows), default=0)
+        first = {row[ROW_IMAGE] for row in frame.rows if row[ROW_URGENCY] == most}
+        machines.sort(key=lambda m: (first.isdisjoint(m.images), *self._standing(m)))
         for machine in machines:
             machine.declined.discard(label)
             self._offer(machine)
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -55,7 +55,7 @@
         "heard_at",
         "holder",
         "id",
-        "idle_since",
+        "idle_since", "images",
         "kind",
         "listed_at",
         "notice_at",
@@ -86,6 +86,7 @@
         self.listed_at = None
         self.notice_at = None  # when the cloud takes it away
         self.tasks = {}
+        self.images = {}  # seen in use there, the latest last; the machine may have dropped some
         self.holder = None
         self.grant_serial = 0
         self.grant_taken = 0
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -52,7 +52,7 @@
         self.written_at = 0.0
         self.shape = (
             self.rank, spec.cpus, spec.gpus, spec.memory, spec.spot, spec.zone or "",
-            tuple(spec.types or ()), spec.klass,
+            tuple(spec.types or ()), spec.klass, spec.image or "",
         )
 
     @property
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -104,8 +104,18 @@
         )
         self.fleet.types = types
         self._looking.clear()
-        duties = [self.book.recorder.run(), self._tick(), *self.fleet.duties()]
-        self._duties = [loop.spawn(duty, duty.__name__) for duty in duties]
+        duties = [self.book.recorder.run, self._tick, *self.fleet.duties()]
+        self._duties = [loop.spawn(self._keep(duty), duty.__name__) for duty in duties]
+
+    async def _keep(self, duty):
+        """A long-lived duty goes on after a fault in it: the service must not lose it."""
+        while True:
+            try:
+                await duty()
+            except Exception:
+                log.exception("duty %s failed", duty.__name__)
+                self.counters.add("duties_failed")
+            await self._loop.sleep(self._beat_s)
 
     def start(self):
         self._net.listen(self.settings.front, self.api.accept)
@@ -351,6 +361,7 @@
             self.dispatcher.changed()
             every += 1
             if every % 2 == 0:
+                self.dispatcher.refresh()
                 news = frames.HomeNews(self.home.news())
                 for label in self.member.term.members:
                     self._send(label, news)
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -164,7 +164,7 @@
 
     kind, layout = 4, "qR"
     fields = ("length", "rows")
-    row = "qdddq?sTdsd"  # urgency cpus gpus memory count spot zone types estimate class due_in
+    row = "qdddq?sTdsds"  # urgency cpus gpus memory count spot zone types estimate class due_in image
 
 
 class Grant(Frame):
--- a/tests/world.py
+++ b/tests/world.py
@@ -262,6 +262,8 @@
     def check(self):
         """Faults against the scenario's expectations."""
         faults = list(self.broken)
+        if self.counter("duties_failed"):
+            faults.append("a duty failed")
         for words in self.expectations:
             if words == ["rules"]:
                 continue
