--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -45,6 +45,10 @@
             if request.method != "GET":
                 return 405, b"", None
             return (200 if self._node.ready() else 503), b"", None
+        if path == "/v1/summary":
+            if request.method != "GET":
+                return 405, b"", None
+            return 200, messages.encode(self._node.summary()), None
         try:
             if path == "/v1/jobs":
                 if request.method != "POST":
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -18,7 +18,8 @@
 
 
 class Book:
-    def __init__(self, loop, member, recorder_of, send, changed, counters, time_of_day, lease_s):
+    def __init__(self, loop, member, recorder_of, send, changed, counters, time_of_day, lease_s,
+                 on_finished):
         self._loop = loop
         self._member = member
         self._send = send
@@ -26,6 +27,7 @@
         self._count = counters.add
         self._time_of_day = time_of_day
         self._lease_s = lease_s
+        self._on_finished = on_finished
         self.jobs = {}  # open jobs owned here, by id
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
@@ -81,7 +83,8 @@
         self.remember(job.id, record)
         self.recorder.unmark(job)
         if record["s"] == "done":
-            self.jobs.pop(job.id, None)
+            if self.jobs.pop(job.id, None) is not None:
+                self._on_finished(job, self._time_of_day())
             for index, binding in job.bound.items():
                 self._forget(job.id, index, binding)
             job.bound.clear()
--- /dev/null
+++ b/roadhead/jobs/risk.py
@@ -0,0 +1,59 @@
+"""What is done, late and at risk, class by class: what the morning reader looks at."""
+
+import logging
+
+log = logging.getLogger("roadhead.risk")
+
+
+class Risk:
+    """`aims` maps a class to its tightest time aim in seconds. Counts are of this controller."""
+
+    def __init__(self, aims, classes):
+        self._aims = aims
+        self._classes = classes
+        self._done = {}
+        self._late = {}
+        self._at_risk = set()
+
+    def aim_s(self, spec):
+        return spec.due_s if spec.due_s is not None else self._aims.get(spec.klass)
+
+    def finished(self, job, now):
+        klass = job.spec.klass
+        self._done[klass] = self._done.get(klass, 0) + 1
+        aim = self.aim_s(job.spec)
+        if aim is not None and now - job.accepted_at > aim:
+            self._late[klass] = self._late.get(klass, 0) + 1
+        self._at_risk.discard(job.id)
+
+    def endangered(self, job, now):
+        """True if the job can't be complete in time any more, as far as its estimate tells.
+
+        What still waits takes at least one more run of a task; what runs, about half of one.
+        """
+        aim = self.aim_s(job.spec)
+        if aim is None or job.state != "open":
+            return False
+        left = aim - (now - job.accepted_at)
+        return left < job.spec.estimate_s * (1.0 if job.free else 0.5)
+
+    def rows(self, jobs, now):
+        """(class, open, done, late, at risk) rows; a risk is logged when it first appears."""
+        counts = {klass: [0, 0] for klass in self._classes}
+        for job in jobs:
+            entry = counts.setdefault(job.spec.klass, [0, 0])
+            entry[0] += 1
+            if self.endangered(job, now):
+                entry[1] += 1
+                if job.id not in self._at_risk:
+                    self._at_risk.add(job.id)
+                    log.info(
+                        "at risk: %s of %s, %d of %d tasks done after %.0f s", job.id,
+                        job.spec.klass, job.done.count, job.spec.tasks, now - job.accepted_at,
+                    )
+        for klass in self._done:
+            counts.setdefault(klass, [0, 0])
+        return [
+            (klass, running, self._done.get(klass, 0), self._late.get(klass, 0), at_risk)
+            for klass, (running, at_risk) in sorted(counts.items())
+        ]
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -13,6 +13,7 @@
 from roadhead.jobs.book import Book
 from roadhead.jobs.job import FINAL, KEY, spec_of
 from roadhead.jobs.recorder import Recorder
+from roadhead.jobs.risk import Risk
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
 from roadhead.state.client import StateClient, Unavailable, Unsure
@@ -64,6 +65,8 @@
             create_s=workers.lease_s / 3,
             patience_s=workers.lease_s / 1.2,
         )
+        self.risk = Risk(self.aims, sorted({objective.klass for objective in deployment.objectives}))
+        self.summaries = {}  # label -> (when, its SummaryNews)
         self._duties = []
         self._looking = set()
         self._reset()
@@ -91,7 +94,7 @@
 
         self.book = Book(
             loop, self.member, recorder_of, self._send, self._changed, self.counters,
-            self._time_of_day, workers.lease_s,
+            self._time_of_day, workers.lease_s, self.risk.finished,
         )
         self.dispatcher = Dispatcher(
             loop, self.label, self.member, self.book, self.aims, self._random, self._send,
@@ -345,6 +348,52 @@
             self.book.on_synced(label, frame)
         elif kind is frames.HomeNews:
             self.fleet.fleet[label] = frame.rows
+        elif kind is frames.SummaryNews:
+            self.summaries[label] = (self._loop.now(), frame)
+
+    # Summary
+
+    def _summary(self):
+        """This controller's part of the summary."""
+        now = self._loop.now()
+        behind = []
+        if not self._state_ok():
+            behind.append(f"{self.label}: the state service does not answer")
+        failing_since = self.book.recorder.failing_since
+        if failing_since is not None and now - failing_since > self._beat_s:
+            behind.append(f"{self.label}: records not written for {now - failing_since:.0f} s")
+        if not self.home.clean():
+            behind.append(f"{self.label}: machines of an earlier term not all heard yet")
+        waiting = [job for job in self.book.jobs.values() if job.unsynced]
+        if waiting:
+            behind.append(f"{self.label}: {len(waiting)} jobs taken over, not started yet")
+        failing = sum(machine.draining and bool(machine.errors)
+                      for machine in self.home.machines.values())
+        rows = self.risk.rows(self.book.jobs.values(), self._time_of_day())
+        return frames.SummaryNews(rows, failing, behind)
+
+    def summary(self):
+        """The parts of all controllers heard lately, put together."""
+        now = self._loop.now()
+        parts = {label: part for label, (at, part) in self.summaries.items()
+                 if now - at < 15 * self._beat_s}
+        classes = {}
+        for part in parts.values():
+            for klass, *counts in part.rows:
+                entry = classes.setdefault(klass, [0, 0, 0, 0])
+                for place, count in enumerate(counts):
+                    entry[place] += count
+        names = ("open", "done", "late", "atRisk")
+        unheard = sorted({self.label, *(m.label for m in self.settings.members)} - parts.keys())
+        return {
+            "classes": [{"class": klass, **dict(zip(names, counts, strict=True))}
+                        for klass, counts in sorted(classes.items())],
+            "machines": sum(row[3] for rows in self.fleet.fleet.values() for row in rows),
+            "failing": sum(part.failing for part in parts.values()),
+            "heard": sorted(parts),
+            "behind": [line for part in parts.values() for line in part.behind]
+            + [f"{label}: not heard" for label in unheard],
+        }
 
     # Time
 
@@ -365,6 +414,10 @@
                 news = frames.HomeNews(self.home.news())
                 for label in self.member.term.members:
                     self._send(label, news)
+            if every % 5 == 0:
+                summary = self._summary()
+                for label in self.member.term.members:
+                    self._send(label, summary)
             if every % 10 == 0:
                 self.workers.trim()
                 log.info(
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -261,6 +261,14 @@
     row = "ss?qqddd"  # type zone spot machines idle free_cpus free_gpus free_memory
 
 
+class SummaryNews(Frame):
+    """The sender's part of the summary: rows of classes, machines failing, duties behind."""
+
+    kind, layout = 18, "RqT"
+    fields = ("rows", "failing", "behind")
+    row = "sqqqq"  # class open done late at_risk
+
+
 KINDS = {cls.kind: cls for cls in Frame.__subclasses__()}
 
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,95 @@
+"""The command line, and the real loop and sockets underneath it, on loopback."""
+
+import json
+import socket
+import threading
+
+import pytest
+from test_wire import PLATFORM
+from world import World
+
+from roadhead import cli
+from roadhead.runtime.loop import Loop
+from roadhead.runtime.net import Net
+from roadhead.wire import http, messages
+
+SUMMARY = {
+    "classes": [{"class": "letters", "open": 3, "done": 7, "late": 1, "atRisk": 2}],
+    "machines": 4, "failing": 1, "heard": ["a", "b"], "behind": ["c: not heard"],
+}
+
+
+@pytest.fixture
+def server():
+    """A loop of its own that answers a few paths; yields its address."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = f"127.0.0.1:{probe.getsockname()[1]}"
+    loop = Loop()
+
+    async def handle(request):
+        if request.target == "/v1/summary":
+            return 200, messages.encode(SUMMARY), None
+        if request.method == "POST" and request.target == "/v1/jobs":
+            return 201, messages.job_status(messages.decode(request.body)["id"], "pending"), None
+        if request.target == "/v1/jobs/req-000001":
+            return 200, messages.job_status("req-000001", "running", 1, 2), None
+        return 404, messages.error("no such job"), None
+
+    Net(loop).listen(address, lambda stream: loop.spawn(http.serve(loop, stream, handle, 5.0)))
+
+    def beat():
+        loop.call_later(0.02, beat)
+
+    beat()
+    thread = threading.Thread(target=loop.run, daemon=True)
+    thread.start()
+    yield address
+    loop.stop()
+    thread.join(5)
+    loop.selector.close()
+
+
+def test_status_submit_and_summary(server, tmp_path, capsys):
+    assert cli.main(["status", server, "req-000001"]) == 0
+    assert json.loads(capsys.readouterr().out) == {
+        "id": "req-000001", "status": "running", "done": 1, "running": 2,
+    }
+    job = tmp_path / "job.json"
+    job.write_text('{"id": "req-000002"}')
+    assert cli.main(["submit", server, str(job)]) == 0
+    assert json.loads(capsys.readouterr().out)["status"] == "pending"
+    assert cli.main(["summary", server]) == 0
+    out = capsys.readouterr().out
+    assert "letters" in out and "machines: 4, failing: 1" in out and "behind: c: not heard" in out
+
+
+def test_refusals_and_unreachable(server, capsys):
+    assert cli.main(["status", server, "req-000009"]) == 1
+    assert "404 no such job" in capsys.readouterr().err
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        assert cli.main(["cancel", f"127.0.0.1:{probe.getsockname()[1]}", "req-000001"]) == 1
+
+
+def test_check(tmp_path, capsys):
+    good = tmp_path / "good.json"
+    good.write_text(json.dumps(PLATFORM))
+    assert cli.main(["check", "--config", str(good)]) == 0
+    bad = tmp_path / "bad.json"
+    bad.write_text(json.dumps({**PLATFORM, "front": "here", "label": "b"}))
+    tuning = tmp_path / "tuning.toml"
+    tuning.write_text("[fleet]\ncolour = 1")
+    assert cli.main(["check", "--config", str(bad), "--tuning", str(tuning)]) == 2
+    assert len(capsys.readouterr().err.splitlines()) == 3
+    assert cli.main(["check", "--config", str(tmp_path / "none.json")]) == 2
+
+
+def test_summary_adds_up_over_controllers():
+    world = World("at 1 submit count=4 legs=4\nat 20 submit legs=2 runS=300 dueS=30\nuntil 80")
+    world.run()
+    for node in world.nodes.values():
+        summary = node.summary()
+        assert summary["classes"] == [{"class": "c", "open": 1, "done": 4, "late": 0, "atRisk": 1}]
+        assert summary["heard"] == ["ctl-0", "ctl-1", "ctl-2"]
+        assert summary["behind"] == []
--- a/tests/world.py
+++ b/tests/world.py
@@ -166,7 +166,9 @@
             }
             for name, text in given.items():
                 kind = type(job[name])
-                job[name] = text if job[name] is None else kind(eval(text, {}) if kind is bool else (
+                if name == "dueS":
+                    kind = float
+                job[name] = text if kind is type(None) else kind(eval(text, {}) if kind is bool else (
                     text if kind is str else float(text)))
             self.jobs[job["id"]] = job
             user = self.users[job["id"]] = User(self, job)
