--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -215,7 +215,8 @@
             # Homes count machines from when they are listed, up or not.
             machines[key] = max(0, machines.get(key, 0) - count)
         size = sum(machines.values()) + len(self._hired)
-        orders = plan(self._wants(), offers(self.types, self._zones), machines, busy, coming,
+        wants = self._wants()
+        orders = plan(wants, offers(self.types, self._zones), machines, busy, coming,
                       refused, max(0, self._tuning.largest - size), 1 / self._tuning.drain_ratio)
         for shape, count in orders:
             count = min(count, HIRE_MOST)
@@ -235,7 +236,11 @@
             else:
                 self._refused.pop(shape.key, None)
             if names:
-                log.info("hired %d of %s", len(names), shape.key)
+                log.info(
+                    "hired %d of %s; up %s, coming %s, waiting (urgency, tasks, s each, s left): %s",
+                    len(names), shape.key, sum(machines.values()), sum(coming.values()),
+                    [(w.rank, w.count, round(w.estimate_s), round(w.wait_s)) for w in wants],
+                )
                 self._count("machines_hired", len(names))
             for machine in names:
                 self._hired[machine] = (shape.key, self._loop.now())
--- a/roadhead/fleet/plan.py
+++ b/roadhead/fleet/plan.py
@@ -94,10 +94,16 @@
                 used = min(spare[key], left / slots)
                 spare[key] -= used
                 left -= used * slots
-        backlog += left * want.estimate_s / per_machine
+        backlog += want.count * want.estimate_s / per_machine
         up = sum(
             count * want.slots(by_key[key]) for key, count in machines.items() if key in by_key
         )
+        arriving = sum(
+            count * want.slots(by_key[key])
+            for pool in (coming, rented)
+            for key, count in pool.items()
+            if key in by_key
+        )
         running = busy / total * want.estimate_s / 2 if total else 0.0  # of each slot
         for price, key, slots in _by_turns(usable, rented):
             if key in refused:
@@ -106,7 +112,7 @@
             short = left
             if want.estimate_s > 0:
                 needed = backlog * per_machine / max(1e-3, wait_s)
-                short = min(left, needed - up * max(0.0, 1 - running / wait_s))
+                short = min(left, needed - arriving - up * max(0.0, 1 - running / wait_s))
             count = min(-int(-max(0.0, short - 1e-6) // slots), largest)
             if count > 0:
                 rented[key] = rented.get(key, 0) + count
