--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -11,7 +11,7 @@
 
 HIRE_MOST = 50
 RELEASE_MOST = 100
-SURPLUS = 0.7  # of the patience with which dear machines are rented: below it they are let go
+SURPLUS = 0.3  # of the patience with which dear machines are rented: below it they are let go
 
 
 class Fleet:
