--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -11,7 +11,6 @@
 
 HIRE_MOST = 50
 RELEASE_MOST = 100
-SURPLUS = 0.3  # of the patience with which dear machines are rented: below it they are let go
 
 
 class Fleet:
@@ -186,36 +185,6 @@
                     want.wait_s = min(want.wait_s, wait_s)
         return list(wants.values())
 
-    def _up(self, wanted):
-        """({shape key: machines up}, machines' worth in use) of the whole fleet, where `wanted`."""
-        machines = {}
-        busy = 0.0
-        for label, rows in self.fleet.items():
-            if label not in self._member.term.members:
-                continue
-            for type_name, zone, spot, count, _idle, free_cpus, _gpus, _memory in rows:
-                key = (type_name, zone, spot)
-                if wanted(key):
-                    machines[key] = machines.get(key, 0) + count
-                    if type_name in self.types:
-                        busy += count - free_cpus / max(1e-6, self.types[type_name].cpus)
-        return machines, busy
-
-    def surplus(self):
-        """Keys of dear machines that are not needed: without them, what waits would still be
-        under way well within the time that would justify renting them."""
-        shapes = offers(self.types, self._zones)
-        if not shapes:
-            return set()
-        cheapest = min(shape.price / max(1e-6, shape.kind.cpus) for shape in shapes)
-        dear = {shape.key for shape in shapes
-                if shape.price / max(1e-6, shape.kind.cpus) > 1.5 * cheapest}
-        machines, busy = self._up(lambda key: key not in dear)
-        cheap = {shape.key for shape in shapes} - dear
-        orders = plan(self._wants(), shapes, machines, busy, {}, cheap, 1,
-                      SURPLUS / self._tuning.drain_ratio)
-        return set() if orders else dear
-
     async def _rent(self):
         while True:
             await self._wake.wait(self._loop, self._lag_s / 1.5)
@@ -234,7 +203,14 @@
         coming = {}
         for key, _since in self._hired.values():
             coming[key] = coming.get(key, 0) + 1
-        machines, busy = self._up(lambda _key: True)
+        machines = {}
+        busy = 0.0
+        for rows in self.fleet.values():
+            for type_name, zone, spot, count, _idle, free_cpus, _gpus, _memory in rows:
+                key = (type_name, zone, spot)
+                machines[key] = machines.get(key, 0) + count
+                if type_name in self.types:
+                    busy += count - free_cpus / max(1e-6, self.types[type_name].cpus)
         for key, count in coming.items():
             # Homes count machines from when they are listed, up or not.
             machines[key] = max(0, machines.get(key, 0) - count)
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -60,7 +60,6 @@
         self.owners = {}  # job -> (label, incarnation)
         self.specs = {}  # job -> (need, image, save_s, saves)
         self._claims = {}  # machine -> {(job, index, attempt): owner}
-        self.surplus = set()  # (type, zone, spot) of machines that get nothing new to run
         self._syncs = []  # (label, incarnation, term, number)
         self._serial = 0
         self._cover_from = 0.0  # a list must have been asked for after this
@@ -415,7 +414,6 @@
             and not machine.draining
             and machine.notice_at is None
             and machine.kind is not None
-            and (machine.type, machine.zone, machine.spot) not in self.surplus
         )
 
     def _room_changed(self, machine):
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -406,7 +406,6 @@
             released = self.home.tick()
             if released:
                 self.fleet.release([machine.id for machine in released])
-            self.home.surplus = self.fleet.surplus()
             self.fleet.return_idle()
             self.dispatcher.changed()
             every += 1
