--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -65,6 +65,7 @@
         self._cover_from = 0.0  # a list must have been asked for after this
         self._fence_at = 0.0  # by then every lease that another home renewed has ended
         self._covered = False
+        self._fenced_at = 0.0
 
     # Terms
 
@@ -74,6 +75,7 @@
 
     def _fence(self, short):
         now = self._loop.now()
+        self._fenced_at = now
         self._cover_from = now + 2 * self._lag_s * (1 + DRIFT)
         self._covered = False
         # A process that ended renews nothing; a member that was dropped but lives stops
@@ -116,7 +118,11 @@
                 machine.confirmed == token or not machine.tasks
                 for machine in self.machines.values()
             )
-        return all(machine.confirmed == token for machine in self.machines.values())
+        # A machine rented after the old member's end, or lapse, can't have been heard by it.
+        return all(
+            machine.confirmed == token or machine.born_at > self._fenced_at
+            for machine in self.machines.values()
+        )
 
     # Machines
 
@@ -144,6 +150,9 @@
                 machine = Machine(item.id, item.address, item.type, item.zone, item.spot,
                                   self.types.get(item.type), now)
                 self.machines[item.id] = machine
+            if machine.listed_at is None:
+                # The list shows a moment of up to twice its lag before it was asked for.
+                machine.born_at = asked_at - 2 * self._lag_s * (1 + DRIFT) - item.age_s * (1 + DRIFT)
             machine.listed_at = asked_at
             if machine.confirmed != self._member.token and item.status == "running":
                 self._ask(machine)
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -40,7 +40,7 @@
 class Machine:
     __slots__ = (
         "address",
-        "asking",
+        "asking", "born_at",
         "confirmed",
         "confirmed_at",
         "declined",
@@ -84,6 +84,7 @@
         self.heard_at = None
         self.renewed_at = now  # when a report was last answered
         self.listed_at = None
+        self.born_at = 0.0  # not before this it was rented
         self.notice_at = None  # when the cloud takes it away
         self.tasks = {}
         self.images = {}  # seen in use there, the latest last; the machine may have dropped some
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -188,7 +188,7 @@
         """Takes a free task of the job for a start; (index, attempt)."""
         index = job.free.pop()
         attempt = self.attempt()
-        job.bound[index] = Binding(machine, zone, attempt, "launching")
+        job.bound[index] = Binding(machine, zone, attempt, "launching", self._loop.now())
         return index, attempt
 
     def _unbind(self, job, index):
@@ -245,7 +245,13 @@
             # An inherited job's task, found where the old owner had it started.
             if index in job.free:
                 job.free.remove(index)
-            binding = job.bound[index] = Binding(frame.machine, frame.zone, frame.attempt, "")
+            binding = job.bound[index] = Binding(
+                frame.machine, frame.zone, frame.attempt, "", self._loop.now()
+            )
+        if frame.status == "running" and binding.status != "running":
+            prepared = self._loop.now() - binding.at
+            log.debug("runs %s/%d of %s after %.2f s, of which %.2f s on %s", job.id, index,
+                      job.spec.klass, self._time_of_day() - job.accepted_at, prepared, frame.machine)
         binding.status = frame.status
         binding.zone = frame.zone
         if frame.status != "exited":
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -14,9 +14,10 @@
 class Binding:
     """A task's attempt that is, or may be, on a machine."""
 
-    __slots__ = ("attempt", "machine", "status", "zone")
+    __slots__ = ("at", "attempt", "machine", "status", "zone")
 
-    def __init__(self, machine, zone, attempt, status):
+    def __init__(self, machine, zone, attempt, status, at):
+        self.at = at  # when it was bound here
         self.machine = machine
         self.zone = zone
         self.attempt = attempt
