--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -15,7 +15,6 @@
 ANSWER_S = 4.0  # a worker drops responses that took longer (PROTOCOL)
 IMAGES_MOST = 16  # of a machine, told with its grants
 ROW_IMAGE = 11
-PLENTY = 2.0  # times what waits
 ROW_URGENCY, ROW_CPUS, ROW_GPUS, ROW_MEMORY, ROW_COUNT, ROW_SPOT, ROW_ZONE, ROW_TYPES = range(8)
 
 
@@ -58,7 +57,6 @@
         self.gone = {}  # names of machines that are surely gone
         self.cancelled = {}  # jobs known to be over: nothing of them may run
         self.demand = {}  # label -> [length, rows]
-        self.others = {}  # label -> rows of its newest HomeNews
         self.owners = {}  # job -> (label, incarnation)
         self.specs = {}  # job -> (need, image, save_s, saves)
         self._claims = {}  # machine -> {(job, index, attempt): owner}
@@ -504,25 +502,8 @@
 
     # Frames from controllers
 
-    def _portion(self, rows):
-        """The part of a demand that this home should meet: its part of the fleet's free room,
-        if that room is plenty. Else all of it, as every other home will try as well."""
-        own = sum(row[5] for row in self.news())
-        free = own + sum(
-            row[5] for label, news in self.others.items() if label != self.label for row in news
-        )
-        wanted = sum(row[ROW_COUNT] * row[ROW_CPUS] for row in rows)
-        return own / free if free > PLENTY * wanted and wanted > 0 else 1.0
-
     def on_demand(self, label, frame):
-        rows = list(frame.rows)
-        portion = self._portion(rows)
-        if portion < 1.0:
-            rows = [
-                (*row[:ROW_COUNT], -int(-row[ROW_COUNT] * portion // 1), *row[ROW_COUNT + 1 :])
-                for row in rows
-            ]
-        self.demand[label] = [frame.length, rows]
+        self.demand[label] = [frame.length, list(frame.rows)]
         machines = [m for m in self.machines.values() if m.holder is None]
         most = min((row[ROW_URGENCY] for row in frame.rows), default=0)
         first = {row[ROW_IMAGE] for row in frame.rows if row[ROW_URGENCY] == most}
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -347,7 +347,7 @@
         elif kind is frames.Synced:
             self.book.on_synced(label, frame)
         elif kind is frames.HomeNews:
-            self.fleet.fleet[label] = self.home.others[label] = frame.rows
+            self.fleet.fleet[label] = frame.rows
         elif kind is frames.SummaryNews:
             self.summaries[label] = (self._loop.now(), frame)
 
