--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -165,10 +165,17 @@
             if not self.idle:
                 break
             self._place_job(job)
-        waiting = [job for job in waiting if job.free]
+        waiting = [job for job in waiting if job.free and self._may_start(job)]
         self._return_useless(waiting)
         self._tell_demand(waiting)
 
+    def _may_start(self, job):
+        """Whether its team's limit leaves room for one more task."""
+        if not self._book.limited(job.spec.team):
+            return True
+        cpus, gpus = self._book.headroom(job.spec.team)
+        return job.spec.cpus <= cpus + 1e-6 and job.spec.gpus <= gpus + 1e-6
+
     def _place_job(self, job):
         need = job.need
         zoned = job.spec.one_zone or job.spec.spread
@@ -191,11 +198,20 @@
 
     def _fill(self, job, need, zoned, fitting):
         """Starts the job's tasks at random on `fitting` listings."""
+        left = None
+        if self._book.limited(job.spec.team):
+            left = self._book.headroom(job.spec.team)
         while job.free and fitting:
+            if left is not None:
+                left = (left[0] - job.spec.cpus, left[1] - job.spec.gpus)
+                if min(left) < -1e-6:
+                    break
             place = self._random.randrange(len(fitting))
             listing = fitting[place]
             if zoned and not self._zone_allowed(job, listing.zone):
                 fitting.pop(place)
+                if left is not None:
+                    left = (left[0] + job.spec.cpus, left[1] + job.spec.gpus)
                 continue
             self._start(job, listing)
             if not fits(need, listing.room):
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -15,11 +15,12 @@
 
 CANCEL = "c/x/"
 MAX_FINALS = 20000
+NOBODY = ("", 0)
 
 
 class Book:
     def __init__(self, loop, member, recorder_of, send, changed, counters, time_of_day, lease_s,
-                 on_finished):
+                 on_finished, limits, on_orphan):
         self._loop = loop
         self._member = member
         self._send = send
@@ -28,6 +29,9 @@
         self._time_of_day = time_of_day
         self._lease_s = lease_s
         self._on_finished = on_finished
+        self._limits = limits  # team -> (cpus, gpus) that it may use at most; 0 is no limit
+        self._on_orphan = on_orphan
+        self.scanned = 0  # number of the term for which all records were read
         self.jobs = {}  # open jobs owned here, by id
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
@@ -53,14 +57,17 @@
         pending = self._creating.get(spec.id)
         if pending is None:
             pending = self._creating[spec.id] = Future()
-            job = Job(spec, self._me, self._time_of_day())
+            owner = self._me
+            if spec.team in self._limits and self._member.term.warden != self._member.label:
+                owner = NOBODY  # the warden takes it over
+            job = Job(spec, owner, self._time_of_day())
             self.recorder.mark(job, URGENT)
         return pending
 
     def _written(self, job, recorded, state):
         pending = self._creating.pop(job.id, None)
         if pending is not None:
-            self._begin(job)
+            self._created(job)
             pending.set((True, None))
             return
         if job in self._adopting:
@@ -74,6 +81,46 @@
         for index in [i for i, b in job.bound.items() if b.status == "exited" and i in recorded]:
             self._forget(job.id, index, job.bound.pop(index))
 
+    def _created(self, job):
+        if job.owner == NOBODY:
+            self._on_orphan(job.id)
+        else:
+            self._begin(job)
+
+    # Limits
+
+    def headroom(self, team):
+        """How many (cpus, gpus) the tasks of a limited team may still take.
+
+        The warden alone starts them, and only while it knows of every task of the team that
+        may be on a machine: until then there is none.
+        """
+        if self._member.term.warden != self._member.label:
+            return (0.0, 0.0)
+        if self.scanned != self._member.term.number or any(
+            job.spec.team in self._limits for job in self._adopting
+        ):
+            return (0.0, 0.0)
+        used = [0.0, 0.0]
+        for job in self.jobs.values():
+            if job.spec.team == team:
+                if job.unsynced:
+                    return (0.0, 0.0)
+                held = sum(binding.status != "exited" for binding in job.bound.values())
+                used[0] += held * job.spec.cpus
+                used[1] += held * job.spec.gpus
+        return tuple(
+            most - taken if most else float("inf")
+            for most, taken in zip(self._limits[team], used, strict=True)
+        )
+
+    @property
+    def has_limits(self):
+        return bool(self._limits)
+
+    def limited(self, team):
+        return team in self._limits
+
     def _begin(self, job):
         self.jobs[job.id] = job
         self._changed()
@@ -99,12 +146,13 @@
         mine = record is not None and record["s"] == "open" and tuple(record["o"]) == self._me
         pending = self._creating.pop(job.id, None)
         if pending is not None:
-            if mine:
+            self.recorder.unmark(job)
+            if record is not None and record["s"] == "open" and (
+                (tuple(record["o"]), record["at"]) == (job.owner, job.accepted_at)
+            ):
                 job.stamp = stamp
-                self.recorder.unmark(job)
-                self._begin(job)
-            else:
-                self.recorder.unmark(job)
+                self._created(job)
+                mine = True
             pending.set((mine, record))
             return
         if record is None:
--- a/roadhead/membership/term.py
+++ b/roadhead/membership/term.py
@@ -8,25 +8,28 @@
 
     An incarnation is the token that its process took when it joined; tokens are never
     given twice. A changed set of labels renews every token, since machines change homes.
+    The warden owns the jobs of all teams with a limit; it changes only with its incarnation.
     """
 
-    __slots__ = ("_homes", "members", "next", "number")
+    __slots__ = ("_homes", "members", "next", "number", "warden")
 
-    def __init__(self, number=0, next_token=1, members=None):
+    def __init__(self, number=0, next_token=1, members=None, warden=None):
         self.number = number
         self.next = next_token
         self.members = members or {}
+        self.warden = warden
         self._homes = {}
 
     @classmethod
     def from_record(cls, record):
         members = {label: tuple(entry) for label, entry in record["members"].items()}
-        return cls(record["number"], record["next"], members)
+        return cls(record["number"], record["next"], members, record["warden"])
 
     def to_record(self):
         return {
             "number": self.number,
             "next": self.next,
+            "warden": self.warden,
             "members": {label: list(entry) for label, entry in self.members.items()},
         }
 
@@ -39,7 +42,10 @@
             label: (incarnation, token if label in changed else old, nonce)
             for label, (incarnation, old, nonce) in members.items()
         }
-        return Term(self.number + 1, token + 1, entries)
+        warden = self.warden
+        if warden not in entries or self.incarnation(warden) != entries[warden][0]:
+            warden = pick(entries, "warden")
+        return Term(self.number + 1, token + 1, entries, warden)
 
     def join(self, label, nonce):
         members = dict(self.members)
@@ -72,8 +78,10 @@
             home = self._homes[machine] = pick(self.members, machine)
         return home
 
-    def heir(self, job, label):
+    def heir(self, job, label, limited):
         """Who takes over a job of a dropped incarnation of `label`."""
+        if limited:
+            return self.warden
         return label if label in self.members else pick(self.members, job)
 
 
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -95,6 +95,9 @@
         self.book = Book(
             loop, self.member, recorder_of, self._send, self._changed, self.counters,
             self._time_of_day, workers.lease_s, self.risk.finished,
+            {team.name: (team.cpus_max, team.gpus_max) for team in deployment.teams
+             if team.cpus_max or team.gpus_max},
+            self._on_orphan,
         )
         self.dispatcher = Dispatcher(
             loop, self.label, self.member, self.book, self.aims, self._random, self._send,
@@ -272,15 +275,34 @@
                     self.book.remember(key[len(KEY):], record)
                     continue
                 label, incarnation = record["o"]
+                limited = self.book.limited(record["spec"]["crew"])
                 if not term.serves(label, incarnation) and (
-                    term.heir(key[len(KEY):], label) == self.label
+                    term.heir(key[len(KEY):], label, limited) == self.label
                 ):
                     mine.append((record, stamp))
             if mine:
                 log.info("inheriting %d jobs", len(mine))
                 self.book.adopt(mine)
+            self.book.scanned = number
+            self._changed()
             return
 
+    def _on_orphan(self, job):
+        """A job of a limited team was accepted here: its warden shall take it over."""
+        warden = self.member.term.warden
+        if warden is not None:
+            self._send(warden, frames.Orphan(job))
+
+    async def _adopt_one(self, job_id):
+        try:
+            record, stamp = await self.state.get(KEY + job_id)
+        except (Unavailable, Unsure):
+            return  # the next scan finds it
+        if record is None or record["s"] in FINAL or not self.member.joined:
+            return
+        if not self.member.term.serves(*record["o"]) and self.member.term.warden == self.label:
+            self.book.adopt([(record, stamp)])
+
     # Links and frames
 
     def _on_up(self, label):
@@ -346,6 +368,8 @@
                 self.home.on_sync(label, incarnation, frame)
         elif kind is frames.Synced:
             self.book.on_synced(label, frame)
+        elif kind is frames.Orphan:
+            self._loop.spawn(self._adopt_one(frame.job), "adopt")
         elif kind is frames.HomeNews:
             self.fleet.fleet[label] = frame.rows
         elif kind is frames.SummaryNews:
@@ -418,6 +442,9 @@
                 summary = self._summary()
                 for label in self.member.term.members:
                     self._send(label, summary)
+            if every % 30 == 0 and self.book.has_limits and self.member.term.warden == self.label:
+                # Word of a job accepted for the warden may have been lost.
+                self._loop.spawn(self._inherit(self.member.term.number), "scan")
             if every % 10 == 0:
                 self.workers.trim()
                 log.info(
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -261,6 +261,13 @@
     row = "ss?qqddd"  # type zone spot machines idle free_cpus free_gpus free_memory
 
 
+class Orphan(Frame):
+    """A job was accepted that the receiver should own."""
+
+    kind, layout = 19, "s"
+    fields = ("job",)
+
+
 class SummaryNews(Frame):
     """The sender's part of the summary: rows of classes, machines failing, duties behind."""
 
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -8,6 +8,7 @@
 from roadhead.api.server import Api
 from roadhead.homes.home import Home
 from roadhead.homes.machine import Machine
+from roadhead.jobs.book import Book
 from roadhead.jobs.job import Job
 from roadhead.membership.term import Term
 from roadhead.node import Node
@@ -89,12 +90,36 @@
     patch.setattr(Machine, "orders", orders)
 
 
+def shared_limit(patch):
+    """Limits: every controller starts tasks of a limited team, up to the whole limit each."""
+    patch.setattr(Term, "_renewed", lambda self, members, changed, real=Term._renewed: (
+        _without_warden(real(self, members, changed))))
+
+    def headroom(self, team):
+        used = sum(len(job.bound) * job.spec.cpus for job in self.jobs.values())
+        return (self._limits[team][0] - used, float("inf"))
+
+    patch.setattr(Book, "headroom", headroom)
+    patch.setattr(Book, "create", lambda self, spec, real=Book.create: _owned(self, spec, real))
+
+
+def _without_warden(term):
+    term.warden = None
+    return term
+
+
+def _owned(book, spec, real):
+    book._member.term.warden = book._member.label
+    return real(book, spec)
+
+
 @pytest.mark.parametrize(("sabotage", "scenario"), [
     (never_fenced, "takeover-room"),
     (freed_when_silent, "hung-machine"),
     (started_unsynced, "takeover-running"),
     (renews_blindly, "cut-zone"),
     (told_before_durable, "crash-all-outage"),
+    (shared_limit, "limit"),
     (forgets_loose_launches, "late-launch-cancel"),
 ])
 def test_breaking_a_safety_rule_is_noticed(sabotage, scenario, monkeypatch):
