--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -10,6 +10,10 @@
 
 log = logging.getLogger("roadhead.dispatch")
 
+NO_AIMS = ((), ())
+HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
+HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
+
 
 class Listing:
     """Granted room on the idle list. `unacked`: starts sent that the room does not allow for."""
@@ -64,7 +68,7 @@
         self.label = label
         self._member = member
         self._book = book
-        self._aims = aims  # class -> seconds in which its work should be under way
+        self._aims = aims  # class -> (seconds within which, times of its deadline)
         self._default_aim_s = default_aim_s
         self._random = random
         self._send = send
@@ -119,12 +123,21 @@
     # The queue
 
     def due_in(self, job):
-        """Seconds until the job should be complete, or its aim is missed."""
+        """Seconds until the job should be complete, for the first of its aims still in reach.
+
+        An aim that even a task started now would miss is lost: time is better spent on
+        others' aims, so the next one counts, and without one the job comes after those.
+        """
         since = self.time_of_day() - job.accepted_at
-        due_s = job.spec.due_s
-        if due_s is None:
-            due_s = self._aims.get(job.spec.klass, self._default_aim_s)
-        return due_s - since
+        spec = job.spec
+        within, times = self._aims.get(spec.klass, NO_AIMS)
+        aims = sorted(within)
+        if spec.due_s is not None:
+            aims = sorted([*aims, *(spec.due_s * factor for factor in times or (1.0,))])
+        for aim in aims:
+            if aim - since >= HOPE * spec.estimate_s:
+                return aim - since
+        return max(self._default_aim_s, aims[-1] if aims else 0.0) - HOPELESS * since
 
     def waiting(self):
         """Jobs with startable tasks, in queue order: urgency, then what is due first."""
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -164,11 +164,16 @@
 
     def machine_gone(self, machine, cause):
         """Surely gone, with all that was on it."""
-        log.info("machine %s gone: %s", machine.id, cause)
+        now = self._loop.now()
+        log.info(
+            "machine %s gone: %s, with %d tasks; heard %.1f s ago%s", machine.id, cause,
+            len(machine.tasks), now - (machine.heard_at or now),
+            "" if machine.notice_at is None else f", notice {now - machine.notice_at:+.1f} s",
+        )
         self.machines.pop(machine.id, None)
         if len(self.gone) > 5000:
             self.gone.pop(next(iter(self.gone)))
-        self.gone[machine.id] = self._loop.now()
+        self.gone[machine.id] = now
         self._revoke(machine)
         for task in list(machine.tasks.values()):
             self._freed(machine, task, cause)
@@ -369,7 +374,8 @@
             if not ours:
                 end = max(end, self._fence_at)
             if now > end and (machine.tasks or machine.id in self._claims):
-                log.info("lease of %s has run out", machine.id)
+                log.info("lease of %s has run out: last report answered %.1f s ago, %d tasks",
+                         machine.id, now - machine.renewed_at, len(machine.tasks))
                 self._count("leases_out")
                 self._withdraw(machine)
                 for task in list(machine.tasks.values()):
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -57,6 +57,13 @@
             if objective.within_s:
                 aim = self.aims.get(objective.klass, objective.within_s)
                 self.aims[objective.klass] = min(aim, objective.within_s)
+        self.stages = {}
+        for objective in deployment.objectives:
+            within, times = self.stages.setdefault(objective.klass, ([], []))
+            if objective.kind == "finished" and objective.within_s:
+                within.append(objective.within_s)
+            elif objective.kind == "deadline":
+                times.append(objective.times)
         self.most_creating = 4 * deployment.state.txn_ops
         self._teams = {team.name: team for team in deployment.teams}
         self.api = Api(
@@ -100,7 +107,7 @@
             self._on_orphan,
         )
         self.dispatcher = Dispatcher(
-            loop, self.label, self.member, self.book, self.aims, self._random, self._send,
+            loop, self.label, self.member, self.book, self.stages, self._random, self._send,
             self.counters, gap_s=workers.report_s / 8, default_aim_s=self._default_aim_s,
         )
         self.dispatcher.time_of_day = self._time_of_day
