--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -259,11 +259,14 @@
         for job in waiting:
             row = rows.get(job.shape)
             due_in = self.due_in(job)
+            # A group's tasks are of use only side by side: without a run time the renter
+            # finds room for all of them at once.
+            work = 0.0 if job.spec.kind == "group" else len(job.free) * job.spec.estimate_s
             if row is None:
-                rows[job.shape] = [len(job.free), len(job.free) * job.spec.estimate_s, due_in]
+                rows[job.shape] = [len(job.free), work, due_in]
             else:
                 row[0] += len(job.free)
-                row[1] += len(job.free) * job.spec.estimate_s
+                row[1] += work
                 row[2] = min(row[2], due_in)
         demand = {shape: row[0] for shape, row in rows.items()}
         if demand == self._demand:
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -34,6 +34,7 @@
         self._hired = {}  # machine -> (shape key, when), until it is listed as running
         self._refused = {}  # shape key -> (until, how often)
         self._names = 0
+        self._moved = {}  # what waits -> (tasks, when that number last fell)
         self._releasing = set()
         self._wake = Signal()
 
@@ -183,6 +184,18 @@
                     ) / total
                     want.count = total
                     want.wait_s = min(want.wait_s, wait_s)
+        now = self._loop.now()
+        moved = {}
+        for key, want in wants.items():
+            count, since = self._moved.get(key, (want.count, now))
+            if want.count < count:
+                since = now
+            moved[key] = (want.count, since)
+            if now - since > max(want.estimate_s, self._lease_s / 2):
+                # Nothing of it started for longer than a run should take: what is up is held
+                # by services or by tasks estimated far too low, and will not drain in time.
+                want.estimate_s = 0.0
+        self._moved = moved
         return list(wants.values())
 
     async def _rent(self):
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -76,6 +76,7 @@
         self.summaries = {}  # label -> (when, its SummaryNews)
         self._duties = []
         self._looking = set()
+        self._orphans = set()  # jobs accepted for the warden, which has yet to be told
         self._reset()
 
     def _reset(self):
@@ -143,8 +144,8 @@
     def _send(self, label, frame):
         if label == self.label:
             self._loop.call_soon(self._on_frame, label, self.member.incarnation, frame)
-        else:
-            self.peers.send(label, frame)
+            return True
+        return self.peers.send(label, frame)
 
     def _beat(self):
         term = self.member.term
@@ -296,9 +297,16 @@
 
     def _on_orphan(self, job):
         """A job of a limited team was accepted here: its warden shall take it over."""
+        self._orphans.add(job)
+        self._tell_orphans()
+
+    def _tell_orphans(self):
+        """Links may not be up yet, as right after the start: tried again with every beat."""
         warden = self.member.term.warden
-        if warden is not None:
-            self._send(warden, frames.Orphan(job))
+        for job in list(self._orphans):
+            if warden is None or not self._send(warden, frames.Orphan(job)):
+                return
+            self._orphans.discard(job)
 
     async def _adopt_one(self, job_id):
         try:
@@ -439,6 +447,7 @@
                 self.fleet.release([machine.id for machine in released])
             self.fleet.return_idle()
             self.dispatcher.changed()
+            self._tell_orphans()
             every += 1
             if every % 2 == 0:
                 self.dispatcher.refresh()
