--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -188,8 +188,8 @@
         moved = {}
         for key, want in wants.items():
             count, since = self._moved.get(key, (want.count, now))
-            if want.count < count:
-                since = now
+            if want.count < count or self._hired:
+                since = now  # it moves, or machines for it are on their way
             moved[key] = (want.count, since)
             if now - since > max(want.estimate_s, self._lease_s / 2):
                 # Nothing of it started for longer than a run should take: what is up is held
