--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -12,6 +12,7 @@
 
 NO_AIMS = ((), ())
 HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
+ROWS_MOST = 256  # of a Demand, so that a frame stays far below its bound
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 
 
@@ -76,6 +77,9 @@
         self._gap_s = gap_s
         self.idle = {}  # machine -> Listing
         self._placing = False
+        self._order = []  # open jobs in queue order, as of `_ordered_at`
+        self._ordered_at = -1e9
+        self._ordered = 0  # the book's version then
         self._demand = None
         self._demand_at = -1e9
         self._demand_timer = None
@@ -129,26 +133,34 @@
         others' aims, so the next one counts, and without one the job comes after those.
         """
         since = self.time_of_day() - job.accepted_at
-        spec = job.spec
-        within, times = self._aims.get(spec.klass, NO_AIMS)
-        aims = sorted(within)
-        if spec.due_s is not None:
-            aims = sorted([*aims, *(spec.due_s * factor for factor in times or (1.0,))])
+        aims = job.aims
+        if aims is None:
+            within, times = self._aims.get(job.spec.klass, NO_AIMS)
+            due_s = job.spec.due_s
+            deadlines = [due_s * factor for factor in times or (1.0,)] if due_s is not None else []
+            aims = job.aims = sorted([*within, *deadlines])
+        hope = since + HOPE * job.spec.estimate_s
         for aim in aims:
-            if aim - since >= HOPE * spec.estimate_s:
+            if aim >= hope:
                 return aim - since
         return max(self._default_aim_s, aims[-1] if aims else 0.0) - HOPELESS * since
 
+    def _startable(self, job, now):
+        return job.free and job.state == "open" and not job.unsynced and job.not_before <= now
+
     def waiting(self):
-        """Jobs with startable tasks, in queue order: urgency, then what is due first."""
+        """Jobs with startable tasks, in queue order: urgency, then what is due first.
+
+        What is due grows alike for most jobs, so the order is kept for a while; sorting all
+        jobs for every grant would cost more than the grants themselves.
+        """
         now = self._loop.now()
-        jobs = [
-            job
-            for job in self._book.jobs.values()
-            if job.free and job.state == "open" and not job.unsynced and job.not_before <= now
-        ]
-        jobs.sort(key=lambda job: (job.rank, self.due_in(job)))
-        return jobs
+        if self._ordered != self._book.version or now - self._ordered_at > self._gap_s:
+            self._order = sorted(
+                self._book.jobs.values(), key=lambda job: (job.rank, self.due_in(job))
+            )
+            self._ordered, self._ordered_at = self._book.version, now
+        return [job for job in self._order if self._startable(job, now)]
 
     def _allowed(self, job, listing):
         spec = job.spec
@@ -172,14 +184,18 @@
         return True
 
     def _place(self):
+        """One pass: places what it can, in queue order, and hands back what is of no use."""
         self._placing = False
         waiting = self.waiting()
-        for job in waiting:
-            if not self.idle:
-                break
-            self._place_job(job)
+        starts = {}  # machine -> {job: [(index, attempt)]}
+        if self.idle:
+            full = set()  # shapes for which the list has no room: it only shrinks in a pass
+            for job in waiting:
+                if job.room_shape not in full:
+                    self._place_job(job, starts, full)
         waiting = [job for job in waiting if job.free and self._may_start(job)]
-        self._return_useless(waiting)
+        if self.idle:
+            self._finish(waiting, starts)
         self._tell_demand(waiting)
 
     def _may_start(self, job):
@@ -189,27 +205,29 @@
         cpus, gpus = self._book.headroom(job.spec.team)
         return job.spec.cpus <= cpus + 1e-6 and job.spec.gpus <= gpus + 1e-6
 
-    def _place_job(self, job):
+    def _place_job(self, job, starts, full):
         need = job.need
         zoned = job.spec.one_zone or job.spec.spread
         now = self._loop.now()
         fitting = [
             listing
             for listing in self.idle.values()
-            if listing.until > now and fits(need, listing.room) and self._allowed(job, listing)
+            if fits(need, listing.room) and listing.until > now and self._allowed(job, listing)
         ]
         if not fitting:
             self._count("empty_list")
+            full.add(job.room_shape)
+            return
         if job.spec.image:
             # At random among those that fit and have the image, then among the others: what
             # a task waits for its image counts as waiting.
             ready = [listing for listing in fitting if job.spec.image in listing.images]
             if ready and len(ready) < len(fitting):
-                self._fill(job, need, zoned, ready)
+                self._fill(job, need, zoned, ready, starts)
                 fitting = [listing for listing in fitting if job.spec.image not in listing.images]
-        self._fill(job, need, zoned, fitting)
+        self._fill(job, need, zoned, fitting, starts)
 
-    def _fill(self, job, need, zoned, fitting):
+    def _fill(self, job, need, zoned, fitting, starts):
         """Starts the job's tasks at random on `fitting` listings."""
         left = None
         if self._book.limited(job.spec.team):
@@ -226,36 +244,53 @@
                 if left is not None:
                     left = (left[0] + job.spec.cpus, left[1] + job.spec.gpus)
                 continue
-            self._start(job, listing)
+            listing.take(need)
+            task = self._book.bind(job, listing.id, listing.zone)
+            starts.setdefault(listing.id, {}).setdefault(job, []).append(task)
             if not fits(need, listing.room):
                 fitting.pop(place)
 
-    def _start(self, job, listing):
-        index, attempt = self._book.bind(job, listing.id, listing.zone)
-        listing.take(job.need)
-        spec = job.spec
-        self._send(listing.home, frames.Start(
-            self._member.term.number, listing.id, listing.serial, job.id, index, attempt,
-            len(self.idle) - 1, *job.need, spec.image or "", spec.save_s, spec.checkpoint_s > 0,
-        ))
-
-    def _return_useless(self, waiting):
-        """Room that nothing waiting fits goes back at once."""
-        shapes = {job.shape: job for job in waiting}
+    def _finish(self, waiting, starts):
+        """Sends the starts. Room that nothing waiting fits goes back at once, with the last of them."""
+        shapes = {job.room_shape: job for job in waiting}
         for listing in list(self.idle.values()):
-            if not any(
+            jobs = starts.get(listing.id)
+            useless = not any(
                 fits(job.need, listing.room) and self._allowed(job, listing)
                 for job in shapes.values()
-            ):
+            )
+            if useless:
                 del self.idle[listing.id]
                 if waiting and not listing.taken and not listing.unacked:
                     # The home took part of what waits for served by this grant: say it again.
                     self._demand = None
+            if jobs:
+                left = len(jobs)
+                for job, tasks in jobs.items():
+                    left -= 1
+                    self._start(job, listing, tasks, useless and not left)
+            elif useless:
                 self._send(listing.home, frames.Return(listing.id, listing.serial, len(self.idle)))
 
+    def _start(self, job, listing, tasks, last):
+        spec = job.spec
+        self._send(listing.home, frames.Start(
+            self._member.term.number, listing.id, listing.serial, job.id, tasks,
+            max(0, len(self.idle) - 1), *job.need, spec.image or "", spec.save_s,
+            spec.checkpoint_s > 0, last,
+        ))
+
     def _tell_demand(self, waiting):
         """What still waits, to every home: the room that fits it may then be granted here."""
+        if not waiting and not self._demand and self._demand is not None:
+            return
+        now = self._loop.now()
+        if now < self._demand_at + self._gap_s:
+            if self._demand_timer is None:
+                self._demand_timer = self._loop.call_at(self._demand_at + self._gap_s, self._again)
+            return
         rows = {}
+        images = {}
         for job in waiting:
             row = rows.get(job.shape)
             due_in = self.due_in(job)
@@ -268,22 +303,21 @@
                 row[0] += len(job.free)
                 row[1] += work
                 row[2] = min(row[2], due_in)
+            if job.rank == waiting[0].rank and job.spec.image:
+                images[job.spec.image] = True
         demand = {shape: row[0] for shape, row in rows.items()}
         if demand == self._demand:
             return
-        now = self._loop.now()
-        if now < self._demand_at + self._gap_s:
-            if self._demand_timer is None:
-                self._demand_timer = self._loop.call_at(self._demand_at + self._gap_s, self._again)
-            return
+        if len(rows) > ROWS_MOST:
+            # The first in the queue are told; the others follow as those are served.
+            self._count("demand_cut")
         self._demand = demand
         self._demand_at = now
         frame = frames.Demand(len(self.idle), [
-            (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, due_in,
-             image)
-            for (rank, cpus, gpus, memory, spot, zone, types, klass, image), (count, work, due_in)
-            in list(rows.items())[:64]
-        ])
+            (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, due_in)
+            for (rank, cpus, gpus, memory, spot, zone, types, klass), (count, work, due_in)
+            in list(rows.items())[:ROWS_MOST]
+        ], list(images)[:ROWS_MOST])
         for label in self._member.term.members:
             self._send(label, frame)
 
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -7,6 +7,7 @@
 import logging
 
 from roadhead.homes.machine import EXITED, LAUNCHING, Machine, Task, fits
+from roadhead.homes.rooms import Rooms
 from roadhead.wire import frames, messages
 
 log = logging.getLogger("roadhead.home")
@@ -14,28 +15,7 @@
 DRIFT = 0.0005
 ANSWER_S = 4.0  # a worker drops responses that took longer (PROTOCOL)
 IMAGES_MOST = 16  # of a machine, told with its grants
-ROW_IMAGE = 11
-ROW_URGENCY, ROW_CPUS, ROW_GPUS, ROW_MEMORY, ROW_COUNT, ROW_SPOT, ROW_ZONE, ROW_TYPES = range(8)
-
-
-def row_fits(row, machine, room):
-    """Whether a task of a Demand row may run in `room` of the machine."""
-    return (
-        row[ROW_COUNT] > 0
-        and fits((row[ROW_CPUS], row[ROW_GPUS], row[ROW_MEMORY]), room)
-        and (row[ROW_SPOT] or not machine.spot)
-        and (not row[ROW_ZONE] or row[ROW_ZONE] == machine.zone)
-        and (not row[ROW_TYPES] or machine.type in row[ROW_TYPES])
-    )
-
-
-def times_fitting(row, room):
-    """How many tasks of a row fit in `room`."""
-    most = 1 << 30
-    for need, free in zip(row[ROW_CPUS : ROW_MEMORY + 1], room, strict=True):
-        if need > 0:
-            most = min(most, int((free + 1e-6) / need))
-    return most
+CANCELLED_MOST = 5000  # jobs known to be over, before the older ones are let go of
 
 
 class Home:
@@ -47,7 +27,6 @@
         self._workers = deployment.workers
         self._lag_s = deployment.cloud.list_lag_s
         self._lapse_s = lapse_s
-        self._random = random
         self._send = send
         self._ask = ask
         self._need_spec = need_spec
@@ -56,16 +35,16 @@
         self.machines = {}
         self.gone = {}  # names of machines that are surely gone
         self.cancelled = {}  # jobs known to be over: nothing of them may run
-        self.demand = {}  # label -> [length, rows]
+        self.rooms = Rooms(loop, label, member, self.machines, lapse_s, random, send, counters)
         self.owners = {}  # job -> (label, incarnation)
         self.specs = {}  # job -> (need, image, save_s, saves)
         self._claims = {}  # machine -> {(job, index, attempt): owner}
         self._syncs = []  # (label, incarnation, term, number)
-        self._serial = 0
         self._cover_from = 0.0  # a list must have been asked for after this
         self._fence_at = 0.0  # by then every lease that another home renewed has ended
         self._covered = False
         self._fenced_at = 0.0
+        self._prune_at = 0.0
 
     # Terms
 
@@ -92,22 +71,14 @@
             self._claims = {n: c for n, c in self._claims.items() if new.home(n) == self.label}
         if old.token(self.label) != new.token(self.label):
             for machine in self.machines.values():
-                self._withdraw(machine)
+                self.rooms.revoke(machine)
                 if machine.heard_at is not None:
                     self._ask(machine)
-        for label in list(self.demand):
+        for label in list(self.rooms.demand):
             if old.incarnation(label) != new.incarnation(label):
-                self.peer_down(label)
+                self.rooms.peer_down(label)
         self._syncs = [s for s in self._syncs if new.serves(s[0], s[1])]
 
-    def peer_down(self, label):
-        """A controller's link is gone: what it holds comes back."""
-        self.demand.pop(label, None)
-        for machine in self.machines.values():
-            if machine.holder == label:
-                machine.holder = None
-                machine.declined.clear()
-
     def clean(self):
         """Every machine of this home was heard under its token or is gone (safety 3)."""
         if not self._covered:
@@ -171,10 +142,8 @@
             "" if machine.notice_at is None else f", notice {now - machine.notice_at:+.1f} s",
         )
         self.machines.pop(machine.id, None)
-        if len(self.gone) > 5000:
-            self.gone.pop(next(iter(self.gone)))
         self.gone[machine.id] = now
-        self._revoke(machine)
+        self.rooms.revoke(machine)
         for task in list(machine.tasks.values()):
             self._freed(machine, task, cause)
         self._free_claims(machine.id, cause)
@@ -188,7 +157,7 @@
             self._send(owner[0], frame)
 
     def _freed(self, machine, task, cause):
-        machine.tasks.pop(task.key, None)
+        machine.drop(task)
         if not task.forget or task.job in self.cancelled:
             owner = task.owner or self.owners.get(task.job)
             self._tell(owner, frames.Free(machine.id, *task.key, cause))
@@ -221,7 +190,7 @@
             return False
         now = self._loop.now()
         if machine.kind is None:
-            machine.kind = self.types.get(machine.type)
+            machine.know_kind(self.types.get(machine.type))
         if report.session > machine.session:
             # The worker killed all it had before it began this session, and commands for
             # the old one are refused from now on.
@@ -249,50 +218,76 @@
                     self._tell(owner, frames.Free(machine.id, *key, "not there"))
                 else:
                     task.owner = owner
-                    self._tell_state(machine, task, True)
+                    self._tell_states(machine, [task], True)
         if first:
             self.settle()
         if machine.room() != before or first:
             machine.declined.clear()
-            self._room_changed(machine)
+            self.rooms.changed(machine)
         if machine.notice_at is not None and not machine.draining:
             self._drain(machine)
         return True
 
     def _take_tasks(self, machine, reported, confirmed):
-        keys = set()
+        if confirmed and reported == machine.reported:
+            return  # all of it is known
+        machine.readings += 1
+        reading = machine.readings
+        by_name = machine.by_name
+        changed = []
         for item in reported:
-            try:
-                job, index = messages.split_task(item.task)
-            except messages.Invalid:
-                log.error("machine %s reports task %r", machine.id, item.task)
-                continue
-            key = (job, index, item.attempt)
-            keys.add(key)
-            task = machine.tasks.get(key)
+            task = by_name.get((item.task, item.attempt))
             if task is None:
-                task = Task(job, index, item.attempt, item.status, self.owners.get(job))
-                machine.tasks[key] = task
-                self._set_spec(task)
+                task = self._found(machine, item)
+                if task is None:
+                    continue
+            task.mark = reading
             was = task.status
-            task.seen = True
-            task.status, task.cause = item.status, item.cause
+            if was == item.status and task.cause == item.cause and task.seen:
+                continue
+            first, task.seen = not task.seen, True
+            machine.progress(task, item.status)
+            task.cause = item.cause
             task.saved = bool(item.saved)
-            if item.status == "running" and was != "running" and task.image:
+            if item.status == "running" and (first or was != "running") and task.image:
                 machine.images.pop(task.image, None)
                 machine.images[task.image] = True
                 if len(machine.images) > IMAGES_MOST:
                     machine.images.pop(next(iter(machine.images)))
             if task.status == EXITED and was != EXITED:
                 self._exited(machine, task)
-            if job in self.cancelled:
-                task.stop_grace = 0.0
+            if task.job in self.cancelled:
+                machine.stop(task, 0.0)
                 if task.status == EXITED:
-                    task.forget = True
-            self._tell_state(machine, task)
+                    machine.forget(task)
+            if was != LAUNCHING or item.status != "pulling":
+                changed.append(task)  # its owner knows that a task it started waits for its image
+        if changed:
+            self._tell_states(machine, changed)
         if confirmed:
-            for key in [k for k, task in machine.tasks.items() if task.seen and k not in keys]:
-                self._freed(machine, machine.tasks[key], "not there")
+            for task in [t for t in machine.tasks.values() if t.seen and t.mark != reading]:
+                self._freed(machine, task, "not there")
+            machine.reported = reported
+
+    def _found(self, machine, item):
+        """The task of a report's entry that was not in the machine's reports before."""
+        try:
+            job, index = messages.split_task(item.task)
+        except messages.Invalid:
+            log.error("machine %s reports task %r", machine.id, item.task)
+            return None
+        task = machine.tasks.get((job, index, item.attempt))
+        if task is None:
+            task = Task(job, index, item.attempt, item.status, self.owners.get(job))
+            spec = self.specs.get(job)
+            if spec is not None:
+                task.need, task.image, task.save_s, task.saves = spec
+            machine.put(task)
+            if spec is None:
+                self._need_spec(job)
+        task.name = item.task
+        machine.by_name[item.task, item.attempt] = task
+        return task
 
     def _exited(self, machine, task):
         if not machine.busy():
@@ -309,49 +304,46 @@
                 self._count("machines_faulty")
                 self._drain(machine)
 
-    def _set_spec(self, task):
-        spec = self.specs.get(task.job)
-        if spec is not None:
-            task.need, task.image, task.save_s, task.saves = spec
-        else:
-            self._need_spec(task.job)
-
     def spec(self, job, spec, over):
         """The needs of a job's tasks, read from its record; `over`: it is done or cancelled."""
         if spec is not None:
-            if len(self.specs) > 5000:
-                self.specs.pop(next(iter(self.specs)))
             self.specs[job] = spec
         if over:
             self.cancel([job])
         for machine in self.machines.values():
-            changed = False
-            for task in machine.tasks.values():
-                if task.job == job and task.need is None and spec is not None:
-                    task.need, task.image, task.save_s, task.saves = spec
-                    changed = True
-            if changed:
-                self._room_changed(machine)
-
-    def _tell_state(self, machine, task, again=False):
-        state = (task.status, task.cause, task.owner)
-        if (state == task.told and not again) or task.status == LAUNCHING or task.forget:
-            return
-        task.told = state
-        owner = task.owner or self.owners.get(task.job)
-        self._tell(owner, frames.TaskState(
-            machine.id, machine.zone, *task.key, task.status, task.cause or "", task.saved
-        ))
+            changed = [task for task in machine.tasks.values() if task.job == job]
+            for task in changed:
+                if task.need is None and spec is not None:
+                    machine.learn(task, spec)
+            if changed and spec is not None:
+                self._tell_states(machine, changed, True)
+                self.rooms.changed(machine)
+
+    def _tell_states(self, machine, tasks, again=False):
+        """Tells the owners what became of tasks, one frame an owner."""
+        rows = {}
+        for task in tasks:
+            state = (task.status, task.cause, task.owner)
+            if (state == task.told and not again) or task.status == LAUNCHING or task.forget:
+                continue
+            task.told = state
+            owner = task.owner or self.owners.get(task.job)
+            if owner is not None and self._member.term.serves(*owner):
+                rows.setdefault(owner[0], []).append(
+                    (task.job, task.index, task.attempt, task.status, task.cause or "")
+                )
+        for label, news in rows.items():
+            self._send(label, frames.TaskStates(machine.id, machine.zone, news))
 
     def _drain(self, machine):
         """Nothing more starts there; tasks that can save are told to, the rest may finish."""
         machine.draining = True
-        self._withdraw(machine)
+        self.rooms.revoke(machine)
         if machine.notice_at is not None:
             left = machine.notice_at - self._loop.now()
             for task in machine.tasks.values():
                 if task.status != EXITED and task.saves and task.stop_grace is None:
-                    task.stop_grace = max(0.0, left)
+                    machine.stop(task, max(0.0, left))
             self._ask(machine)
 
     def tick(self):
@@ -363,9 +355,9 @@
         for machine in list(self.machines.values()):
             if machine.holder is not None and now >= machine.grant_lapse_at:
                 self._count("grants_lapsed")
-                self._revoke(machine)
-                self._offer(machine)
-            if any(task.forget and task.loose_token == token for task in machine.tasks.values()):
+                self.rooms.revoke(machine)
+                self.rooms.offer(machine)
+            if any(task.forget and task.loose_token == token for task in machine.todo.values()):
                 # An unanswered launch could start the attempt again once it is forgotten;
                 # under a higher token the worker refuses it.
                 self._member.want_new_token()
@@ -377,27 +369,40 @@
                 log.info("lease of %s has run out: last report answered %.1f s ago, %d tasks",
                          machine.id, now - machine.renewed_at, len(machine.tasks))
                 self._count("leases_out")
-                self._withdraw(machine)
+                self.rooms.revoke(machine)
                 for task in list(machine.tasks.values()):
                     self._freed(machine, task, "lease ended")
                 self._free_claims(machine.id, "lease ended")
                 machine.confirmed = 0
             silent = now - (machine.heard_at if machine.heard_at is not None else now)
             taken = machine.notice_at is not None and now > machine.notice_at + 1
-            drained = machine.draining and machine.notice_at is None and ours and self._empty(machine)
+            drained = machine.draining and machine.notice_at is None and ours and machine.empty()
             if drained or silent > 4 * lease_s or (taken and silent > 2 * self._workers.report_s):
                 release.append(machine)
         if self._syncs:
             self.settle()
+        if now >= self._prune_at:
+            self._prune_at = now + self._workers.lease_s
+            self._prune(now)
         return release
 
-    @staticmethod
-    def _empty(machine):
-        """Nothing runs there, and no result there has yet to be recorded."""
-        return all(
-            task.status == EXITED and (task.forget or task.cause != "done")
-            for task in machine.tasks.values()
-        )
+    def _prune(self, now):
+        """Lets go of what no task here rests on; a task found later has its record read again.
+
+        A machine that is gone can be listed for twice the list's lag more, and its last
+        report can be as late as a cut is long: then it is taken on again, silent and
+        without tasks, and returned after four leases. A job that is over can be started
+        only by an owner that has not heard so, which is told within `cancel_s`.
+        """
+        live = {task.job for machine in self.machines.values() for task in machine.tasks.values()}
+        live.update(key[0] for claims in self._claims.values() for key in claims)
+        old = now - 4 * self._workers.lease_s
+        self.owners = {job: owner for job, owner in self.owners.items() if job in live}
+        self.specs = {job: spec for job, spec in self.specs.items() if job in live}
+        if len(self.cancelled) > CANCELLED_MOST:
+            self.cancelled = {job: at for job, at in self.cancelled.items()
+                              if job in live or at > now - 2 * self._workers.cancel_s}
+        self.gone = {name: at for name, at in self.gone.items() if at > old - 20 * self._lag_s}
 
     def idle(self, idle_s):
         """Machines with nothing on them and no use for that long."""
@@ -407,180 +412,74 @@
             for machine in self.machines.values()
             if machine.confirmed == self._member.token
             and machine.holder is None
-            and not machine.busy()
-            and all((t.status == EXITED and t.cause != "done") or t.forget for t in machine.tasks.values())
+            and machine.empty()
             and now - max(machine.idle_since, machine.confirmed_at) > idle_s(machine)
         ]
 
-    # Room
-
-    def _withdraw(self, machine):
-        if machine.holder is not None:
-            self._revoke(machine)
-
-    def _revoke(self, machine):
-        holder, machine.holder = machine.holder, None
-        if holder is not None:
-            self._send(holder, frames.Revoke(machine.id, machine.grant_serial))
-
-    def _offerable(self, machine):
-        return (
-            machine.confirmed == self._member.token
-            and not machine.draining
-            and machine.notice_at is None
-            and machine.kind is not None
-        )
-
-    def _room_changed(self, machine):
-        if machine.holder is not None:
-            if self._offerable(machine):
-                self._send_grant(machine)
-            else:
-                self._revoke(machine)
-        else:
-            self._offer(machine)
-
-    def _send_grant(self, machine):
-        room = machine.room()
-        state = (machine.grant_serial, machine.grant_taken, room)
-        if state == machine.grant_sent:
-            return
-        machine.grant_sent = state
-        machine.grant_lapse_at = self._loop.now() + self._lapse_s
-        self._send(machine.holder, frames.Grant(
-            machine.id, machine.grant_serial, machine.grant_taken, machine.type, machine.zone,
-            self.label, machine.spot, *(max(0.0, part) for part in room), list(machine.images),
-            self._lapse_s,
-        ))
-
-    @staticmethod
-    def _standing(machine):
-        """Parked room is granted from cheap and full machines first, so that others run empty."""
-        kind = machine.kind
-        if kind is None:
-            return (0.0, 0.0)
-        price = kind.spot_price if machine.spot and kind.spot_price is not None else kind.price
-        return (round(price / max(kind.cpus, 1e-6), 3), machine.room()[0])
-
-    def _offer(self, machine):
-        """The joining rule: room goes to a random controller last heard empty, else to any.
-
-        Only controllers with something waiting that fits are asked, the more urgent first.
-        """
-        if machine.holder is not None or not self._offerable(machine):
-            return
-        room = machine.room()
-        if room[0] <= 0 and room[2] <= 0:
-            return
-        best = None
-        eligible = []
-        for label, (_length, rows) in self.demand.items():
-            if label in machine.declined:
-                continue
-            for row in rows:
-                if row_fits(row, machine, room):
-                    if best is None or row[ROW_URGENCY] < best:
-                        best, eligible = row[ROW_URGENCY], []
-                    if row[ROW_URGENCY] == best and label not in eligible:
-                        eligible.append(label)
-        if not eligible:
-            return
-        empty = [label for label in eligible if self.demand[label][0] == 0]
-        label = self._random.choice(empty or eligible)
-        self._count("grants")
-        entry = self.demand[label]
-        entry[0] += 1
-        left = room
-        for place, row in enumerate(entry[1]):
-            if row_fits(row, machine, left):
-                count = min(row[ROW_COUNT], times_fitting(row, left))
-                entry[1][place] = (*row[:ROW_COUNT], row[ROW_COUNT] - count, *row[ROW_COUNT + 1 :])
-                left = tuple(
-                    free - count * need
-                    for free, need in zip(left, row[ROW_CPUS : ROW_MEMORY + 1], strict=True)
-                )
-        self._serial += 1
-        machine.holder = label
-        machine.grant_serial = self._serial
-        machine.grant_taken = 0
-        machine.grant_sent = None
-        self._send_grant(machine)
-
-    # Frames from controllers
-
-    def on_demand(self, label, frame):
-        self.demand[label] = [frame.length, list(frame.rows)]
-        machines = [m for m in self.machines.values() if m.holder is None]
-        most = min((row[ROW_URGENCY] for row in frame.rows), default=0)
-        first = {row[ROW_IMAGE] for row in frame.rows if row[ROW_URGENCY] == most}
-        machines.sort(key=lambda m: (first.isdisjoint(m.images), *self._standing(m)))
-        for machine in machines:
-            machine.declined.discard(label)
-            self._offer(machine)
-
-    def on_return(self, label, frame):
-        machine = self.machines.get(frame.machine)
-        if label in self.demand:
-            self.demand[label][0] = frame.length
-        if machine is None or machine.holder != label or machine.grant_serial != frame.serial:
-            return
-        self._count("returns")
-        machine.holder = None
-        machine.declined.add(label)
-        self._offer(machine)
+    # Starts
 
     def on_start(self, label, incarnation, frame):
-        key = (frame.job, frame.index, frame.attempt)
+        """Tasks of one job for one machine; with `last` the grant comes back after them."""
         machine = self.machines.get(frame.machine)
-        if label in self.demand:
-            self.demand[label][0] = frame.length
+        self.rooms.heard(label, frame.length)
+        if frame.job not in self.specs:
+            self.specs[frame.job] = (
+                (frame.cpus, frame.gpus, frame.memory), frame.image, frame.save_s, frame.saves
+            )
+        self.owners[frame.job] = (label, incarnation)
+        launched = False
+        for index, attempt in frame.tasks:
+            launched = self._start(label, incarnation, frame, machine, index, attempt) or launched
+        if launched:
+            machine.grant_lapse_at = self._loop.now() + self._lapse_s
+            self._ask(machine)
+        if frame.last:
+            self.rooms.returned(label, machine, frame.serial)
+
+    def _start(self, label, incarnation, frame, machine, index, attempt):
+        key = (frame.job, index, attempt)
         if machine is not None and key in machine.tasks:
-            return
+            return False
         need = (frame.cpus, frame.gpus, frame.memory)
         if (
             machine is None
             or frame.term != self._member.term.number
             or machine.holder != label
             or machine.grant_serial != frame.serial
-            or not self._offerable(machine)
+            or not self.rooms.offerable(machine)
             or not fits(need, machine.room())
             or frame.job in self.cancelled
-            or any(k[:2] == key[:2] for k in machine.tasks)
+            or any(k[0] == frame.job and k[1] == index for k in machine.tasks)
         ):
             self._count("starts_refused")
             self._send(label, frames.Refused(frame.machine, *key))
-            return
+            return False
         task = Task(*key, LAUNCHING, (label, incarnation))
         task.need = need
         task.image = frame.image
         task.save_s, task.saves = frame.save_s, frame.saves
-        machine.tasks[key] = task
+        machine.put(task)
         machine.grant_taken += 1
-        machine.grant_lapse_at = self._loop.now() + self._lapse_s
-        self.owners[frame.job] = (label, incarnation)
-        if len(self.specs) > 5000:
-            self.specs.pop(next(iter(self.specs)))
-        self.specs[frame.job] = (need, frame.image, frame.save_s, frame.saves)
         self._count("starts")
-        self._ask(machine)
+        return True
 
-    def _task(self, frame):
-        machine = self.machines.get(frame.machine)
+    def _task(self, name, *key):
+        machine = self.machines.get(name)
         if machine is None:
             return None, None
-        return machine, machine.tasks.get((frame.job, frame.index, frame.attempt))
+        return machine, machine.tasks.get(key)
 
     def on_stop(self, frame):
-        machine, task = self._task(frame)
+        machine, task = self._task(frame.machine, frame.job, frame.index, frame.attempt)
         if task is not None and task.status != EXITED:
-            task.stop_grace = frame.grace
+            machine.stop(task, frame.grace)
             self._ask(machine)
 
     def on_forget(self, frame):
-        _machine, task = self._task(frame)
-        if task is None or task.status != EXITED:
-            return
-        task.forget = True
+        for row in frame.rows:
+            machine, task = self._task(*row)
+            if task is not None and task.status == EXITED:
+                machine.forget(task)
 
     def on_sync(self, label, incarnation, frame):
         owner = (label, incarnation)
@@ -588,10 +487,10 @@
         for job in jobs:
             self.owners[job] = owner
         for machine in self.machines.values():
-            for task in machine.tasks.values():
-                if task.job in jobs:
-                    task.owner = owner
-                    self._tell_state(machine, task, True)
+            tasks = [task for task in machine.tasks.values() if task.job in jobs]
+            for task in tasks:
+                task.owner = owner
+            self._tell_states(machine, tasks, True)
         for name, job, index, attempt in frame.claims:
             key = (job, index, attempt)
             machine = self.machines.get(name)
@@ -599,7 +498,7 @@
                 self._send(label, frames.Free(name, *key, "gone"))
             elif machine is not None and key in machine.tasks:
                 machine.tasks[key].owner = owner
-                self._tell_state(machine, machine.tasks[key], True)
+                self._tell_states(machine, [machine.tasks[key]], True)
             elif machine is not None and machine.confirmed == self._member.token:
                 self._send(label, frames.Free(name, *key, "not there"))
             else:
@@ -619,11 +518,10 @@
     def cancel(self, jobs):
         """Jobs that are over: what is left of them stops."""
         fresh = set()
+        now = self._loop.now()
         for job in jobs:
             if job not in self.cancelled:
-                if len(self.cancelled) > 20000:
-                    self.cancelled.pop(next(iter(self.cancelled)))
-                self.cancelled[job] = True
+                self.cancelled[job] = now
                 fresh.add(job)
         if not fresh:
             return
@@ -632,9 +530,9 @@
             for task in machine.tasks.values():
                 if task.job in fresh:
                     hit = True
-                    task.stop_grace = 0.0
+                    machine.stop(task, 0.0)
                     if task.status == EXITED:
-                        task.forget = True
+                        machine.forget(task)
             if hit:
                 self._ask(machine)
 
@@ -686,7 +584,7 @@
         for machine in self.machines.values():
             row = rows.setdefault((machine.type, machine.zone, machine.spot), [0, 0, 0.0, 0.0, 0.0])
             row[0] += 1
-            if self._offerable(machine):
+            if self.rooms.offerable(machine):
                 if not machine.busy():
                     row[1] += 1
                 for place, free in enumerate(machine.room()):
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -9,8 +9,9 @@
 class Task:
     """One attempt on a machine. `need` is (cpus, gpus, memory), None while unknown."""
 
-    __slots__ = ("attempt", "cause", "forget", "image", "index", "job", "loose_token", "need",
-                 "owner", "save_s", "saved", "saves", "seen", "status", "stop_grace", "told")
+    __slots__ = ("attempt", "cause", "forget", "image", "index", "job", "loose_token", "mark",
+                 "name", "need", "owner", "save_s", "saved", "saves", "seen", "status",
+                 "stop_grace", "told")
 
     def __init__(self, job, index, attempt, status, owner=None):
         self.job = job
@@ -25,6 +26,8 @@
         self.save_s = 0.0
         self.saves = False
         self.seen = False
+        self.mark = 0  # the last reading of a report that showed it
+        self.name = None  # as the machine reports it, once it did
         self.told = None
         self.stop_grace = None
         self.forget = False
@@ -37,10 +40,21 @@
         return self.job, self.index, self.attempt
 
 
+NOTHING = (0.0, 0.0, 0.0)
+
+
 class Machine:
+    """What is kept up to date here rather than summed anew: the room that is free, how many
+    tasks are active, and which have commands to carry out. So tasks come, go and change
+    status through this class only.
+    """
+
     __slots__ = (
+        "_cpus", "_gpus", "_memory", "_room", "_vague",
+        "active",
         "address",
         "asking", "born_at",
+        "by_name",
         "confirmed",
         "confirmed_at",
         "declined",
@@ -59,12 +73,15 @@
         "kind",
         "listed_at",
         "notice_at",
+        "readings",
         "renewed_at",
+        "reported",
         "sequence",
         "session",
         "spot",
         "taken_on",
         "tasks",
+        "todo",
         "type",
         "wanting",
         "zone",
@@ -87,13 +104,21 @@
         self.born_at = 0.0  # not before this it was rented
         self.notice_at = None  # when the cloud takes it away
         self.tasks = {}
+        self.by_name = {}  # (task's name, attempt) as reported -> Task
+        self.reported = None  # the newest confirmed list of tasks, None if it may not hold any more
+        self.readings = 0
+        self.todo = {}  # tasks that may have commands to be carried out
+        self.active = 0  # tasks not exited
+        self._vague = 0  # active tasks whose needs are unknown
+        self._cpus = self._gpus = self._memory = 0.0  # held by active tasks
+        self._room = None
         self.images = {}  # seen in use there, the latest last; the machine may have dropped some
         self.holder = None
         self.grant_serial = 0
         self.grant_taken = 0
         self.grant_sent = None
         self.grant_lapse_at = 0.0
-        self.declined = set()
+        self.declined = {}  # label -> serial of its demand that had no use for the room
         self.idle_since = now
         self.draining = False
         self.taken_on = False
@@ -105,20 +130,80 @@
 
     def room(self):
         """Free (cpus, gpus, memory); nothing while a task's needs are unknown."""
-        if self.kind is None:
-            return (0.0, 0.0, 0.0)
-        cpus, gpus, memory = self.kind.cpus, self.kind.gpus, self.kind.memory
-        for task in self.tasks.values():
-            if task.status != EXITED:
-                if task.need is None:
-                    return (0.0, 0.0, 0.0)
-                cpus -= task.need[0]
-                gpus -= task.need[1]
-                memory -= task.need[2]
-        return (cpus, gpus, memory)
+        room = self._room
+        if room is None:
+            kind = self.kind
+            if kind is None or self._vague:
+                room = NOTHING
+            else:
+                room = (kind.cpus - self._cpus, kind.gpus - self._gpus, kind.memory - self._memory)
+            self._room = room
+        return room
+
+    def know_kind(self, kind):
+        self.kind = kind
+        self._room = None
+
+    def _hold(self, task, by):
+        self._room = None
+        self.active += by
+        if task.need is None:
+            self._vague += by
+        elif self.active == self._vague:
+            self._cpus = self._gpus = self._memory = 0.0  # no rounding is carried on
+        else:
+            cpus, gpus, memory = task.need
+            self._cpus += by * cpus
+            self._gpus += by * gpus
+            self._memory += by * memory
+
+    def put(self, task):
+        self.tasks[task.key] = task
+        if task.status == LAUNCHING:
+            self.todo[task.key] = task
+        if task.status != EXITED:
+            self._hold(task, 1)
+
+    def drop(self, task):
+        if self.tasks.pop(task.key, None) is None:
+            return
+        self.todo.pop(task.key, None)
+        if task.name is not None:
+            self.by_name.pop((task.name, task.attempt), None)
+        self.reported = None
+        if task.status != EXITED:
+            self._hold(task, -1)
+
+    def progress(self, task, status):
+        was, task.status = task.status, status
+        if (was == EXITED) != (status == EXITED):
+            self._hold(task, -1 if status == EXITED else 1)
+
+    def learn(self, task, spec):
+        """The task's needs became known."""
+        held = task.status != EXITED
+        if held:
+            self._hold(task, -1)
+        task.need, task.image, task.save_s, task.saves = spec
+        if held:
+            self._hold(task, 1)
+
+    def stop(self, task, grace):
+        task.stop_grace = grace
+        self.todo[task.key] = task
+
+    def forget(self, task):
+        task.forget = True
+        self.todo[task.key] = task
 
     def busy(self):
-        return any(task.status != EXITED for task in self.tasks.values())
+        return self.active > 0
+
+    def empty(self):
+        """Nothing runs there, and no result there has yet to be recorded."""
+        return not self.active and all(
+            task.forget or task.cause != "done" for task in self.tasks.values()
+        )
 
     def orders(self):
         """All commands that the worker has yet to carry out, and the launches among them.
@@ -128,15 +213,22 @@
         """
         orders = []
         launches = []
-        for task in self.tasks.values():
+        for task in list(self.todo.values()):
+            wanted = False
             if task.status == LAUNCHING:
+                wanted = True
                 orders.append(messages.launch(*task.key))
                 launches.append(task)
             if task.stop_grace is not None and task.status != EXITED:
+                wanted = True
                 if task.status != "saving" or not task.stop_grace:
                     orders.append(messages.stop(*task.key, task.stop_grace))
-            elif task.forget and task.status == EXITED and not task.loose_token:
-                orders.append(messages.forget(*task.key))
+            elif task.forget:
+                wanted = True
+                if task.status == EXITED and not task.loose_token:
+                    orders.append(messages.forget(*task.key))
+            if not wanted:
+                del self.todo[task.key]
         return orders, launches
 
 
--- /dev/null
+++ b/roadhead/homes/rooms.py
@@ -0,0 +1,204 @@
+"""Free room: what controllers want, and the grants that put room on their idle lists.
+
+No sockets here: frames from controllers come in as calls, frames go out through `send`.
+"""
+
+from roadhead.homes.machine import fits
+from roadhead.wire import frames
+
+URGENCY, CPUS, GPUS, MEMORY, COUNT, SPOT, ZONE, TYPES = range(8)
+
+
+def row_fits(row, machine, room):
+    """Whether a task of a Demand row may run in `room` of the machine."""
+    return (
+        row[COUNT] > 0
+        and row[CPUS] <= room[0] + 1e-6
+        and row[MEMORY] <= room[2] + 1e-6
+        and row[GPUS] <= room[1] + 1e-6
+        and (row[SPOT] or not machine.spot)
+        and (not row[ZONE] or row[ZONE] == machine.zone)
+        and (not row[TYPES] or machine.type in row[TYPES])
+    )
+
+
+def times_fitting(row, room):
+    """How many tasks of a row fit in `room`."""
+    most = 1 << 30
+    for need, free in zip(row[CPUS : MEMORY + 1], room, strict=True):
+        if need > 0:
+            most = min(most, int((free + 1e-6) / need))
+    return most
+
+
+class Demand:
+    """What waits at a controller: rows in its queue order, and the length of its idle list."""
+
+    __slots__ = ("left", "length", "rows", "serial")
+
+    def __init__(self, serial, length, rows):
+        self.serial = serial
+        self.length = length
+        self.rows = rows
+        self.left = sum(row[COUNT] for row in rows)
+
+    def serve(self, machine):
+        """The machine's room is granted: what it will take no longer waits."""
+        left = machine.room()
+        for row in self.rows:
+            if row_fits(row, machine, left):
+                count = min(row[COUNT], times_fitting(row, left))
+                row[COUNT] -= count
+                self.left -= count
+                left = (left[0] - count * row[CPUS], left[1] - count * row[GPUS],
+                        left[2] - count * row[MEMORY])
+
+
+class Rooms:
+    def __init__(self, loop, label, member, machines, lapse_s, random, send, counters):
+        self._loop = loop
+        self.label = label
+        self._member = member
+        self._machines = machines
+        self._lapse_s = lapse_s
+        self._random = random
+        self._send = send
+        self._count = counters.add
+        self.demand = {}  # label -> Demand
+        self._serial = 0
+
+    def offerable(self, machine):
+        return (
+            machine.confirmed == self._member.token
+            and not machine.draining
+            and machine.notice_at is None
+            and machine.kind is not None
+        )
+
+    def heard(self, label, length):
+        """The length of a controller's idle list, told with what it sends (PAPER 3)."""
+        demand = self.demand.get(label)
+        if demand is not None:
+            demand.length = length
+
+    def peer_down(self, label):
+        """A controller's link is gone: what it holds comes back."""
+        self.demand.pop(label, None)
+        for machine in self._machines.values():
+            if machine.holder == label:
+                machine.holder = None
+                machine.declined.clear()
+
+    def revoke(self, machine):
+        holder, machine.holder = machine.holder, None
+        if holder is not None:
+            self._send(holder, frames.Revoke(machine.id, machine.grant_serial))
+
+    def changed(self, machine):
+        """The machine's room, or whether it may be offered, is not what it was."""
+        if machine.holder is None:
+            self.offer(machine)
+        elif self.offerable(machine):
+            self._send_grant(machine)
+        else:
+            self.revoke(machine)
+
+    def _send_grant(self, machine):
+        room = machine.room()
+        state = (machine.grant_serial, machine.grant_taken, room)
+        if state == machine.grant_sent:
+            return
+        machine.grant_sent = state
+        machine.grant_lapse_at = self._loop.now() + self._lapse_s
+        self._send(machine.holder, frames.Grant(
+            machine.id, machine.grant_serial, machine.grant_taken, machine.type, machine.zone,
+            self.label, machine.spot, *(max(0.0, part) for part in room), list(machine.images),
+            self._lapse_s,
+        ))
+
+    @staticmethod
+    def _standing(machine):
+        """Parked room is granted from cheap and full machines first, so that others run empty."""
+        kind = machine.kind
+        price = kind.spot_price if machine.spot and kind.spot_price is not None else kind.price
+        return (round(price / max(kind.cpus, 1e-6), 3), machine.room()[0])
+
+    def offer(self, machine):
+        """The joining rule: room goes to a random controller last heard empty, else to any.
+
+        Only controllers with something waiting that fits are asked, the more urgent first.
+        """
+        if machine.holder is not None or not self.offerable(machine):
+            return
+        room = machine.room()
+        if room[0] <= 0 and room[2] <= 0:
+            return
+        best = None
+        eligible = []
+        for label, demand in self.demand.items():
+            if not demand.left or machine.declined.get(label) == demand.serial:
+                continue
+            for row in demand.rows:  # the most urgent come first
+                if best is not None and row[URGENCY] > best:
+                    break
+                if row_fits(row, machine, room):
+                    if best is None or row[URGENCY] < best:
+                        best, eligible = row[URGENCY], []
+                    eligible.append(label)
+                    break
+        if not eligible:
+            return
+        empty = [label for label in eligible if self.demand[label].length == 0]
+        label = self._random.choice(empty or eligible)
+        self._count("grants")
+        demand = self.demand[label]
+        demand.length += 1
+        demand.serve(machine)
+        self._serial += 1
+        machine.holder = label
+        machine.grant_serial = self._serial
+        machine.grant_taken = 0
+        machine.grant_sent = None
+        self._send_grant(machine)
+
+    # Frames from controllers
+
+    def on_demand(self, label, frame):
+        rows = {}
+        for urgency, cpus, gpus, memory, count, spot, zone, types, *_renting in frame.rows:
+            key = (urgency, cpus, gpus, memory, spot, zone, tuple(types))
+            row = rows.get(key)
+            if row is None:
+                rows[key] = [urgency, cpus, gpus, memory, count, spot, zone, types]
+            else:
+                row[COUNT] += count
+        self._serial += 1
+        demand = self.demand[label] = Demand(self._serial, frame.length, list(rows.values()))
+        if not demand.left:
+            return
+        least = min(row[CPUS] for row in demand.rows), min(row[MEMORY] for row in demand.rows)
+        machines = [
+            machine for machine in self._machines.values()
+            if machine.holder is None
+            and fits((least[0], 0.0, least[1]), machine.room()) and self.offerable(machine)
+        ]
+        wanted = set(frame.images)
+        machines.sort(key=lambda m: (wanted.isdisjoint(m.images), *self._standing(m)))
+        for machine in machines:
+            if not demand.left:
+                break
+            self.offer(machine)
+
+    def on_return(self, label, frame):
+        self.heard(label, frame.length)
+        self.returned(label, self._machines.get(frame.machine), frame.serial)
+
+    def returned(self, label, machine, serial):
+        if machine is None or machine.holder != label or machine.grant_serial != serial:
+            return
+        self._count("returns")
+        machine.holder = None
+        demand = self.demand.get(label)
+        if demand is not None:
+            machine.declined[label] = demand.serial
+        self.offer(machine)
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -33,6 +33,7 @@
         self._on_orphan = on_orphan
         self.scanned = 0  # number of the term for which all records were read
         self.jobs = {}  # open jobs owned here, by id
+        self.version = 0  # changes when a job joins or leaves them
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
         self._adopting = set()
@@ -78,8 +79,8 @@
         if state in FINAL:
             self._over(job, {"s": state, "n": job.spec.tasks, "d": job.done.count})
             return
-        for index in [i for i, b in job.bound.items() if b.status == "exited" and i in recorded]:
-            self._forget(job.id, index, job.bound.pop(index))
+        over = [i for i, b in job.bound.items() if b.status == "exited" and i in recorded]
+        self._forget(job.id, [(index, job.bound.pop(index)) for index in over])
 
     def _created(self, job):
         if job.owner == NOBODY:
@@ -123,6 +124,7 @@
 
     def _begin(self, job):
         self.jobs[job.id] = job
+        self.version += 1
         self._changed()
 
     def _over(self, job, record):
@@ -132,8 +134,7 @@
         if record["s"] == "done":
             if self.jobs.pop(job.id, None) is not None:
                 self._on_finished(job, self._time_of_day())
-            for index, binding in job.bound.items():
-                self._forget(job.id, index, binding)
+            self._forget(job.id, job.bound.items())
             job.bound.clear()
 
     def remember(self, job_id, record):
@@ -177,6 +178,7 @@
         self._adopting.discard(job)
         self.recorder.unmark(job)
         self.jobs.pop(job.id, None)
+        self.version += 1
 
     # Taking over
 
@@ -262,55 +264,57 @@
 
     on_refused = on_free
 
-    def on_task(self, label, frame):
-        job = self.jobs.get(frame.job)
+    def on_tasks(self, label, frame):
+        for row in frame.rows:
+            self._on_task(label, frame.machine, frame.zone, *row)
+
+    def _on_task(self, label, machine, zone, job_id, index, attempt, status, cause):
+        job = self.jobs.get(job_id)
+        key = (machine, job_id, index, attempt)
         if job is None:
-            if frame.job in self.finals:
-                self._away(label, frame)
+            if job_id in self.finals:
+                self._away(label, key, status)
             return
-        index = frame.index
         if index >= job.spec.tasks:
-            self._away(label, frame)
+            self._away(label, key, status)
             return
         binding = job.bound.get(index)
-        if binding is not None and binding.attempt != frame.attempt:
-            if frame.status == "exited" and frame.cause == "done" and job.state == "open":
+        if binding is not None and binding.attempt != attempt:
+            if status == "exited" and cause == "done" and job.state == "open":
                 self._done(job, index)
-            self._away(label, frame)
+            self._away(label, key, status)
             return
         if binding is None:
             if index in job.done or job.state != "open":
-                self._away(label, frame)
+                self._away(label, key, status)
                 return
-            if frame.status == "exited" and frame.cause != "done":
-                self._away(label, frame)
+            if status == "exited" and cause != "done":
+                self._away(label, key, status)
                 return
             if not job.unsynced:
-                if frame.status == "exited":
+                if status == "exited":
                     self._done(job, index)
-                self._away(label, frame)
+                self._away(label, key, status)
                 return
             # An inherited job's task, found where the old owner had it started.
             if index in job.free:
                 job.free.remove(index)
-            binding = job.bound[index] = Binding(
-                frame.machine, frame.zone, frame.attempt, "", self._loop.now()
-            )
-        if frame.status == "running" and binding.status != "running":
+            binding = job.bound[index] = Binding(machine, zone, attempt, "", self._loop.now())
+        if status == "running" and binding.status != "running" and log.isEnabledFor(logging.DEBUG):
             prepared = self._loop.now() - binding.at
             log.debug("runs %s/%d of %s after %.2f s, of which %.2f s on %s", job.id, index,
-                      job.spec.klass, self._time_of_day() - job.accepted_at, prepared, frame.machine)
-        binding.status = frame.status
-        binding.zone = frame.zone
-        if frame.status != "exited":
+                      job.spec.klass, self._time_of_day() - job.accepted_at, prepared, machine)
+        binding.status = status
+        binding.zone = zone
+        if status != "exited":
             if job.state != "open":
-                self._away(label, frame)
+                self._away(label, key, status)
             return
-        if frame.cause == "done" and job.state == "open":
+        if cause == "done" and job.state == "open":
             self._done(job, index)
             return
-        self._forget(job.id, index, binding)
-        if frame.cause in ("error", "no_such"):
+        self._forget(job.id, [(index, binding)])
+        if cause in ("error", "no_such"):
             # A job that fails everywhere is tried ever more slowly.
             job.errors += 1
             self._count("task_errors")
@@ -325,14 +329,14 @@
             # A replica that ends is started again.
             binding = job.bound.get(index)
             if binding is not None and binding.status == "exited":
-                self._forget(job.id, index, binding)
+                self._forget(job.id, [(index, binding)])
                 self._unbind(job, index)
             return
         job.errors = 0
         if not job.done.add(index):
             return
         binding = job.bound.get(index)
-        if index in job.free:
+        if binding is None and index in job.free:
             job.free.remove(index)
         if binding is not None and binding.status != "exited":
             self._send_home(binding, frames.Stop(binding.machine, job.id, index, binding.attempt, 0.0))
@@ -342,11 +346,10 @@
         else:
             self.recorder.mark(job, LATER)
 
-    def _away(self, label, frame):
+    def _away(self, label, key, status):
         """An attempt that nobody needs."""
-        key = (frame.machine, frame.job, frame.index, frame.attempt)
-        if frame.status == "exited":
-            self._send(label, frames.Forget(*key))
+        if status == "exited":
+            self._send(label, frames.Forget([key]))
         else:
             self._send(label, frames.Stop(*key, 0.0))
 
@@ -355,8 +358,15 @@
         if home is not None:
             self._send(home, frame)
 
-    def _forget(self, job_id, index, binding):
-        self._send_home(binding, frames.Forget(binding.machine, job_id, index, binding.attempt))
+    def _forget(self, job_id, bindings):
+        """(index, binding) pairs of attempts that ended: their machines may forget them."""
+        homes = {}
+        for index, binding in bindings:
+            home = self._member.term.home(binding.machine)
+            homes.setdefault(home, []).append((binding.machine, job_id, index, binding.attempt))
+        homes.pop(None, None)
+        for home, rows in homes.items():
+            self._send(home, frames.Forget(rows))
 
     def cancelled(self, job_id, record=None):
         """The job is durably cancelled."""
@@ -370,12 +380,13 @@
         if record is not None:
             self.remember(job_id, record)
         job.free.clear()
+        over = [(index, binding) for index, binding in job.bound.items()
+                if binding.status == "exited"]
+        self._forget(job_id, over)
+        for index, _binding in over:
+            del job.bound[index]
         for index, binding in list(job.bound.items()):
-            if binding.status == "exited":
-                self._forget(job_id, index, binding)
-                del job.bound[index]
-            else:
-                self._send_home(binding, frames.Stop(binding.machine, job_id, index, binding.attempt, 0.0))
+            self._send_home(binding, frames.Stop(binding.machine, job_id, index, binding.attempt, 0.0))
         if not job.bound:
             self.jobs.pop(job_id, None)
             self.recorder.drop(CANCEL + job_id)
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -31,8 +31,9 @@
     it starts before (safety 3).
     """
 
-    __slots__ = ("accepted_at", "bound", "done", "errors", "free", "id", "not_before", "owner",
-                 "rank", "saved_count", "shape", "spec", "stamp", "state", "unsynced", "written_at")
+    __slots__ = ("accepted_at", "aims", "bound", "built", "done", "errors", "free", "id", "not_before",
+                 "owner", "rank", "room_shape", "saved_count", "shape", "spec", "stamp", "state",
+                 "unsynced", "written_at")
 
     def __init__(self, spec, owner, accepted_at, stamp=0, done=(), inherited=False):
         self.id = spec.id
@@ -51,10 +52,16 @@
         self.not_before = 0.0
         self.saved_count = self.done.count
         self.written_at = 0.0
-        self.shape = (
-            self.rank, spec.cpus, spec.gpus, spec.memory, spec.spot, spec.zone or "",
-            tuple(spec.types or ()), spec.klass, spec.image or "",
+        self.aims = None  # seconds after acceptance, kept by the dispatcher
+        needs = (
+            spec.cpus, spec.gpus, spec.memory, spec.spot, spec.zone or "", tuple(spec.types or ())
         )
+        # Jobs of one room shape find room on the same machines; where a job's tasks depend on
+        # one another's zones it is alone in its shape.
+        zoned = spec.one_zone or spec.spread
+        self.room_shape = (*needs, spec.team, spec.id if zoned else "")
+        self.shape = (self.rank, *needs, spec.klass)
+        self.built = None  # the description as stored, and its size as JSON
 
     @property
     def need(self):
@@ -81,14 +88,18 @@
         """
         if self.state != "open":
             return {"s": self.state, "n": self.spec.tasks, "d": self.done.count}, self.done
+        if self.built is None:
+            spec = msgspec.to_builtins(self.spec)
+            self.built = spec, len(msgspec.json.encode(spec))
+        spec, size = self.built
         record = {
             "s": "open",
             "o": list(self.owner),
             "at": self.accepted_at,
-            "spec": msgspec.to_builtins(self.spec),
+            "spec": spec,
             "done": self.done.flat(),
         }
-        fits = (largest - 64 - len(msgspec.json.encode(record["spec"]))) // 14
+        fits = (largest - 64 - size) // 14
         if len(record["done"]) <= 2 * fits:
             return record, self.done
         pairs = sorted(
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -30,6 +30,7 @@
         self._on_lost = on_lost
         self._on_cancel = on_cancel
         self.term = None
+        self.token = 0  # ours in that term
         self.revision = 0
         self.incarnation = 0
         self._permit = None
@@ -44,10 +45,6 @@
     def joined(self):
         return self.incarnation != 0
 
-    @property
-    def token(self):
-        return self.term.token(self.label)
-
     def lapsed(self):
         """True if the lease may have ended: others may go on without this member."""
         return self._loop.now() - self.renewed_at > self._lease_s * (1 - DRIFT)
@@ -57,6 +54,7 @@
         if revision <= self.revision:
             return
         old, self.term, self.revision = self.term, Term.from_record(record), revision
+        self.token = self.term.token(self.label) if self.label in self.term.members else 0
         if not self.joined:
             return
         if not self.term.serves(self.label, self.incarnation):
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -118,6 +118,7 @@
         )
         self.fleet.types = types
         self._looking.clear()
+        self._handlers = self._handler_table()
         duties = [self.book.recorder.run, self._tick, *self.fleet.duties()]
         self._duties = [loop.spawn(self._keep(duty), duty.__name__) for duty in duties]
 
@@ -330,7 +331,7 @@
 
     def _on_down(self, label):
         self.dispatcher.home_down(label)
-        self.home.peer_down(label)
+        self.home.rooms.peer_down(label)
 
     def _on_frame(self, label, incarnation, frame):
         kind = type(frame)
@@ -355,41 +356,54 @@
             return
         if not member.term.serves(label, incarnation):
             return  # an incarnation that the term does not name has no say
-        if kind is frames.Demand:
-            self.fleet.demand[label] = list(frame.rows)
-            self.home.on_demand(label, frame)
-            self.fleet.wake()
-        elif kind is frames.Grant:
-            self.dispatcher.on_grant(frame)
-        elif kind is frames.Return:
-            self.home.on_return(label, frame)
-        elif kind is frames.Revoke:
-            self.dispatcher.on_revoke(frame)
-        elif kind is frames.Start:
-            self.home.on_start(label, incarnation, frame)
-        elif kind is frames.Refused:
-            self.book.on_refused(frame)
-            self.dispatcher.on_refused(frame)
-        elif kind is frames.TaskState:
-            self.book.on_task(label, frame)
-        elif kind is frames.Free:
-            self.book.on_free(frame)
-        elif kind is frames.Stop:
-            self.home.on_stop(frame)
-        elif kind is frames.Forget:
-            self.home.on_forget(frame)
-        elif kind is frames.Sync:
-            if frame.term == member.term.number:
-                self.home.on_sync(label, incarnation, frame)
-        elif kind is frames.Synced:
-            self.book.on_synced(label, frame)
-        elif kind is frames.Orphan:
-            self._loop.spawn(self._adopt_one(frame.job), "adopt")
-        elif kind is frames.HomeNews:
-            self.fleet.fleet[label] = frame.rows
-        elif kind is frames.SummaryNews:
+        handler = self._handlers.get(kind)
+        if handler is not None:
+            handler(label, incarnation, frame)
+
+    def _handler_table(self):
+        """What is done with each kind of frame of a serving controller."""
+        home, book, dispatcher, fleet = self.home, self.book, self.dispatcher, self.fleet
+
+        def on_demand(label, _incarnation, frame):
+            fleet.demand[label] = frame.rows
+            home.rooms.on_demand(label, frame)
+            fleet.wake()
+
+        def on_refused(_label, _incarnation, frame):
+            book.on_refused(frame)
+            dispatcher.on_refused(frame)
+
+        def on_sync(label, incarnation, frame):
+            if frame.term == self.member.term.number:
+                home.on_sync(label, incarnation, frame)
+
+        def on_home_news(label, _incarnation, frame):
+            fleet.fleet[label] = frame.rows
+
+        def on_summary(label, _incarnation, frame):
             self.summaries[label] = (self._loop.now(), frame)
 
+        def on_orphan(_label, _incarnation, frame):
+            self._loop.spawn(self._adopt_one(frame.job), "adopt")
+
+        return {
+            frames.Demand: on_demand,
+            frames.Grant: lambda _label, _incarnation, frame: dispatcher.on_grant(frame),
+            frames.Return: lambda label, _incarnation, frame: home.rooms.on_return(label, frame),
+            frames.Revoke: lambda _label, _incarnation, frame: dispatcher.on_revoke(frame),
+            frames.Start: home.on_start,
+            frames.Refused: on_refused,
+            frames.TaskStates: lambda label, _incarnation, frame: book.on_tasks(label, frame),
+            frames.Free: lambda _label, _incarnation, frame: book.on_free(frame),
+            frames.Stop: lambda _label, _incarnation, frame: home.on_stop(frame),
+            frames.Forget: lambda _label, _incarnation, frame: home.on_forget(frame),
+            frames.Sync: on_sync,
+            frames.Synced: lambda label, _incarnation, frame: book.on_synced(label, frame),
+            frames.Orphan: on_orphan,
+            frames.HomeNews: on_home_news,
+            frames.SummaryNews: on_summary,
+        }
+
     # Summary
 
     def _summary(self):
--- a/roadhead/runtime/loop.py
+++ b/roadhead/runtime/loop.py
@@ -107,9 +107,7 @@
 
     def cancel(self):
         self.fn = None
-
-    def __lt__(self, other):
-        return self.when < other.when
+        self.args = ()
 
 
 class Routine:
@@ -163,7 +161,8 @@
         self.now = clock
         self.selector = selector if selector is not None else selectors.DefaultSelector()
         self._ready = deque()
-        self._timers = []
+        self._timers = []  # heap of (when, number, Timer): numbers break ties
+        self._timer_count = 0
         self._running = False
 
     def call_soon(self, fn, *args):
@@ -171,9 +170,13 @@
 
     def call_at(self, when, fn, *args):
         timer = Timer(when, fn, args)
-        heapq.heappush(self._timers, timer)
+        self._push(timer)
         return timer
 
+    def _push(self, timer):
+        self._timer_count += 1
+        heapq.heappush(self._timers, (timer.when, self._timer_count, timer))
+
     def call_later(self, delay, fn, *args):
         return self.call_at(self.now() + delay, fn, *args)
 
@@ -218,9 +221,9 @@
 
     def next_timer(self):
         timers = self._timers
-        while timers and timers[0].fn is None:
+        while timers and timers[0][2].fn is None:
             heapq.heappop(timers)
-        return timers[0].when if timers else None
+        return timers[0][0] if timers else None
 
     def turn(self):
         """One turn: wait for events or the next timer, then run what is ready."""
@@ -237,8 +240,8 @@
         timers = self._timers
         if timers:
             now = self.now()
-            while timers and timers[0].when <= now:
-                timer = heapq.heappop(timers)
+            while timers and timers[0][0] <= now:
+                timer = heapq.heappop(timers)[2]
                 if timer.fn is not None:
                     self._guard(timer.fn, timer.args)
         ready = self._ready
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -11,60 +11,66 @@
 HEAD = struct.Struct("!IB")
 U16 = struct.Struct("!H")
 U32 = struct.Struct("!I")
-U64 = struct.Struct("!Q")
-F64 = struct.Struct("!d")
+FIXED = {"q": "Q", "d": "d", "?": "?"}
 
 
 class BadFrame(Exception):
     """Garbage, truncated or oversized."""
 
 
-def _pack(layout, values, out):
-    for letter, value in zip(layout, values, strict=True):
-        if letter == "q":
-            out += U64.pack(value)
-        elif letter == "d":
-            out += F64.pack(value)
-        elif letter == "?":
-            out.append(1 if value else 0)
-        elif letter == "s":
-            data = value.encode()
+def _steps(layout):
+    """The layout as runs: (a struct, number of fields) for fixed fields side by side, or (letter, 1)."""
+    steps = []
+    run = ""
+    for letter in layout + " ":
+        if letter in FIXED:
+            run += FIXED[letter]
+            continue
+        if run:
+            steps.append((struct.Struct("!" + run), len(run)))
+            run = ""
+        if letter != " ":
+            steps.append((letter, 1))
+    return steps
+
+
+def _pack(steps, values, out):
+    at = 0
+    for step, fields in steps:
+        if step == "s":
+            data = values[at].encode()
             out += U16.pack(len(data))
             out += data
-        elif letter == "b":
-            out += U32.pack(len(value))
-            out += value
-        elif letter == "T":
-            out += U32.pack(len(value))
-            for text in value:
+        elif step == "b":
+            out += U32.pack(len(values[at]))
+            out += values[at]
+        elif step == "T":
+            out += U32.pack(len(values[at]))
+            for text in values[at]:
                 data = text.encode()
                 out += U16.pack(len(data))
                 out += data
+        else:
+            out += step.pack(*values[at : at + fields])
+        at += fields
+    if at != len(values):
+        raise ValueError("too many fields")
 
 
-def _unpack(layout, data, at):
+def _unpack(steps, data, at):
     values = []
-    for letter in layout:
-        if letter == "q":
-            values.append(U64.unpack_from(data, at)[0])
-            at += 8
-        elif letter == "d":
-            values.append(F64.unpack_from(data, at)[0])
-            at += 8
-        elif letter == "?":
-            values.append(data[at] != 0)
-            at += 1
-        elif letter == "s":
+    for step, _fields in steps:
+        if step == "s":
             text, at = _text(data, at)
             values.append(text)
-        elif letter == "b":
+        elif step == "b":
             (size,) = U32.unpack_from(data, at)
             at += 4
             if at + size > len(data):
                 raise BadFrame("truncated")
             values.append(bytes(data[at : at + size]))
             at += size
-        elif letter == "T":
+        elif step == "T":
             (count,) = U32.unpack_from(data, at)
             at += 4
             texts = []
@@ -72,6 +78,9 @@
                 text, at = _text(data, at)
                 texts.append(text)
             values.append(texts)
+        else:
+            values += step.unpack_from(data, at)
+            at += step.size
     return values, at
 
 
@@ -80,7 +89,7 @@
     at += 2
     if at + size > len(data):
         raise BadFrame("truncated")
-    return bytes(data[at : at + size]).decode(), at + size
+    return data[at : at + size].decode(), at + size
 
 
 class Frame:
@@ -91,9 +100,13 @@
     layout = ""
     row = ""
 
+    def __init_subclass__(cls):
+        before, rows, after = cls.layout.partition("R")
+        cls._before, cls._after, cls._row = _steps(before), _steps(after), _steps(cls.row)
+        cls._rows_at = len(before) if rows else None
+
     def __init__(self, *values):
-        for name, value in zip(self.fields, values, strict=True):
-            setattr(self, name, value)
+        self.__dict__.update(zip(self.fields, values, strict=True))
 
     def __repr__(self):
         inside = " ".join(f"{name}={getattr(self, name)!r}" for name in self.fields)
@@ -105,34 +118,41 @@
     __hash__ = None
 
     def encode(self):
+        """The bytes; made once, as a frame may go to several controllers."""
+        data = self.__dict__.get("encoded")
+        if data is None:
+            data = self.__dict__["encoded"] = self._encode()
+        return data
+
+    def _encode(self):
+        values = [getattr(self, name) for name in self.fields]
         out = bytearray(HEAD.size)
-        for letter, name in zip(self.layout, self.fields, strict=True):
-            value = getattr(self, name)
-            if letter == "R":
-                out += U32.pack(len(value))
-                for row in value:
-                    _pack(self.row, row, out)
-            else:
-                _pack(letter, (value,), out)
+        rows_at = self._rows_at
+        if rows_at is None:
+            _pack(self._before, values, out)
+        else:
+            _pack(self._before, values[:rows_at], out)
+            rows = values[rows_at]
+            out += U32.pack(len(rows))
+            for row in rows:
+                _pack(self._row, row, out)
+            _pack(self._after, values[rows_at + 1 :], out)
         HEAD.pack_into(out, 0, len(out) - 4, self.kind)
         return bytes(out)
 
     @classmethod
     def parse(cls, data):
-        at = 0
-        values = []
-        for letter in cls.layout:
-            if letter == "R":
-                (count,) = U32.unpack_from(data, at)
-                at += 4
-                rows = []
-                for _ in range(count):
-                    row, at = _unpack(cls.row, data, at)
-                    rows.append(tuple(row))
-                values.append(rows)
-            else:
-                value, at = _unpack(letter, data, at)
-                values.append(value[0])
+        values, at = _unpack(cls._before, data, 0)
+        if cls._rows_at is not None:
+            (count,) = U32.unpack_from(data, at)
+            at += 4
+            rows = []
+            for _ in range(count):
+                row, at = _unpack(cls._row, data, at)
+                rows.append(tuple(row))
+            values.append(rows)
+            after, at = _unpack(cls._after, data, at)
+            values += after
         if at != len(data):
             raise BadFrame("trailing bytes")
         return cls(*values)
@@ -160,11 +180,14 @@
 
 
 class Demand(Frame):
-    """A controller's idle-list length and what waits there, one row a shape."""
+    """A controller's idle-list length and what waits there: one row a shape, in queue order.
 
-    kind, layout = 4, "qR"
-    fields = ("length", "rows")
-    row = "qdddq?sTdsds"  # urgency cpus gpus memory count spot zone types estimate class due_in image
+    `images` are those that the most urgent of it need.
+    """
+
+    kind, layout = 4, "qRT"
+    fields = ("length", "rows", "images")
+    row = "qdddq?sTdsd"  # urgency cpus gpus memory count spot zone types estimate class due_in
 
 
 class Grant(Frame):
@@ -193,11 +216,12 @@
 
 
 class Start(Frame):
-    """Start a task on granted room."""
+    """Start tasks of a job on granted room; `last`: the rest of the room is handed back."""
 
-    kind, layout = 8, "qsqsqqqdddsd?"
-    fields = ("term", "machine", "serial", "job", "index", "attempt", "length", "cpus", "gpus",
-              "memory", "image", "save_s", "saves")
+    kind, layout = 8, "qsqsRqdddsd??"
+    fields = ("term", "machine", "serial", "job", "tasks", "length", "cpus", "gpus",
+              "memory", "image", "save_s", "saves", "last")
+    row = "qq"  # index attempt
 
 
 class Refused(Frame):
@@ -207,11 +231,12 @@
     fields = ("machine", "job", "index", "attempt")
 
 
-class TaskState(Frame):
-    """What a machine's newest report says of a task."""
+class TaskStates(Frame):
+    """What a machine's newest report says of tasks that the receiver owns."""
 
-    kind, layout = 10, "sssqqss?"
-    fields = ("machine", "zone", "job", "index", "attempt", "status", "cause", "saved")
+    kind, layout = 10, "ssR"
+    fields = ("machine", "zone", "rows")
+    row = "sqqss"  # job index attempt status cause
 
 
 class Free(Frame):
@@ -227,8 +252,11 @@
 
 
 class Forget(Frame):
-    kind, layout = 13, "ssqq"
-    fields = ("machine", "job", "index", "attempt")
+    """Attempts that have ended and are recorded, or that nobody needs."""
+
+    kind, layout = 13, "R"
+    fields = ("rows",)
+    row = "ssqq"  # machine job index attempt
 
 
 class Sync(Frame):
--- a/roadhead/wire/http.py
+++ b/roadhead/wire/http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1: our own parser, a server side and a client side over streams."""
 
 import logging
+from functools import lru_cache
 
 from roadhead.runtime.loop import Cancelled, Timeout
 from roadhead.runtime.net import Closed
@@ -74,29 +75,8 @@
         return message
 
     def _parse_head(self, head):
-        try:
-            first, *lines = head.decode("latin-1").split("\r\n")
-        except ValueError:
-            raise BadMessage(400, "head not text") from None
-        parts = first.split(" ", 2)
-        if len(parts) < 2:
-            raise BadMessage(400, "bad first line")
-        headers = {}
-        for line in lines:
-            name, colon, value = line.partition(":")
-            if not colon or not name or name != name.strip():
-                raise BadMessage(400, "bad header line")
-            name = name.lower()
-            if name == "content-length" and name in headers and headers[name] != value.strip():
-                raise BadMessage(400, "two lengths")
-            headers[name] = value.strip()
-        if "transfer-encoding" in headers:
-            raise BadMessage(400, "transfer encodings are not taken")
-        length = headers.get("content-length", "0")
-        if not (length.isascii() and length.isdigit()):
-            raise BadMessage(400, "bad length")
-        self._length = int(length) if len(length) < 12 else self._max_body + 1
-        close = "close" in headers.get("connection", "").lower()
+        parts, headers, length, close = parse_head(head)
+        self._length = length
         if self._response:
             if not parts[0].startswith("HTTP/1.") or not parts[1].isdigit():
                 raise BadMessage(400, "bad status line")
@@ -106,11 +86,44 @@
                 raise BadMessage(400, "bad request line")
             close = close or parts[2] == "HTTP/1.0"
             message = Message(parts[0], parts[1], None, headers, b"", close)
-        if self._length > self._max_body:
+        if length > self._max_body:
             raise BadMessage(413, "body too large")
         self._head = message
 
 
+@lru_cache(maxsize=512)
+def parse_head(head):
+    """(words of the first line, headers, body length, whether to close) of a message's head.
+
+    Kept for heads seen lately: workers send the same few with every report. The headers
+    are shared, so nobody may change them.
+    """
+    try:
+        first, *lines = head.decode("latin-1").split("\r\n")
+    except ValueError:
+        raise BadMessage(400, "head not text") from None
+    parts = first.split(" ", 2)
+    if len(parts) < 2:
+        raise BadMessage(400, "bad first line")
+    headers = {}
+    for line in lines:
+        name, colon, value = line.partition(":")
+        if not colon or not name or name != name.strip():
+            raise BadMessage(400, "bad header line")
+        name = name.lower()
+        if name == "content-length" and name in headers and headers[name] != value.strip():
+            raise BadMessage(400, "two lengths")
+        headers[name] = value.strip()
+    if "transfer-encoding" in headers:
+        raise BadMessage(400, "transfer encodings are not taken")
+    length = headers.get("content-length", "0")
+    if not (length.isascii() and length.isdigit()):
+        raise BadMessage(400, "bad length")
+    close = "close" in headers.get("connection", "").lower()
+    # A number too long to be honest is larger than any body taken.
+    return parts, headers, int(length) if len(length) < 12 else 1 << 62, close
+
+
 def request_bytes(method, target, host, body=b""):
     head = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
     if body:
@@ -139,33 +152,42 @@
     connection may stay six times as long.
     """
     parser = Parser()
+    idle_s = 6 * patience
+    idle_until = loop.now() + idle_s
     timer = None
-    state = {"late": False}
 
     def expire():
-        state["late"] = True
-        if not parser.empty:
-            try:
-                stream.write(response_bytes(408, close=True))
-            except Closed:
-                pass
+        """One timer a connection, set anew only when it fires: most requests come whole."""
+        nonlocal timer
+        left = idle_until - loop.now()
+        if left > 0:
+            timer = loop.call_later(left, expire)
+        else:
+            stream.close()
+
+    def late():
+        try:
+            stream.write(response_bytes(408, close=True))
+        except Closed:
+            pass
         stream.close()
 
+    begun = None
     try:
+        timer = loop.call_later(idle_s, expire)
         while not stream.closed:
-            timer = loop.call_later(6 * patience, expire)
-            begun = False
             while (message := parser.next()) is None:
-                if not begun and not parser.empty:
-                    begun = True
-                    timer.cancel()
-                    timer = loop.call_later(patience, expire)
+                if begun is None and not parser.empty:
+                    begun = loop.call_later(patience, late)
                 data = await stream.read()
                 if not data:
                     return
                 parser.feed(data)
-            timer.cancel()
+            if begun is not None:
+                begun.cancel()
+                begun = None
             status, body, retry_after = await handle(message)
+            idle_until = loop.now() + idle_s
             stream.write(response_bytes(status, body, message.close, retry_after))
             if message.close:
                 return
@@ -178,8 +200,9 @@
     except (Closed, Cancelled):
         pass
     finally:
-        if timer is not None:
-            timer.cancel()
+        for pending in (timer, begun):
+            if pending is not None:
+                pending.cancel()
         stream.close()
 
 
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -1,6 +1,5 @@
 """Virtual time and a virtual network: the same loops and streams as in production, no sockets."""
 
-import heapq
 import random
 
 from roadhead.runtime.loop import Future, Loop, Timeout, Timer
@@ -62,7 +61,7 @@
                 self._go(lambda: timer.fn is not None and timer.fn(*timer.args), ())
 
         delay = max(0.0, (when - self.now()) / self.rate)
-        heapq.heappush(self.sim._timers, Timer(self.sim.time + delay, fire, ()))
+        self.sim._push(Timer(self.sim.time + delay, fire, ()))
         return timer
 
     def hang(self):
