--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -64,7 +64,8 @@
 
 
 class Dispatcher:
-    def __init__(self, loop, label, member, book, aims, random, send, counters, gap_s, default_aim_s):
+    def __init__(self, loop, label, member, book, aims, random, send, counters, gap_s, window_s,
+                 default_aim_s):
         self._loop = loop
         self.label = label
         self._member = member
@@ -75,6 +76,7 @@
         self._send = send
         self._count = counters.add
         self._gap_s = gap_s
+        self._window_s = window_s
         self.idle = {}  # machine -> Listing
         self._placing = False
         self._order = []  # open jobs in queue order, as of `_ordered_at`
@@ -190,9 +192,11 @@
         starts = {}  # machine -> {job: [(index, attempt)]}
         if self.idle:
             full = set()  # shapes for which the list has no room: it only shrinks in a pass
-            for job in waiting:
-                if job.room_shape not in full:
-                    self._place_job(job, starts, full)
+            for group in self._groups(waiting):
+                for with_image in (True, False):
+                    for job in group:
+                        if job.free and job.room_shape not in full:
+                            self._place_job(job, with_image, starts, full)
         waiting = [job for job in waiting if job.free and self._may_start(job)]
         if self.idle:
             self._finish(waiting, starts)
@@ -205,9 +209,26 @@
         cpus, gpus = self._book.headroom(job.spec.team)
         return job.spec.cpus <= cpus + 1e-6 and job.spec.gpus <= gpus + 1e-6
 
-    def _place_job(self, job, starts, full):
+    def _groups(self, waiting):
+        """Runs of the queue due at about the same time: there images decide who goes first."""
+        group = []
+        latest = 0.0
+        for job in waiting:
+            due_in = self.due_in(job)
+            if group and (job.rank != group[0].rank or due_in > latest):
+                yield group
+                group = []
+            if not group:
+                latest = due_in + self._window_s
+            group.append(job)
+        if group:
+            yield group
+
+    def _place_job(self, job, with_image, starts, full):
+        """What a task waits for its image counts as waiting: machines that have it come first."""
         need = job.need
         zoned = job.spec.one_zone or job.spec.spread
+        image = job.spec.image
         now = self._loop.now()
         fitting = [
             listing
@@ -218,37 +239,36 @@
             self._count("empty_list")
             full.add(job.room_shape)
             return
-        if job.spec.image:
-            # At random among those that fit and have the image, then among the others: what
-            # a task waits for its image counts as waiting.
-            ready = [listing for listing in fitting if job.spec.image in listing.images]
-            if ready and len(ready) < len(fitting):
-                self._fill(job, need, zoned, ready, starts)
-                fitting = [listing for listing in fitting if job.spec.image not in listing.images]
+        if with_image and image:
+            fitting = [listing for listing in fitting if image in listing.images]
         self._fill(job, need, zoned, fitting, starts)
 
     def _fill(self, job, need, zoned, fitting, starts):
-        """Starts the job's tasks at random on `fitting` listings."""
+        """Starts the job's tasks on `fitting` listings, drawn at random and filled one by one.
+
+        The tasks that share a machine share one fetch of their image.
+        """
+        spec = job.spec
         left = None
-        if self._book.limited(job.spec.team):
-            left = self._book.headroom(job.spec.team)
+        if self._book.limited(spec.team):
+            left = self._book.headroom(spec.team)
         while job.free and fitting:
-            if left is not None:
-                left = (left[0] - job.spec.cpus, left[1] - job.spec.gpus)
-                if min(left) < -1e-6:
-                    break
             place = self._random.randrange(len(fitting))
             listing = fitting[place]
-            if zoned and not self._zone_allowed(job, listing.zone):
-                fitting.pop(place)
+            fitting[place] = fitting[-1]
+            fitting.pop()
+            tasks = None
+            while job.free and fits(need, listing.room):
+                if zoned and not self._zone_allowed(job, listing.zone):
+                    break
                 if left is not None:
-                    left = (left[0] + job.spec.cpus, left[1] + job.spec.gpus)
-                continue
-            listing.take(need)
-            task = self._book.bind(job, listing.id, listing.zone)
-            starts.setdefault(listing.id, {}).setdefault(job, []).append(task)
-            if not fits(need, listing.room):
-                fitting.pop(place)
+                    left = (left[0] - spec.cpus, left[1] - spec.gpus)
+                    if min(left) < -1e-6:
+                        return
+                if tasks is None:
+                    tasks = starts.setdefault(listing.id, {}).setdefault(job, [])
+                listing.take(need)
+                tasks.append(self._book.bind(job, listing.id, listing.zone))
 
     def _finish(self, waiting, starts):
         """Sends the starts. Room that nothing waiting fits goes back at once, with the last of them."""
@@ -276,8 +296,8 @@
         spec = job.spec
         self._send(listing.home, frames.Start(
             self._member.term.number, listing.id, listing.serial, job.id, tasks,
-            max(0, len(self.idle) - 1), *job.need, spec.image or "", spec.save_s,
-            spec.checkpoint_s > 0, last,
+            max(0, len(self.idle) - 1), *job.need, spec.image or "", spec.image_gb,
+            spec.save_s, spec.checkpoint_s > 0, last,
         ))
 
     def _tell_demand(self, waiting):
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -6,7 +6,7 @@
 
 import logging
 
-from roadhead.homes.machine import EXITED, LAUNCHING, Machine, Task, fits
+from roadhead.homes.machine import EXITED, LAUNCHING, Machine, Needs, Task, fits
 from roadhead.homes.rooms import Rooms
 from roadhead.wire import frames, messages
 
@@ -14,7 +14,6 @@
 
 DRIFT = 0.0005
 ANSWER_S = 4.0  # a worker drops responses that took longer (PROTOCOL)
-IMAGES_MOST = 16  # of a machine, told with its grants
 CANCELLED_MOST = 5000  # jobs known to be over, before the older ones are let go of
 
 
@@ -37,7 +36,7 @@
         self.cancelled = {}  # jobs known to be over: nothing of them may run
         self.rooms = Rooms(loop, label, member, self.machines, lapse_s, random, send, counters)
         self.owners = {}  # job -> (label, incarnation)
-        self.specs = {}  # job -> (need, image, save_s, saves)
+        self.specs = {}  # job -> Needs
         self._claims = {}  # machine -> {(job, index, attempt): owner}
         self._syncs = []  # (label, incarnation, term, number)
         self._cover_from = 0.0  # a list must have been asked for after this
@@ -249,11 +248,8 @@
             machine.progress(task, item.status)
             task.cause = item.cause
             task.saved = bool(item.saved)
-            if item.status == "running" and (first or was != "running") and task.image:
-                machine.images.pop(task.image, None)
-                machine.images[task.image] = True
-                if len(machine.images) > IMAGES_MOST:
-                    machine.images.pop(next(iter(machine.images)))
+            if item.status == "running" and (first or was != "running") and task.needs is not None:
+                machine.has_image(task.needs)
             if task.status == EXITED and was != EXITED:
                 self._exited(machine, task)
             if task.job in self.cancelled:
@@ -279,11 +275,9 @@
         task = machine.tasks.get((job, index, item.attempt))
         if task is None:
             task = Task(job, index, item.attempt, item.status, self.owners.get(job))
-            spec = self.specs.get(job)
-            if spec is not None:
-                task.need, task.image, task.save_s, task.saves = spec
+            task.needs = self.specs.get(job)
             machine.put(task)
-            if spec is None:
+            if task.needs is None:
                 self._need_spec(job)
         task.name = item.task
         machine.by_name[item.task, item.attempt] = task
@@ -313,7 +307,7 @@
         for machine in self.machines.values():
             changed = [task for task in machine.tasks.values() if task.job == job]
             for task in changed:
-                if task.need is None and spec is not None:
+                if task.needs is None and spec is not None:
                     machine.learn(task, spec)
             if changed and spec is not None:
                 self._tell_states(machine, changed, True)
@@ -342,7 +336,8 @@
         if machine.notice_at is not None:
             left = machine.notice_at - self._loop.now()
             for task in machine.tasks.values():
-                if task.status != EXITED and task.saves and task.stop_grace is None:
+                if (task.status != EXITED and task.needs is not None and task.needs.saves
+                        and task.stop_grace is None):
                     machine.stop(task, max(0.0, left))
             self._ask(machine)
 
@@ -422,32 +417,33 @@
         """Tasks of one job for one machine; with `last` the grant comes back after them."""
         machine = self.machines.get(frame.machine)
         self.rooms.heard(label, frame.length)
-        if frame.job not in self.specs:
-            self.specs[frame.job] = (
-                (frame.cpus, frame.gpus, frame.memory), frame.image, frame.save_s, frame.saves
+        needs = self.specs.get(frame.job)
+        if needs is None:
+            needs = self.specs[frame.job] = Needs(
+                (frame.cpus, frame.gpus, frame.memory), frame.image, frame.image_gb, frame.save_s,
+                frame.saves,
             )
         self.owners[frame.job] = (label, incarnation)
         launched = False
         for index, attempt in frame.tasks:
-            launched = self._start(label, incarnation, frame, machine, index, attempt) or launched
+            launched = self._start(label, incarnation, frame, machine, needs, index, attempt) or launched
         if launched:
             machine.grant_lapse_at = self._loop.now() + self._lapse_s
             self._ask(machine)
         if frame.last:
             self.rooms.returned(label, machine, frame.serial)
 
-    def _start(self, label, incarnation, frame, machine, index, attempt):
+    def _start(self, label, incarnation, frame, machine, needs, index, attempt):
         key = (frame.job, index, attempt)
         if machine is not None and key in machine.tasks:
             return False
-        need = (frame.cpus, frame.gpus, frame.memory)
         if (
             machine is None
             or frame.term != self._member.term.number
             or machine.holder != label
             or machine.grant_serial != frame.serial
             or not self.rooms.offerable(machine)
-            or not fits(need, machine.room())
+            or not fits(needs.room, machine.room())
             or frame.job in self.cancelled
             or any(k[0] == frame.job and k[1] == index for k in machine.tasks)
         ):
@@ -455,9 +451,7 @@
             self._send(label, frames.Refused(frame.machine, *key))
             return False
         task = Task(*key, LAUNCHING, (label, incarnation))
-        task.need = need
-        task.image = frame.image
-        task.save_s, task.saves = frame.save_s, frame.saves
+        task.needs = needs
         machine.put(task)
         machine.grant_taken += 1
         self._count("starts")
@@ -571,11 +565,11 @@
             else:
                 granted += free
             for task in machine.tasks.values():
-                if task.need is not None and task.status != EXITED:
+                if task.needs is not None and task.status != EXITED:
                     if task.status == "running":
-                        running += task.need[0]
+                        running += task.needs.room[0]
                     else:
-                        other += task.need[0]
+                        other += task.needs.room[0]
         return total, running, other, parked, granted
 
     def news(self):
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -1,17 +1,28 @@
 """A machine as its home knows it, and the tasks on it."""
 
+from typing import NamedTuple
+
 from roadhead.wire import messages
 
 LAUNCHING = "launching"
 EXITED = "exited"
 
 
+class Needs(NamedTuple):
+    """What a home must know of a job to run its tasks. `room` is (cpus, gpus, memory)."""
+
+    room: tuple
+    image: str
+    image_gb: float
+    save_s: float
+    saves: bool
+
+
 class Task:
-    """One attempt on a machine. `need` is (cpus, gpus, memory), None while unknown."""
+    """One attempt on a machine. `needs` are None while unknown."""
 
-    __slots__ = ("attempt", "cause", "forget", "image", "index", "job", "loose_token", "mark",
-                 "name", "need", "owner", "save_s", "saved", "saves", "seen", "status",
-                 "stop_grace", "told")
+    __slots__ = ("attempt", "cause", "forget", "index", "job", "loose_token", "mark", "name",
+                 "needs", "owner", "saved", "seen", "status", "stop_grace", "told")
 
     def __init__(self, job, index, attempt, status, owner=None):
         self.job = job
@@ -21,10 +32,7 @@
         self.owner = owner  # (label, incarnation)
         self.cause = None
         self.saved = False
-        self.need = None
-        self.image = ""
-        self.save_s = 0.0
-        self.saves = False
+        self.needs = None
         self.seen = False
         self.mark = 0  # the last reading of a report that showed it
         self.name = None  # as the machine reports it, once it did
@@ -112,7 +120,7 @@
         self._vague = 0  # active tasks whose needs are unknown
         self._cpus = self._gpus = self._memory = 0.0  # held by active tasks
         self._room = None
-        self.images = {}  # seen in use there, the latest last; the machine may have dropped some
+        self.images = {}  # image -> GB: seen in use there, the latest last, as many as its cache holds
         self.holder = None
         self.grant_serial = 0
         self.grant_taken = 0
@@ -147,12 +155,12 @@
     def _hold(self, task, by):
         self._room = None
         self.active += by
-        if task.need is None:
+        if task.needs is None:
             self._vague += by
         elif self.active == self._vague:
             self._cpus = self._gpus = self._memory = 0.0  # no rounding is carried on
         else:
-            cpus, gpus, memory = task.need
+            cpus, gpus, memory = task.needs.room
             self._cpus += by * cpus
             self._gpus += by * gpus
             self._memory += by * memory
@@ -179,12 +187,23 @@
         if (was == EXITED) != (status == EXITED):
             self._hold(task, -1 if status == EXITED else 1)
 
-    def learn(self, task, spec):
+    def has_image(self, needs):
+        """The image is in use there; the machine drops those used longest ago."""
+        if not needs.image:
+            return
+        self.images.pop(needs.image, None)
+        self.images[needs.image] = needs.image_gb
+        size = sum(self.images.values())
+        most = self.kind.cache_gb if self.kind is not None else 0.0
+        while size > most and len(self.images) > 1:
+            size -= self.images.pop(next(iter(self.images)))
+
+    def learn(self, task, needs):
         """The task's needs became known."""
         held = task.status != EXITED
         if held:
             self._hold(task, -1)
-        task.need, task.image, task.save_s, task.saves = spec
+        task.needs = needs
         if held:
             self._hold(task, 1)
 
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -73,9 +73,10 @@
     def _batch(self):
         due = [job for job, urgency in self._dirty.items() if self._due(job, urgency)]
         due.sort(key=lambda job: self._dirty[job])
-        burst = int(self._state.limits.txn_ops)
-        urgent = sum(self._dirty[job] == URGENT for job in due)
-        return due[: max(1, min(burst, max(urgent, int(self._state.writes.level()))))]
+        # No more than this controller's share of a second's writes: else the transactions of
+        # several controllers meet, and the store refuses what had been waited for.
+        most = max(1, min(int(self._state.limits.txn_ops), int(self._state.writes.burst)))
+        return due[: max(1, min(most, int(self._state.writes.level())))]
 
     async def _write(self, batch):
         conditions = []
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -9,6 +9,7 @@
 from roadhead.dispatch.dispatcher import Dispatcher
 from roadhead.fleet.fleet import Fleet
 from roadhead.homes.home import Home
+from roadhead.homes.machine import Needs
 from roadhead.homes.workers import Workers
 from roadhead.jobs.book import Book
 from roadhead.jobs.job import FINAL, KEY, spec_of
@@ -109,7 +110,8 @@
         )
         self.dispatcher = Dispatcher(
             loop, self.label, self.member, self.book, self.stages, self._random, self._send,
-            self.counters, gap_s=workers.report_s / 8, default_aim_s=self._default_aim_s,
+            self.counters, gap_s=workers.report_s / 8, window_s=workers.lease_s,
+            default_aim_s=self._default_aim_s,
         )
         self.dispatcher.time_of_day = self._time_of_day
         self.fleet = Fleet(
@@ -239,9 +241,9 @@
                 home.spec(job, None, True)
             else:
                 spec = spec_of(record)
-                need = (spec.cpus, spec.gpus, spec.memory)
                 home.owners.setdefault(job, tuple(record["o"]))
-                home.spec(job, (need, spec.image or "", spec.save_s, spec.checkpoint_s > 0), False)
+                home.spec(job, Needs((spec.cpus, spec.gpus, spec.memory), spec.image or "",
+                                     spec.image_gb, spec.save_s, spec.checkpoint_s > 0), False)
             break
         self._looking.discard(job)
 
--- a/roadhead/runtime/rate.py
+++ b/roadhead/runtime/rate.py
@@ -7,13 +7,13 @@
     def __init__(self, loop, rate, burst):
         self._loop = loop
         self._rate = rate
-        self._burst = max(1.0, burst)
-        self._level = self._burst
+        self.burst = max(1.0, burst)
+        self._level = self.burst
         self._at = loop.now()
 
     def _refill(self):
         now = self._loop.now()
-        self._level = min(self._burst, self._level + (now - self._at) * self._rate)
+        self._level = min(self.burst, self._level + (now - self._at) * self._rate)
         self._at = now
 
     def level(self):
@@ -23,7 +23,7 @@
     def spare(self, share):
         """True if more than `share` of a burst is left: for callers that may be turned away."""
         self._refill()
-        return self._level > share * self._burst
+        return self._level > share * self.burst
 
     def empty(self):
         """The other side said that it is too much: start again from nothing."""
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -218,9 +218,9 @@
 class Start(Frame):
     """Start tasks of a job on granted room; `last`: the rest of the room is handed back."""
 
-    kind, layout = 8, "qsqsRqdddsd??"
+    kind, layout = 8, "qsqsRqdddsdd??"
     fields = ("term", "machine", "serial", "job", "tasks", "length", "cpus", "gpus",
-              "memory", "image", "save_s", "saves", "last")
+              "memory", "image", "image_gb", "save_s", "saves", "last")
     row = "qq"  # index attempt
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -88,7 +88,7 @@
 def test_frames_survive_any_cut(rows, number, step):
     sent = [
         frames.Sync(number, 1, [row[0] for row in rows], rows),
-        frames.Start(1, "m", number, "j", [(1, number)], 0, 1.0, 0.0, 2.5, "img", 0.0, True, False),
+        frames.Start(1, "m", number, "j", [(1, number)], 0, 1.0, 0.0, 2.5, "img", 0.9, 0.0, True, False),
     ]
     data = b"".join(frame.encode() for frame in sent)
     splitter = frames.Splitter()
