--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -6,6 +6,7 @@
 from roadhead.homes.machine import fits
 from roadhead.wire import frames
 
+PART_MARGIN = 1.2  # what others have parked was told a while ago
 URGENCY, CPUS, GPUS, MEMORY, COUNT, SPOT, ZONE, TYPES = range(8)
 
 
@@ -65,6 +66,7 @@
         self._send = send
         self._count = counters.add
         self.demand = {}  # label -> Demand
+        self.parked = {}  # label -> free CPUs that its home last told of
         self._serial = 0
 
     def offerable(self, machine):
@@ -84,6 +86,7 @@
     def peer_down(self, label):
         """A controller's link is gone: what it holds comes back."""
         self.demand.pop(label, None)
+        self.parked.pop(label, None)
         for machine in self._machines.values():
             if machine.holder == label:
                 machine.holder = None
@@ -184,11 +187,19 @@
         ]
         wanted = set(frame.images)
         machines.sort(key=lambda m: (wanted.isdisjoint(m.images), *self._standing(m)))
+        # Every home hears the whole demand. Where there is room for more than that, each meets
+        # its part of it, so that the machines last in this order run empty and can go back.
+        spare = demand.left * (1.0 - self.part(sum(m.room()[0] for m in machines)))
         for machine in machines:
-            if not demand.left:
+            if demand.left <= spare:
                 break
             self.offer(machine)
 
+    def part(self, parked):
+        """The part of a demand that this home meets, with `parked` CPUs that could serve it."""
+        others = sum(free for label, free in self.parked.items() if label != self.label)
+        return min(1.0, PART_MARGIN * parked / (parked + others)) if parked > 0 else 1.0
+
     def on_return(self, label, frame):
         self.heard(label, frame.length)
         self.returned(label, self._machines.get(frame.machine), frame.serial)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -381,6 +381,7 @@
 
         def on_home_news(label, _incarnation, frame):
             fleet.fleet[label] = frame.rows
+            home.rooms.parked[label] = sum(row[5] for row in frame.rows)
 
         def on_summary(label, _incarnation, frame):
             self.summaries[label] = (self._loop.now(), frame)
