--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -10,8 +10,9 @@
 
 log = logging.getLogger("roadhead.dispatch")
 
-NO_AIMS = ((), ())
+NO_AIMS = ((), (), ())
 HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
+RANK_STEP = 2.5  # windows by which each step of urgency comes earlier
 ROWS_MOST = 256  # of a Demand, so that a frame stays far below its bound
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 
@@ -70,7 +71,8 @@
         self.label = label
         self._member = member
         self._book = book
-        self._aims = aims  # class -> (seconds within which, times of its deadline)
+        # class -> (seconds to be complete within, times of its deadline, seconds to start within)
+        self._aims = aims
         self._default_aim_s = default_aim_s
         self._random = random
         self._send = send
@@ -128,8 +130,8 @@
 
     # The queue
 
-    def due_in(self, job):
-        """Seconds until the job should be complete, for the first of its aims still in reach.
+    def slack(self, job):
+        """Seconds until its tasks must start, for the first of its aims still in reach.
 
         An aim that even a task started now would miss is lost: time is better spent on
         others' aims, so the next one counts, and without one the job comes after those.
@@ -137,30 +139,35 @@
         since = self.time_of_day() - job.accepted_at
         aims = job.aims
         if aims is None:
-            within, times = self._aims.get(job.spec.klass, NO_AIMS)
+            within, times, waits = self._aims.get(job.spec.klass, NO_AIMS)
             due_s = job.spec.due_s
             deadlines = [due_s * factor for factor in times or (1.0,)] if due_s is not None else []
-            aims = job.aims = sorted([*within, *deadlines])
-        hope = since + HOPE * job.spec.estimate_s
+            run_s = HOPE * job.spec.estimate_s
+            aims = job.aims = sorted([*(aim - run_s for aim in (*within, *deadlines)), *waits])
         for aim in aims:
-            if aim >= hope:
+            if aim >= since:
                 return aim - since
         return max(self._default_aim_s, aims[-1] if aims else 0.0) - HOPELESS * since
 
+    def place_in_queue(self, job):
+        """The less, the earlier: slack, and time that the more urgent are ahead by.
+
+        Urgency alone would let the less urgent wait until nothing else does.
+        """
+        return self.slack(job) + job.rank * RANK_STEP * self._window_s
+
     def _startable(self, job, now):
         return job.free and job.state == "open" and not job.unsynced and job.not_before <= now
 
     def waiting(self):
-        """Jobs with startable tasks, in queue order: urgency, then what is due first.
+        """Jobs with startable tasks, in queue order.
 
         What is due grows alike for most jobs, so the order is kept for a while; sorting all
         jobs for every grant would cost more than the grants themselves.
         """
         now = self._loop.now()
         if self._ordered != self._book.version or now - self._ordered_at > self._gap_s:
-            self._order = sorted(
-                self._book.jobs.values(), key=lambda job: (job.rank, self.due_in(job))
-            )
+            self._order = sorted(self._book.jobs.values(), key=self.place_in_queue)
             self._ordered, self._ordered_at = self._book.version, now
         return [job for job in self._order if self._startable(job, now)]
 
@@ -214,12 +221,12 @@
         group = []
         latest = 0.0
         for job in waiting:
-            due_in = self.due_in(job)
-            if group and (job.rank != group[0].rank or due_in > latest):
+            place = self.place_in_queue(job)
+            if group and (job.rank != group[0].rank or place > latest):
                 yield group
                 group = []
             if not group:
-                latest = due_in + self._window_s
+                latest = place + self._window_s
             group.append(job)
         if group:
             yield group
@@ -313,16 +320,16 @@
         images = {}
         for job in waiting:
             row = rows.get(job.shape)
-            due_in = self.due_in(job)
+            slack = self.slack(job)
             # A group's tasks are of use only side by side: without a run time the renter
             # finds room for all of them at once.
             work = 0.0 if job.spec.kind == "group" else len(job.free) * job.spec.estimate_s
             if row is None:
-                rows[job.shape] = [len(job.free), work, due_in]
+                rows[job.shape] = [len(job.free), work, slack, self.place_in_queue(job)]
             else:
                 row[0] += len(job.free)
                 row[1] += work
-                row[2] = min(row[2], due_in)
+                row[2] = min(row[2], slack)
             if job.rank == waiting[0].rank and job.spec.image:
                 images[job.spec.image] = True
         demand = {shape: row[0] for shape, row in rows.items()}
@@ -334,8 +341,9 @@
         self._demand = demand
         self._demand_at = now
         frame = frames.Demand(len(self.idle), [
-            (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, due_in)
-            for (rank, cpus, gpus, memory, spot, zone, types, klass), (count, work, due_in)
+            (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, slack,
+             place)
+            for (rank, cpus, gpus, memory, spot, zone, types, klass), (count, work, slack, place)
             in list(rows.items())[:ROWS_MOST]
         ], list(images)[:ROWS_MOST])
         for label in self._member.term.members:
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -165,12 +165,12 @@
         for label, rows in self.demand.items():
             if label not in self._member.term.members:
                 continue
-            for rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, klass, due_in in rows:
+            for rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, klass, slack, _place in rows:
                 aim = self._aims.get(klass)
                 if aim is not None:
                     wait_s = self._tuning.drain_ratio * aim
                 else:
-                    wait_s = max(due_in - estimate_s, self._tuning.drain_ratio * estimate_s)
+                    wait_s = max(slack, self._tuning.drain_ratio * estimate_s)
                     wait_s = min(wait_s, self._tuning.drain_ratio * self._default_aim_s)
                 key = (rank, cpus, gpus, memory, spot, zone, tuple(types), klass)
                 want = wants.get(key)
--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -7,7 +7,9 @@
 from roadhead.wire import frames
 
 PART_MARGIN = 1.2  # what others have parked was told a while ago
-URGENCY, CPUS, GPUS, MEMORY, COUNT, SPOT, ZONE, TYPES = range(8)
+PLACE, CPUS, GPUS, MEMORY, COUNT, SPOT, ZONE, TYPES = range(8)
+HOLD_WINDOWS = 2.5  # for which room is kept back at the most
+HELD_MOST = 1 / 8  # of the machines, kept back at once for tasks larger than what is free
 
 
 def row_fits(row, machine, room):
@@ -23,6 +25,18 @@
     )
 
 
+def row_could_fit(row, machine):
+    """Whether a task of a Demand row could run on the machine if it were empty."""
+    kind = machine.kind
+    return (
+        row[COUNT] > 0
+        and fits((row[CPUS], row[GPUS], row[MEMORY]), (kind.cpus, kind.gpus, kind.memory))
+        and (row[SPOT] or not machine.spot)
+        and (not row[ZONE] or row[ZONE] == machine.zone)
+        and (not row[TYPES] or machine.type in row[TYPES])
+    )
+
+
 def times_fitting(row, room):
     """How many tasks of a row fit in `room`."""
     most = 1 << 30
@@ -66,6 +80,8 @@
         self._send = send
         self._count = counters.add
         self.demand = {}  # label -> Demand
+        self.window_s = 0.0  # what is due within it of one another is equally urgent
+        self.held = {}  # machine -> since when its room is kept back for a larger task
         self.parked = {}  # label -> free CPUs that its home last told of
         self._serial = 0
 
@@ -129,28 +145,33 @@
     def offer(self, machine):
         """The joining rule: room goes to a random controller last heard empty, else to any.
 
-        Only controllers with something waiting that fits are asked, the more urgent first.
+        Only controllers with something waiting that fits are asked, and of them those whose
+        first such row comes about earliest.
         """
         if machine.holder is not None or not self.offerable(machine):
             return
         room = machine.room()
         if room[0] <= 0 and room[2] <= 0:
             return
-        best = None
-        eligible = []
+        found = []  # (place in queue, label) of each controller's first row that fits
+        larger = None  # the earliest row that the machine could run, had it more room free
         for label, demand in self.demand.items():
             if not demand.left or machine.declined.get(label) == demand.serial:
                 continue
-            for row in demand.rows:  # the most urgent come first
-                if best is not None and row[URGENCY] > best:
-                    break
+            for row in demand.rows:  # in queue order
                 if row_fits(row, machine, room):
-                    if best is None or row[URGENCY] < best:
-                        best, eligible = row[URGENCY], []
-                    eligible.append(label)
+                    found.append((row[PLACE], label))
                     break
-        if not eligible:
+                if (larger is None or row[PLACE] < larger[PLACE]) and row_could_fit(row, machine):
+                    larger = row
+        if not found:
+            self.held.pop(machine.id, None)
+            return
+        first = min(found)[0]
+        if larger is not None and larger[PLACE] < first and self._hold(machine, larger[COUNT]):
             return
+        self.held.pop(machine.id, None)
+        eligible = [label for place, label in found if place <= first + self.window_s]
         empty = [label for label in eligible if self.demand[label].length == 0]
         label = self._random.choice(empty or eligible)
         self._count("grants")
@@ -164,15 +185,33 @@
         machine.grant_sent = None
         self._send_grant(machine)
 
+    def _hold(self, machine, count):
+        """Keeps the machine's room back until a larger task fits; False if it shall not.
+
+        Without that a large task starts only once nothing smaller waits: each piece of room
+        is taken as it comes free. Few machines at once, and none for long.
+        """
+        now = self._loop.now()
+        since = self.held.get(machine.id)
+        if since is None:
+            if len(self.held) >= min(count, HELD_MOST * len(self._machines)):
+                for name, at in list(self.held.items()):
+                    if name not in self._machines or now - at > 2 * HOLD_WINDOWS * self.window_s:
+                        del self.held[name]
+                return False
+            self.held[machine.id] = now
+            return True
+        return now - since < HOLD_WINDOWS * self.window_s
+
     # Frames from controllers
 
     def on_demand(self, label, frame):
         rows = {}
-        for urgency, cpus, gpus, memory, count, spot, zone, types, *_renting in frame.rows:
+        for urgency, cpus, gpus, memory, count, spot, zone, types, *_renting, place in frame.rows:
             key = (urgency, cpus, gpus, memory, spot, zone, tuple(types))
             row = rows.get(key)
             if row is None:
-                rows[key] = [urgency, cpus, gpus, memory, count, spot, zone, types]
+                rows[key] = [place, cpus, gpus, memory, count, spot, zone, types]
             else:
                 row[COUNT] += count
         self._serial += 1
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -60,9 +60,11 @@
                 self.aims[objective.klass] = min(aim, objective.within_s)
         self.stages = {}
         for objective in deployment.objectives:
-            within, times = self.stages.setdefault(objective.klass, ([], []))
+            within, times, waits = self.stages.setdefault(objective.klass, ([], [], []))
             if objective.kind == "finished" and objective.within_s:
                 within.append(objective.within_s)
+            elif objective.kind == "wait" and objective.within_s:
+                waits.append(objective.within_s)
             elif objective.kind == "deadline":
                 times.append(objective.times)
         self.most_creating = 4 * deployment.state.txn_ops
@@ -113,6 +115,7 @@
             self.counters, gap_s=workers.report_s / 8, window_s=workers.lease_s,
             default_aim_s=self._default_aim_s,
         )
+        self.home.rooms.window_s = workers.lease_s
         self.dispatcher.time_of_day = self._time_of_day
         self.fleet = Fleet(
             loop, self.cloud, self.member, self.home, deployment, self._tuning.fleet, self.aims,
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -187,7 +187,8 @@
 
     kind, layout = 4, "qRT"
     fields = ("length", "rows", "images")
-    row = "qdddq?sTdsd"  # urgency cpus gpus memory count spot zone types estimate class due_in
+    # urgency cpus gpus memory count spot zone types estimate class slack place_in_queue
+    row = "qdddq?sTdsdd"
 
 
 class Grant(Frame):
