--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -11,6 +11,7 @@
 
 HIRE_MOST = 50
 RELEASE_MOST = 100
+SOONER = 0.2  # of the time that an idle machine is kept, if there is plenty of room without it
 
 
 class Fleet:
@@ -141,9 +142,11 @@
             self._releasing.difference_update(names)
 
     def return_idle(self):
+        ratio = self._tuning.idle_ratio * (SOONER if self._home.plenty() else 1.0)
+
         def idle_s(machine):
             boot_s = machine.kind.boot_s if machine.kind is not None else self._lease_s
-            return self._tuning.idle_ratio * boot_s
+            return ratio * boot_s
 
         machines = self._home.idle(idle_s)
         if machines:
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -14,6 +14,7 @@
 
 DRIFT = 0.0005
 ANSWER_S = 4.0  # a worker drops responses that took longer (PROTOCOL)
+PLENTY = 0.25  # of the CPUs in use that are free beside them: more, and idle machines go sooner
 CANCELLED_MOST = 5000  # jobs known to be over, before the older ones are let go of
 
 
@@ -552,6 +553,17 @@
         for task in fresh:
             task.loose_token = 0
 
+    def plenty(self):
+        """Whether the machines in use have much room left that nobody wants."""
+        held = spare = 0.0
+        for machine in self.machines.values():
+            if machine.active and machine.kind is not None:
+                free = machine.room()[0]
+                held += machine.kind.cpus - free
+                if machine.holder is None and self.rooms.offerable(machine):
+                    spare += free
+        return spare > PLENTY * held
+
     def usage(self):
         """CPUs of the machines heard: (all, held by running tasks, by others, parked, granted)."""
         total = running = other = parked = granted = 0.0
