--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -3,6 +3,7 @@
 No sockets here: grants come in as calls, frames go out through `send(home, frame)`.
 """
 
+import heapq
 import logging
 
 from roadhead.homes.machine import fits
@@ -12,7 +13,7 @@
 
 NO_AIMS = ((), (), ())
 HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
-RANK_STEP = 2.5  # windows by which each step of urgency comes earlier
+RANK_STEP = 1.0  # windows by which each step of urgency comes earlier
 ROWS_MOST = 256  # of a Demand, so that a frame stays far below its bound
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 
@@ -88,6 +89,7 @@
         self._demand_at = -1e9
         self._demand_timer = None
         self.time_of_day = None
+        self.capacity = lambda: 0.0  # CPUs that fall to this controller
 
     def changed(self):
         if not self._placing:
@@ -149,12 +151,41 @@
                 return aim - since
         return max(self._default_aim_s, aims[-1] if aims else 0.0) - HOPELESS * since
 
-    def place_in_queue(self, job):
-        """The less, the earlier: slack, and time that the more urgent are ahead by.
+    def _put_in_order(self):
+        """Sets each job's place in the queue; the less, the earlier.
 
-        Urgency alone would let the less urgent wait until nothing else does.
+        Slack and urgency decide, as long as all can be in time. When there is more work than
+        that, what must be late should be as few jobs as can be: in order of what is due, the
+        job that costs most is put back whenever the next would be late (Moore and Hodgson's
+        rule for one machine, here for the CPUs that fall to this controller). Aims are shares
+        of a class's jobs, so a job weighs the less the more its class has.
         """
-        return self.slack(job) + job.rank * RANK_STEP * self._window_s
+        capacity = max(1e-6, self.capacity())
+        window_s = self._window_s
+        jobs = []
+        running = 0.0
+        for job in self._book.jobs.values():
+            slack = self.slack(job)
+            job.place = slack + job.rank * RANK_STEP * window_s
+            size = job.spec.cpus * job.spec.estimate_s
+            running += len(job.bound) * size / 2
+            jobs.append((job.place, slack, len(job.free) * size / capacity, job))
+        jobs.sort(key=lambda entry: entry[0])
+        ready_s = running / capacity
+        kept = []  # heap of (-cost, number, seconds)
+        for number, (_place, slack, needs_s, job) in enumerate(jobs):
+            if not needs_s:
+                continue
+            ready_s += needs_s
+            cost = needs_s * self._book.seen.get(job.spec.klass, 1)
+            heapq.heappush(kept, (-cost, number, needs_s))
+            while kept and ready_s > slack:
+                _cost, back, less_s = heapq.heappop(kept)
+                ready_s -= less_s
+                jobs[back][3].place += self._default_aim_s
+                if back == number:
+                    break
+        self._order = sorted((entry[3] for entry in jobs), key=lambda job: job.place)
 
     def _startable(self, job, now):
         return job.free and job.state == "open" and not job.unsynced and job.not_before <= now
@@ -167,7 +198,7 @@
         """
         now = self._loop.now()
         if self._ordered != self._book.version or now - self._ordered_at > self._gap_s:
-            self._order = sorted(self._book.jobs.values(), key=self.place_in_queue)
+            self._put_in_order()
             self._ordered, self._ordered_at = self._book.version, now
         return [job for job in self._order if self._startable(job, now)]
 
@@ -221,7 +252,7 @@
         group = []
         latest = 0.0
         for job in waiting:
-            place = self.place_in_queue(job)
+            place = job.place
             if group and (job.rank != group[0].rank or place > latest):
                 yield group
                 group = []
@@ -325,7 +356,7 @@
             # finds room for all of them at once.
             work = 0.0 if job.spec.kind == "group" else len(job.free) * job.spec.estimate_s
             if row is None:
-                rows[job.shape] = [len(job.free), work, slack, self.place_in_queue(job)]
+                rows[job.shape] = [len(job.free), work, slack, job.place]
             else:
                 row[0] += len(job.free)
                 row[1] += work
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -152,6 +152,16 @@
         if machines:
             self.release([machine.id for machine in machines])
 
+    def capacity(self):
+        """The CPUs of all machines heard of that fall to one controller."""
+        cpus = sum(
+            count * self.types[type_name].cpus
+            for rows in self.fleet.values()
+            for type_name, _zone, _spot, count, *_free in rows
+            if type_name in self.types
+        )
+        return cpus / max(1, len(self._member.term.members)) if self._member.joined else 0.0
+
     # Renting
 
     @property
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -33,6 +33,7 @@
         self._on_orphan = on_orphan
         self.scanned = 0  # number of the term for which all records were read
         self.jobs = {}  # open jobs owned here, by id
+        self.seen = {}  # class -> number of its jobs that were ever owned here
         self.version = 0  # changes when a job joins or leaves them
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
@@ -125,6 +126,7 @@
     def _begin(self, job):
         self.jobs[job.id] = job
         self.version += 1
+        self.seen[job.spec.klass] = self.seen.get(job.spec.klass, 0) + 1
         self._changed()
 
     def _over(self, job, record):
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -32,7 +32,7 @@
     """
 
     __slots__ = ("accepted_at", "aims", "bound", "built", "done", "errors", "free", "id", "not_before",
-                 "owner", "rank", "room_shape", "saved_count", "shape", "spec", "stamp", "state",
+                 "owner", "place", "rank", "room_shape", "saved_count", "shape", "spec", "stamp", "state",
                  "unsynced", "written_at")
 
     def __init__(self, spec, owner, accepted_at, stamp=0, done=(), inherited=False):
@@ -53,6 +53,7 @@
         self.saved_count = self.done.count
         self.written_at = 0.0
         self.aims = None  # seconds after acceptance, kept by the dispatcher
+        self.place = 0.0  # in its queue
         needs = (
             spec.cpus, spec.gpus, spec.memory, spec.spot, spec.zone or "", tuple(spec.types or ())
         )
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -122,6 +122,7 @@
             self._default_aim_s, self._random, self.counters,
         )
         self.fleet.types = types
+        self.dispatcher.capacity = self.fleet.capacity
         self._looking.clear()
         self._handlers = self._handler_table()
         duties = [self.book.recorder.run, self._tick, *self.fleet.duties()]
