--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -13,7 +13,7 @@
 
 NO_AIMS = ((), (), ())
 HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
-RANK_STEP = 1.0  # windows by which each step of urgency comes earlier
+RANK_STEP = 2.5  # windows by which each step of urgency comes earlier
 ROWS_MOST = 256  # of a Demand, so that a frame stays far below its bound
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 
@@ -133,7 +133,11 @@
     # The queue
 
     def slack(self, job):
-        """Seconds until its tasks must start, for the first of its aims still in reach.
+        return self._aim(job)[0]
+
+    def _aim(self, job):
+        """(seconds until its tasks must start for the first of its aims still in reach, seconds
+        from there to the next aim).
 
         An aim that even a task started now would miss is lost: time is better spent on
         others' aims, so the next one counts, and without one the job comes after those.
@@ -146,10 +150,12 @@
             deadlines = [due_s * factor for factor in times or (1.0,)] if due_s is not None else []
             run_s = HOPE * job.spec.estimate_s
             aims = job.aims = sorted([*(aim - run_s for aim in (*within, *deadlines)), *waits])
-        for aim in aims:
+        for at, aim in enumerate(aims):
             if aim >= since:
-                return aim - since
-        return max(self._default_aim_s, aims[-1] if aims else 0.0) - HOPELESS * since
+                later = aims[at + 1] - aim if at + 1 < len(aims) else self._default_aim_s
+                return aim - since, later
+        hopeless = max(self._default_aim_s, aims[-1] if aims else 0.0) - HOPELESS * since
+        return hopeless, self._default_aim_s
 
     def _put_in_order(self):
         """Sets each job's place in the queue; the less, the earlier.
@@ -158,34 +164,37 @@
         that, what must be late should be as few jobs as can be: in order of what is due, the
         job that costs most is put back whenever the next would be late (Moore and Hodgson's
         rule for one machine, here for the CPUs that fall to this controller). Aims are shares
-        of a class's jobs, so a job weighs the less the more its class has.
+        of a class's jobs, so a job weighs the less the more its class has. Nothing is put
+        back for the sake of the less urgent.
         """
         capacity = max(1e-6, self.capacity())
         window_s = self._window_s
         jobs = []
-        running = 0.0
         for job in self._book.jobs.values():
-            slack = self.slack(job)
+            slack, later = self._aim(job)
             job.place = slack + job.rank * RANK_STEP * window_s
             size = job.spec.cpus * job.spec.estimate_s
-            running += len(job.bound) * size / 2
-            jobs.append((job.place, slack, len(job.free) * size / capacity, job))
+            jobs.append((job.place, slack, len(job.free) * size / capacity, later, job))
         jobs.sort(key=lambda entry: entry[0])
-        ready_s = running / capacity
-        kept = []  # heap of (-cost, number, seconds)
-        for number, (_place, slack, needs_s, job) in enumerate(jobs):
+        ready_s = 0.0
+        kept = {}  # rank -> heap of (-cost, number)
+        for number, (_place, slack, needs_s, _later, job) in enumerate(jobs):
             if not needs_s:
                 continue
             ready_s += needs_s
             cost = needs_s * self._book.seen.get(job.spec.klass, 1)
-            heapq.heappush(kept, (-cost, number, needs_s))
-            while kept and ready_s > slack:
-                _cost, back, less_s = heapq.heappop(kept)
-                ready_s -= less_s
-                jobs[back][3].place += self._default_aim_s
+            heapq.heappush(kept.setdefault(job.rank, []), (-cost, number))
+            while ready_s > slack:
+                heap = min((heap for rank, heap in kept.items() if rank >= job.rank and heap),
+                           default=None)
+                if heap is None:
+                    break
+                _cost, back = heapq.heappop(heap)
+                ready_s -= jobs[back][2]
+                jobs[back][4].place += jobs[back][3]  # to its next aim
                 if back == number:
                     break
-        self._order = sorted((entry[3] for entry in jobs), key=lambda job: job.place)
+        self._order = sorted((entry[4] for entry in jobs), key=lambda job: job.place)
 
     def _startable(self, job, now):
         return job.free and job.state == "open" and not job.unsynced and job.not_before <= now
