--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -108,6 +108,7 @@
             known_at = max(machine.heard_at or 0.0, machine.listed_at or 0.0)
             if asked_at > known_at + 2 * self._lag_s * 1.01:
                 stuck.append(machine.id)
+        stuck += home.vanished(names, asked_at)
         if stuck:
             self.release(stuck)
 
@@ -137,7 +138,7 @@
                 if machine is not None:
                     self._home.machine_gone(machine, "released")
                 else:
-                    self._home.gone[name] = self._loop.now()
+                    self._home.unknown_gone(name)
         finally:
             self._releasing.difference_update(names)
 
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -111,8 +111,7 @@
                 if machine is not None:
                     self.machine_gone(machine, "failed")
                 else:
-                    self.gone[item.id] = now
-                    self._free_claims(item.id, "failed")
+                    self.unknown_gone(item.id)
                 failed.append(item.id)
                 continue
             if machine is None:
@@ -148,6 +147,21 @@
             self._freed(machine, task, cause)
         self._free_claims(machine.id, cause)
 
+    def vanished(self, listed, asked_at):
+        """Machines that owners claim tasks on, never heard here nor in this list, late enough.
+
+        They ran before this home served the term, so a list that shows a later moment would
+        name them if they were not gone; a release that the cloud answers makes it sure.
+        """
+        if asked_at < self._cover_from:
+            return []
+        return [name for name in self._claims if name not in self.machines and name not in listed]
+
+    def unknown_gone(self, name):
+        """A machine never heard here is surely gone."""
+        self.gone[name] = self._loop.now()
+        self._free_claims(name, "gone")
+
     def _free_claims(self, name, cause):
         for (job, index, attempt), owner in self._claims.pop(name, {}).items():
             self._tell(owner, frames.Free(name, job, index, attempt, cause))
@@ -375,6 +389,10 @@
             drained = machine.draining and machine.notice_at is None and ours and machine.empty()
             if drained or silent > 4 * lease_s or (taken and silent > 2 * self._workers.report_s):
                 release.append(machine)
+        if now > self._fence_at:
+            # Nobody but this home has renewed anything since: what was not heard has ended.
+            for name in [name for name in self._claims if name not in self.machines]:
+                self._free_claims(name, "lease ended")
         if self._syncs:
             self.settle()
         if now >= self._prune_at:
