--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -13,7 +13,8 @@
 
 NO_AIMS = ((), (), ())
 HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
-RANK_STEP = 2.5  # windows by which each step of urgency comes earlier
+TIERS = (0, 1, 2, 2)  # by urgency: the urgent come strictly first, the others by what is due
+TIER_STEP = 1e4  # windows between tiers
 ROWS_MOST = 256  # of a Demand, so that a frame stays far below its bound
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 
@@ -148,46 +149,50 @@
             within, times, waits = self._aims.get(job.spec.klass, NO_AIMS)
             due_s = job.spec.due_s
             deadlines = [due_s * factor for factor in times or (1.0,)] if due_s is not None else []
-            run_s = HOPE * job.spec.estimate_s
-            aims = job.aims = sorted([*(aim - run_s for aim in (*within, *deadlines)), *waits])
-        for at, aim in enumerate(aims):
-            if aim >= since:
-                later = aims[at + 1] - aim if at + 1 < len(aims) else self._default_aim_s
-                return aim - since, later
-        hopeless = max(self._default_aim_s, aims[-1] if aims else 0.0) - HOPELESS * since
+            run_s = job.spec.estimate_s
+            # (latest start, when it is taken for lost)
+            aims = job.aims = sorted([
+                *((aim - run_s, aim - HOPE * run_s) for aim in (*within, *deadlines)),
+                *((aim, aim) for aim in waits),
+            ])
+        for at, (latest, lost) in enumerate(aims):
+            if lost >= since:
+                later = aims[at + 1][0] - latest if at + 1 < len(aims) else self._default_aim_s
+                return latest - since, later
+        hopeless = max(self._default_aim_s, aims[-1][0] if aims else 0.0) - HOPELESS * since
         return hopeless, self._default_aim_s
 
     def _put_in_order(self):
         """Sets each job's place in the queue; the less, the earlier.
 
-        Slack and urgency decide, as long as all can be in time. When there is more work than
+        Urgency and slack decide, as long as all can be in time. When there is more work than
         that, what must be late should be as few jobs as can be: in order of what is due, the
         job that costs most is put back whenever the next would be late (Moore and Hodgson's
         rule for one machine, here for the CPUs that fall to this controller). Aims are shares
         of a class's jobs, so a job weighs the less the more its class has. Nothing is put
-        back for the sake of the less urgent.
+        back for the sake of another tier.
         """
         capacity = max(1e-6, self.capacity())
         window_s = self._window_s
         jobs = []
         for job in self._book.jobs.values():
             slack, later = self._aim(job)
-            job.place = slack + job.rank * RANK_STEP * window_s
+            job.place = slack + TIERS[job.rank] * TIER_STEP * window_s
             size = job.spec.cpus * job.spec.estimate_s
             jobs.append((job.place, slack, len(job.free) * size / capacity, later, job))
         jobs.sort(key=lambda entry: entry[0])
         ready_s = 0.0
-        kept = {}  # rank -> heap of (-cost, number)
+        kept = {}  # tier -> heap of (-cost, number)
         for number, (_place, slack, needs_s, _later, job) in enumerate(jobs):
             if not needs_s:
                 continue
             ready_s += needs_s
             cost = needs_s * self._book.seen.get(job.spec.klass, 1)
-            heapq.heappush(kept.setdefault(job.rank, []), (-cost, number))
+            tier = TIERS[job.rank]
+            heapq.heappush(kept.setdefault(tier, []), (-cost, number))
             while ready_s > slack:
-                heap = min((heap for rank, heap in kept.items() if rank >= job.rank and heap),
-                           default=None)
-                if heap is None:
+                heap = kept[tier]
+                if not heap:
                     break
                 _cost, back = heapq.heappop(heap)
                 ready_s -= jobs[back][2]
@@ -262,7 +267,7 @@
         latest = 0.0
         for job in waiting:
             place = job.place
-            if group and (job.rank != group[0].rank or place > latest):
+            if group and place > latest:
                 yield group
                 group = []
             if not group:
