--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -353,8 +353,12 @@
         ))
 
     def _tell_demand(self, waiting):
-        """What still waits, to every home: the room that fits it may then be granted here."""
-        if not waiting and not self._demand and self._demand is not None:
+        """What still waits, to every home: the room that fits it may then be granted here.
+
+        The renter also hears of what is not startable yet: machines take long to come.
+        """
+        coming = self._book.coming()
+        if not waiting and not coming and not self._demand and self._demand is not None:
             return
         now = self._loop.now()
         if now < self._demand_at + self._gap_s:
@@ -364,20 +368,13 @@
         rows = {}
         images = {}
         for job in waiting:
-            row = rows.get(job.shape)
-            slack = self.slack(job)
-            # A group's tasks are of use only side by side: without a run time the renter
-            # finds room for all of them at once.
-            work = 0.0 if job.spec.kind == "group" else len(job.free) * job.spec.estimate_s
-            if row is None:
-                rows[job.shape] = [len(job.free), work, slack, job.place]
-            else:
-                row[0] += len(job.free)
-                row[1] += work
-                row[2] = min(row[2], slack)
+            self._add_row(rows, job, True)
             if job.rank == waiting[0].rank and job.spec.image:
                 images[job.spec.image] = True
-        demand = {shape: row[0] for shape, row in rows.items()}
+        for job in coming:
+            if job.free:
+                self._add_row(rows, job, False)
+        demand = {key: row[0] for key, row in rows.items()}
         if demand == self._demand:
             return
         if len(rows) > ROWS_MOST:
@@ -387,13 +384,27 @@
         self._demand_at = now
         frame = frames.Demand(len(self.idle), [
             (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, slack,
-             place)
-            for (rank, cpus, gpus, memory, spot, zone, types, klass), (count, work, slack, place)
-            in list(rows.items())[:ROWS_MOST]
+             startable, place)
+            for ((rank, cpus, gpus, memory, spot, zone, types, klass), startable),
+            (count, work, slack, place) in list(rows.items())[:ROWS_MOST]
         ], list(images)[:ROWS_MOST])
         for label in self._member.term.members:
             self._send(label, frame)
 
+    def _add_row(self, rows, job, startable):
+        count = len(job.free)
+        # A group's tasks are of use only side by side: without a run time the renter
+        # finds room for all of them at once.
+        work = 0.0 if job.spec.kind == "group" else count * job.spec.estimate_s
+        slack = self.slack(job)
+        row = rows.get((job.shape, startable))
+        if row is None:
+            rows[job.shape, startable] = [count, work, slack, job.place]
+        else:
+            row[0] += count
+            row[1] += work
+            row[2] = min(row[2], slack)
+
     def _again(self):
         self._demand_timer = None
         self.changed()
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -179,7 +179,7 @@
         for label, rows in self.demand.items():
             if label not in self._member.term.members:
                 continue
-            for rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, klass, slack, _place in rows:
+            for rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, klass, slack, *_ in rows:
                 aim = self._aims.get(klass)
                 if aim is not None:
                     wait_s = self._tuning.drain_ratio * aim
--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -207,7 +207,10 @@
 
     def on_demand(self, label, frame):
         rows = {}
-        for urgency, cpus, gpus, memory, count, spot, zone, types, *_renting, place in frame.rows:
+        for row in frame.rows:
+            urgency, cpus, gpus, memory, count, spot, zone, types, *_renting, startable, place = row
+            if not startable:
+                continue
             key = (urgency, cpus, gpus, memory, spot, zone, tuple(types))
             row = rows.get(key)
             if row is None:
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -37,6 +37,7 @@
         self.version = 0  # changes when a job joins or leaves them
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
+        self._new = {}  # id -> Job whose record is being written
         self._adopting = set()
         self._syncs = {}  # number -> (label, [jobs])
         self._sync_number = 0
@@ -62,12 +63,19 @@
             owner = self._me
             if spec.team in self._limits and self._member.term.warden != self._member.label:
                 owner = NOBODY  # the warden takes it over
-            job = Job(spec, owner, self._time_of_day())
+            job = self._new[spec.id] = Job(spec, owner, self._time_of_day())
             self.recorder.mark(job, URGENT)
+            self._changed()
         return pending
 
+    def coming(self):
+        """Jobs whose tasks will wait here shortly: being accepted, or being taken over."""
+        return [*self._new.values(), *self._adopting,
+                *(job for job in self.jobs.values() if job.unsynced)]
+
     def _written(self, job, recorded, state):
         pending = self._creating.pop(job.id, None)
+        self._new.pop(job.id, None)
         if pending is not None:
             self._created(job)
             pending.set((True, None))
@@ -148,6 +156,7 @@
         """Somebody else wrote the record, or an unanswered write of ours went through."""
         mine = record is not None and record["s"] == "open" and tuple(record["o"]) == self._me
         pending = self._creating.pop(job.id, None)
+        self._new.pop(job.id, None)
         if pending is not None:
             self.recorder.unmark(job)
             if record is not None and record["s"] == "open" and (
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -187,8 +187,8 @@
 
     kind, layout = 4, "qRT"
     fields = ("length", "rows", "images")
-    # urgency cpus gpus memory count spot zone types estimate class slack place_in_queue
-    row = "qdddq?sTdsdd"
+    # urgency cpus gpus memory count spot zone types estimate class slack startable place_in_queue
+    row = "qdddq?sTdsd?d"
 
 
 class Grant(Frame):
