--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -206,19 +206,13 @@
     # Frames from controllers
 
     def on_demand(self, label, frame):
-        rows = {}
+        rows = []
         for row in frame.rows:
-            urgency, cpus, gpus, memory, count, spot, zone, types, *_renting, startable, place = row
-            if not startable:
-                continue
-            key = (urgency, cpus, gpus, memory, spot, zone, tuple(types))
-            row = rows.get(key)
-            if row is None:
-                rows[key] = [place, cpus, gpus, memory, count, spot, zone, types]
-            else:
-                row[COUNT] += count
+            _urgency, cpus, gpus, memory, count, spot, zone, types, *_renting, startable, place = row
+            if startable:
+                rows.append([place, cpus, gpus, memory, count, spot, zone, types])
         self._serial += 1
-        demand = self.demand[label] = Demand(self._serial, frame.length, list(rows.values()))
+        demand = self.demand[label] = Demand(self._serial, frame.length, rows)
         if not demand.left:
             return
         least = min(row[CPUS] for row in demand.rows), min(row[MEMORY] for row in demand.rows)
