--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -12,7 +12,6 @@
 log = logging.getLogger("roadhead.dispatch")
 
 NO_AIMS = ((), (), ())
-LATEST = 1.5  # estimated run times before its aim a job's tasks should have started
 HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
 TIERS = (0, 1, 2, 2)  # by urgency: the urgent come strictly first, the others by what is due
 TIER_STEP = 1e4  # windows between tiers
@@ -153,7 +152,7 @@
             run_s = job.spec.estimate_s
             # (latest start, when it is taken for lost)
             aims = job.aims = sorted([
-                *((aim - LATEST * run_s, aim - HOPE * run_s) for aim in (*within, *deadlines)),
+                *((aim - run_s, aim - HOPE * run_s) for aim in (*within, *deadlines)),
                 *((aim, aim) for aim in waits),
             ])
         for at, (latest, lost) in enumerate(aims):
@@ -366,7 +365,7 @@
             if self._demand_timer is None:
                 self._demand_timer = self._loop.call_at(self._demand_at + self._gap_s, self._again)
             return
-        rows = []
+        rows = {}
         images = {}
         for job in waiting:
             self._add_row(rows, job, True)
@@ -375,7 +374,7 @@
         for job in coming:
             if job.free:
                 self._add_row(rows, job, False)
-        demand = [(key, count) for key, count, *_rest in rows]
+        demand = {key: row[0] for key, row in rows.items()}
         if demand == self._demand:
             return
         if len(rows) > ROWS_MOST:
@@ -387,26 +386,24 @@
             (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, slack,
              startable, place)
             for ((rank, cpus, gpus, memory, spot, zone, types, klass), startable),
-            count, work, slack, place in rows[:ROWS_MOST]
+            (count, work, slack, place) in list(rows.items())[:ROWS_MOST]
         ], list(images)[:ROWS_MOST])
         for label in self._member.term.members:
             self._send(label, frame)
 
     def _add_row(self, rows, job, startable):
-        """Jobs of one shape next to each other in the queue share a row."""
-        key = (job.shape, startable)
         count = len(job.free)
         # A group's tasks are of use only side by side: without a run time the renter
         # finds room for all of them at once.
         work = 0.0 if job.spec.kind == "group" else count * job.spec.estimate_s
         slack = self.slack(job)
-        if not rows or rows[-1][0] != key:
-            rows.append([key, count, work, slack, job.place])
+        row = rows.get((job.shape, startable))
+        if row is None:
+            rows[job.shape, startable] = [count, work, slack, job.place]
         else:
-            row = rows[-1]
-            row[1] += count
-            row[2] += work
-            row[3] = min(row[3], slack)
+            row[0] += count
+            row[1] += work
+            row[2] = min(row[2], slack)
 
     def _again(self):
         self._demand_timer = None
--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -206,13 +206,19 @@
     # Frames from controllers
 
     def on_demand(self, label, frame):
-        rows = []
+        rows = {}
         for row in frame.rows:
-            _urgency, cpus, gpus, memory, count, spot, zone, types, *_renting, startable, place = row
-            if startable:
-                rows.append([place, cpus, gpus, memory, count, spot, zone, types])
+            urgency, cpus, gpus, memory, count, spot, zone, types, *_renting, startable, place = row
+            if not startable:
+                continue
+            key = (urgency, cpus, gpus, memory, spot, zone, tuple(types))
+            row = rows.get(key)
+            if row is None:
+                rows[key] = [place, cpus, gpus, memory, count, spot, zone, types]
+            else:
+                row[COUNT] += count
         self._serial += 1
-        demand = self.demand[label] = Demand(self._serial, frame.length, rows)
+        demand = self.demand[label] = Demand(self._serial, frame.length, list(rows.values()))
         if not demand.left:
             return
         least = min(row[CPUS] for row in demand.rows), min(row[MEMORY] for row in demand.rows)
