--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -12,7 +12,6 @@
 log = logging.getLogger("roadhead.dispatch")
 
 NO_AIMS = ((), (), ())
-MARGIN = 0.5  # of the estimated run time by which jobs come earlier in the queue: some tasks run longer
 HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
 TIERS = (0, 1, 2, 2)  # by urgency: the urgent come strictly first, the others by what is due
 TIER_STEP = 1e4  # windows between tiers
@@ -178,8 +177,7 @@
         jobs = []
         for job in self._book.jobs.values():
             slack, later = self._aim(job)
-            job.place = (slack - MARGIN * job.spec.estimate_s
-                         + TIERS[job.rank] * TIER_STEP * window_s)
+            job.place = slack + TIERS[job.rank] * TIER_STEP * window_s
             size = job.spec.cpus * job.spec.estimate_s
             jobs.append((job.place, slack, len(job.free) * size / capacity, later, job))
         jobs.sort(key=lambda entry: entry[0])
