--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -11,7 +11,6 @@
 
 HIRE_MOST = 50
 RELEASE_MOST = 100
-DEAR = 1.6  # of its whole aim: longer than that work must take before dearer machines are rented
 SOONER = 0.2  # of the time that an idle machine is kept, if there is plenty of room without it
 
 
@@ -245,7 +244,7 @@
         size = sum(machines.values()) + len(self._hired)
         wants = self._wants()
         orders = plan(wants, offers(self.types, self._zones), machines, busy, coming,
-                      refused, max(0, self._tuning.largest - size), DEAR / self._tuning.drain_ratio)
+                      refused, max(0, self._tuning.largest - size), 1 / self._tuning.drain_ratio)
         for shape, count in orders:
             count = min(count, HIRE_MOST)
             self._names += 1
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -193,6 +193,9 @@
 
     # Taking over
 
+    def knows(self, job_id):
+        return job_id in self.jobs or any(job.id == job_id for job in self._adopting)
+
     def adopt(self, items):
         """Open records of dropped owners that fall to this controller."""
         known = {job.id for job in self._adopting} | self.jobs.keys()
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -8,6 +8,7 @@
 import logging
 
 from roadhead.jobs.job import KEY
+from roadhead.membership.member import TERM
 from roadhead.runtime.loop import Signal
 from roadhead.state.client import Conflict, Unavailable, Unsure
 
@@ -20,12 +21,13 @@
 class Recorder:
     """`on_written(job, recorded)`, `on_conflict(job, record, stamp)` tell the outcome."""
 
-    def __init__(self, loop, state, progress_s, on_written, on_conflict):
+    def __init__(self, loop, state, progress_s, on_written, on_conflict, member):
         self._loop = loop
         self._state = state
         self._progress_s = progress_s
         self._on_written = on_written
         self._on_conflict = on_conflict
+        self._member = member
         self._dirty = {}  # job -> urgency
         self._drops = []
         self._wake = Signal()
@@ -94,6 +96,10 @@
             conditions.append((KEY + job.id, job.stamp))
             writes.append({"put": KEY + job.id, "data": record})
             written.append((job, self._dirty.pop(job), recorded, count, job.state))
+        if any(not stamp for _key, stamp in conditions):
+            # A job is created only while the term names its owner: the scan that follows a
+            # drop would miss a creation that takes effect later.
+            conditions.append((TERM, self._member.revision))
         drops = []
         while self._drops and len(writes) < self._state.limits.txn_ops and len(drops) < 2:
             drops.append(self._drops.pop())
@@ -107,6 +113,9 @@
             if isinstance(error, Conflict):
                 # One changed key must not hold up its neighbours: settle it, write the rest again.
                 for key in error.failed:
+                    if key == TERM:
+                        record, stamp = await self._state.get(TERM)
+                        self._member.adopt(record, stamp)
                     for job, *_rest in written:
                         if KEY + job.id == key:
                             record, stamp = await self._state.get(key)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -101,7 +101,7 @@
         self.workers.home = self.home
 
         def recorder_of(on_written, on_conflict):
-            return Recorder(loop, self.state, workers.report_s * 2, on_written, on_conflict)
+            return Recorder(loop, self.state, workers.report_s * 2, on_written, on_conflict, self.member)
 
         self.book = Book(
             loop, self.member, recorder_of, self._send, self._changed, self.counters,
@@ -289,10 +289,8 @@
                 if record["s"] in FINAL:
                     self.book.remember(key[len(KEY):], record)
                     continue
-                label, incarnation = record["o"]
-                limited = self.book.limited(record["spec"]["crew"])
-                if not term.serves(label, incarnation) and (
-                    term.heir(key[len(KEY):], label, limited) == self.label
+                if not term.serves(*record["o"]) and (
+                    self._heir(key[len(KEY):], record) == self.label
                 ):
                     mine.append((record, stamp))
             if mine:
@@ -315,14 +313,31 @@
                 return
             self._orphans.discard(job)
 
+    def _heir(self, job_id, record):
+        limited = self.book.limited(record["spec"]["crew"])
+        return self.member.term.heir(job_id, record["o"][0], limited)
+
+    def seen(self, job_id, record):
+        """A record was read for a user. If its owner is gone, its heir shall take it over.
+
+        The scan after a change of the term finds nearly all such jobs; a write of a dropped
+        owner can take effect after it.
+        """
+        term = self.member.term
+        if record["s"] not in FINAL and self.member.joined and not term.serves(*record["o"]):
+            self._send(self._heir(job_id, record), frames.Orphan(job_id))
+
     async def _adopt_one(self, job_id):
+        if self.book.knows(job_id):
+            return
         try:
             record, stamp = await self.state.get(KEY + job_id)
         except (Unavailable, Unsure):
-            return  # the next scan finds it
+            return  # the next scan or poll finds it
         if record is None or record["s"] in FINAL or not self.member.joined:
             return
-        if not self.member.term.serves(*record["o"]) and self.member.term.warden == self.label:
+        if not self.member.term.serves(*record["o"]) and self._heir(job_id, record) == self.label:
+            log.info("taking over %s, found without an owner", job_id)
             self.book.adopt([(record, stamp)])
 
     # Links and frames
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -140,6 +140,10 @@
                 timer.cancel()
         return 400, {}
 
+    def put(self, key, value):
+        self.epoch += 1
+        self.data[key] = (value, self.epoch, None)
+
     def multi(self, body):
         failed = [c["k"] for c in body["if"]
                   if self.data.get(c["k"], (None, 0, None))[1] != c["stamp"]]
--- a/tests/world.py
+++ b/tests/world.py
@@ -191,6 +191,16 @@
         verb, *rest = words
         if verb == "submit":
             self.submit(rest)
+        elif verb == "orphan":
+            # The next job's record appears with an owner that is gone, after all scans.
+            number = len(self.jobs) + 1
+            self.submit(rest)
+            job = self.jobs[f"req-{number:06d}"]
+            public = {k: v for k, v in job.items() if k not in ("runS", "faulty") and v is not None}
+            self.state.put(f"j/{job['id']}", {
+                "s": "open", "o": [self.labels[0], 0], "at": 1e9 + self.sim.time, "spec": public,
+                "done": [],
+            })
         elif verb == "crash":
             self.crash(int(rest[0]), float(rest[1]) if len(rest) > 1 else 3.0)
         elif verb == "outage":
