--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -67,12 +67,14 @@
                 waits.append(objective.within_s)
             elif objective.kind == "deadline":
                 times.append(objective.times)
-        self.most_creating = 4 * deployment.state.txn_ops
+        create_s = workers.lease_s / 3
+        # Creations that can be written while their users wait; more are turned away at once.
+        self.most_creating = max(1, int(create_s * self.state.writes.rate))
         self._teams = {team.name: team for team in deployment.teams}
         self.api = Api(
             loop, self,
             max_streams=int(0.75 * deployment.quota.fd_limit),
-            create_s=workers.lease_s / 3,
+            create_s=create_s,
             patience_s=workers.lease_s / 1.2,
         )
         self.risk = Risk(self.aims, sorted({objective.klass for objective in deployment.objectives}))
--- a/roadhead/runtime/rate.py
+++ b/roadhead/runtime/rate.py
@@ -6,14 +6,14 @@
 
     def __init__(self, loop, rate, burst):
         self._loop = loop
-        self._rate = rate
+        self.rate = rate
         self.burst = max(1.0, burst)
         self._level = self.burst
         self._at = loop.now()
 
     def _refill(self):
         now = self._loop.now()
-        self._level = min(self.burst, self._level + (now - self._at) * self._rate)
+        self._level = min(self.burst, self._level + (now - self._at) * self.rate)
         self._at = now
 
     def level(self):
@@ -34,4 +34,4 @@
         self._refill()
         self._level -= count
         if self._level < 0:
-            await self._loop.sleep(-self._level / self._rate)
+            await self._loop.sleep(-self._level / self.rate)
