--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -15,6 +15,7 @@
 HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
 TIERS = (0, 1, 2, 2)  # by urgency: the urgent come strictly first, the others by what is due
 TIER_STEP = 1e4  # windows between tiers
+RANK_STEP = 2.5  # windows by which each step of urgency comes earlier within a tier
 ROWS_MOST = 256  # of a Demand, so that a frame stays far below its bound
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 
@@ -170,29 +171,30 @@
         job that costs most is put back whenever the next would be late (Moore and Hodgson's
         rule for one machine, here for the CPUs that fall to this controller). Aims are shares
         of a class's jobs, so a job weighs the less the more its class has. Nothing is put
-        back for the sake of another tier.
+        back for the sake of the less urgent.
         """
         capacity = max(1e-6, self.capacity())
         window_s = self._window_s
         jobs = []
         for job in self._book.jobs.values():
             slack, later = self._aim(job)
-            job.place = slack + TIERS[job.rank] * TIER_STEP * window_s
+            tier = TIERS[job.rank]
+            job.place = slack + (tier * TIER_STEP + job.rank * RANK_STEP) * window_s
             size = job.spec.cpus * job.spec.estimate_s
             jobs.append((job.place, slack, len(job.free) * size / capacity, later, job))
         jobs.sort(key=lambda entry: entry[0])
         ready_s = 0.0
-        kept = {}  # tier -> heap of (-cost, number)
+        kept = {}  # rank -> heap of (-cost, number)
         for number, (_place, slack, needs_s, _later, job) in enumerate(jobs):
             if not needs_s:
                 continue
             ready_s += needs_s
             cost = needs_s * self._book.seen.get(job.spec.klass, 1)
-            tier = TIERS[job.rank]
-            heapq.heappush(kept.setdefault(tier, []), (-cost, number))
+            heapq.heappush(kept.setdefault(job.rank, []), (-cost, number))
             while ready_s > slack:
-                heap = kept[tier]
-                if not heap:
+                heap = min((heap for rank, heap in kept.items() if rank >= job.rank and heap),
+                           default=None)
+                if heap is None:
                     break
                 _cost, back = heapq.heappop(heap)
                 ready_s -= jobs[back][2]
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -339,7 +339,8 @@
         if record is None or record["s"] in FINAL or not self.member.joined:
             return
         if not self.member.term.serves(*record["o"]) and self._heir(job_id, record) == self.label:
-            log.info("taking over %s, found without an owner", job_id)
+            if record["o"][0]:  # else it was accepted for us, as the warden
+                log.info("taking over %s, found without an owner", job_id)
             self.book.adopt([(record, stamp)])
 
     # Links and frames
