--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -39,6 +39,7 @@
         self._creating = {}  # id -> Future of (is new, record)
         self._new = {}  # id -> Job whose record is being written
         self._adopting = set()
+        self._adopted = []  # taken over in this turn, to be synced
         self._syncs = {}  # number -> (label, [jobs])
         self._sync_number = 0
         self._attempts = 0
@@ -83,7 +84,9 @@
         if job in self._adopting:
             self._adopting.discard(job)
             self._begin(job)
-            self.sync_all([job])
+            if not self._adopted:
+                self._loop.call_soon(self._sync_adopted)
+            self._adopted.append(job)
             return
         if state in FINAL:
             self._over(job, {"s": state, "n": job.spec.tasks, "d": job.done.count})
@@ -205,6 +208,11 @@
                 self._adopting.add(job)
                 self.recorder.mark(job, SOON)
 
+    def _sync_adopted(self):
+        """One sync for all that a transaction took over."""
+        jobs, self._adopted = self._adopted, []
+        self.sync_all([job for job in jobs if self.jobs.get(job.id) is job])
+
     def sync_all(self, jobs=None):
         """Tells the homes what is owned here. `jobs` None: all, after a change of the term."""
         labels = list(self._member.term.members)
@@ -218,7 +226,8 @@
         term = self._member.term
         if label not in term.members:
             return
-        jobs = list(self.jobs.values()) if jobs is None else jobs
+        whole = jobs is None
+        jobs = list(self.jobs.values()) if whole else jobs
         claims = [
             (binding.machine, job.id, index, binding.attempt)
             for job in jobs
@@ -226,8 +235,10 @@
             if term.home(binding.machine) == label
         ]
         self._sync_number += 1
-        for number in [n for n, (home, _) in self._syncs.items() if home == label and len(self._syncs) > 200]:
-            del self._syncs[number]
+        if whole:
+            # It names all that those before named. None may be dropped otherwise: jobs whose
+            # answer is not waited for would never start.
+            self._syncs = {n: entry for n, entry in self._syncs.items() if entry[0] != label}
         self._syncs[self._sync_number] = (label, [job for job in jobs if job.unsynced])
         self._send(label, frames.Sync(term.number, self._sync_number, [j.id for j in jobs], claims))
 
