--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -81,7 +81,7 @@
             report.check()
         except messages.Invalid as error:
             return 400, messages.error(str(error)), None
-        home = node.member.term.home(report.machine)
+        home = node.home_of(report)
         if home != node.label:
             return 421, messages.redirect(home), None
         if not node.may_renew():
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -32,6 +32,7 @@
         self.types = {}
         self.demand = {}  # label -> rows of its newest Demand
         self.fleet = {}  # label -> rows of its newest HomeNews
+        self.running = []  # addresses of the machines last listed as running
         self._hired = {}  # machine -> (shape key, when), until it is listed as running
         self._refused = {}  # shape key -> (until, how often)
         self._names = 0
@@ -76,8 +77,11 @@
         now = self._loop.now()
         names = set()
         mine = []
+        running = self.running = []
         for item in listed:
             names.add(item.id)
+            if item.status == "running":
+                running.append(item.address)
             if item.status != "starting":
                 self._hired.pop(item.id, None)
             elif item.id not in self._hired:
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -14,6 +14,8 @@
 
 DRIFT = 0.0005
 ANSWER_S = 4.0  # a worker drops responses that took longer (PROTOCOL)
+SILENT_REPORTS = 2.25  # reports come 1.25 intervals apart at the most
+DEAF_LEAST = 3  # machines, below which their silence tells nothing of the network
 PLENTY = 0.25  # of the CPUs in use that are free beside them: more, and idle machines go sooner
 CANCELLED_MOST = 5000  # jobs known to be over, before the older ones are let go of
 
@@ -31,6 +33,7 @@
         self._ask = ask
         self._need_spec = need_spec
         self._count = counters.add
+        self.awake_at = 0.0  # since when this process has been looking without a stall
         self.types = {}
         self.machines = {}
         self.gone = {}  # names of machines that are surely gone
@@ -64,7 +67,7 @@
 
     def on_term(self, old, new):
         """The term changed while this incarnation serves."""
-        if set(old.members) != set(new.members):
+        if set(old.members) != set(new.members) or old.homes != new.homes:
             self._fence(False)
             for name in [n for n in self.machines if new.home(n) != self.label]:
                 del self.machines[name]
@@ -79,6 +82,18 @@
                 self.rooms.peer_down(label)
         self._syncs = [s for s in self._syncs if new.serves(s[0], s[1])]
 
+    def deaf(self):
+        """Most machines heard here have fallen silent: dead all at once, or cut off."""
+        limit = self._loop.now() - SILENT_REPORTS * self._workers.report_s
+        if self.awake_at > limit:
+            return False
+        heard = silent = 0
+        for machine in self.machines.values():
+            if machine.heard_at is not None:
+                heard += 1
+                silent += machine.heard_at < limit
+        return heard >= DEAF_LEAST and 2 * silent > heard
+
     def clean(self):
         """Every machine of this home was heard under its token or is gone (safety 3)."""
         if not self._covered:
@@ -356,8 +371,11 @@
                     machine.stop(task, max(0.0, left))
             self._ask(machine)
 
-    def tick(self):
-        """Once in a while: leases that ran out, grants that lapsed. Returns machines to release."""
+    def tick(self, sure=True):
+        """Once in a while: leases that ran out, grants that lapsed. Returns machines to release.
+
+        `sure`: nobody else can have renewed them, so a lease not renewed here has run out.
+        """
         now = self._loop.now()
         token = self._member.token
         lease_s = self._workers.lease_s
@@ -375,7 +393,7 @@
             end = machine.renewed_at + lease_s * (1 + 2 * DRIFT) + 0.2
             if not ours:
                 end = max(end, self._fence_at)
-            if now > end and (machine.tasks or machine.id in self._claims):
+            if sure and now > end and (machine.tasks or machine.id in self._claims):
                 log.info("lease of %s has run out: last report answered %.1f s ago, %d tasks",
                          machine.id, now - machine.renewed_at, len(machine.tasks))
                 self._count("leases_out")
@@ -384,12 +402,13 @@
                     self._freed(machine, task, "lease ended")
                 self._free_claims(machine.id, "lease ended")
                 machine.confirmed = 0
-            silent = now - (machine.heard_at if machine.heard_at is not None else now)
+            heard_at = machine.heard_at if machine.heard_at is not None else now
+            silent = now - max(heard_at, self.awake_at)
             taken = machine.notice_at is not None and now > machine.notice_at + 1
             drained = machine.draining and machine.notice_at is None and ours and machine.empty()
             if drained or silent > 4 * lease_s or (taken and silent > 2 * self._workers.report_s):
                 release.append(machine)
-        if now > self._fence_at:
+        if sure and now > self._fence_at:
             # Nobody but this home has renewed anything since: what was not heard has ended.
             for name in [name for name in self._claims if name not in self.machines]:
                 self._free_claims(name, "lease ended")
--- a/roadhead/homes/workers.py
+++ b/roadhead/homes/workers.py
@@ -87,6 +87,18 @@
             self.home.observe(machine, report)
         return None
 
+    async def reached(self, addresses):
+        """How many of the workers at `addresses` answer."""
+        count = 0
+        for address in addresses:
+            client = Client(self._loop, self._net, address, max_idle=0)
+            try:
+                await client.request("GET", "/inspect", b"", self._timeout_s)
+                count += 1
+            except NoAnswer:
+                pass
+        return count
+
     def forget(self, names):
         for name in names:
             client = self._clients.pop(name, None)
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -39,7 +39,9 @@
         self._present = set()
         self._lost = Signal()
         self._absent = Signal()
-        self._raise = Signal()
+        self._amend = Signal()
+        self._amendments = []  # (method of Term, label)
+        self._not_before = {}  # amendment -> when it may be wanted again
 
     @property
     def joined(self):
@@ -77,7 +79,7 @@
                 continue
             duties = [
                 self._loop.spawn(duty(), duty.__name__)
-                for duty in (self._renew, self._watch, self._drop_absent, self._raise_token)
+                for duty in (self._renew, self._watch, self._drop_absent, self._amend_term)
             ]
             try:
                 await self._lost.wait()
@@ -229,17 +231,39 @@
 
     def want_new_token(self):
         """Asks for a higher token, so that unanswered commands can't be executed any more."""
-        self._raise.set()
+        self._want("raise_token", self.label)
 
-    async def _raise_token(self):
+    def relieve(self, label):
+        """Workers of a member that is otherwise well can't reach it: others shall be their homes."""
+        self._want("relieve", label)
+
+    def restore(self):
+        """Workers reach this member again."""
+        self._want("restore", self.label)
+
+    def _want(self, *amendment):
+        now = self._loop.now()
+        if now >= self._not_before.get(amendment, 0.0):
+            self._not_before[amendment] = now + 2 * self._lease_s
+            self._amendments.append(amendment)
+            self._amend.set()
+
+    async def _amend_term(self):
         while True:
-            await self._raise.wait()
-            new = self.term.raise_token(self.label)
+            await self._amend.wait()
+            amendments, self._amendments = self._amendments, []
+            new = self.term
+            for how, label in amendments:
+                new = getattr(new, how)(label)
+            if new is self.term:
+                continue
+            log.info("amending the term: %s", amendments)
             try:
                 revision = await self._state.multi(
                     [(TERM, self.revision)], [{"put": TERM, "data": new.to_record()}]
                 )
                 self.adopt(new.to_record(), revision)
             except (Unavailable, Unsure, Conflict) as error:
-                log.debug("token: %r", error)
-            await self._loop.sleep(2 * self._lease_s)
+                log.debug("amendment: %r", error)
+                for amendment in amendments:  # wanted again soon, if it still is
+                    self._not_before[amendment] = self._loop.now() + self._lease_s / 12
--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -10,13 +10,16 @@
 
 
 class Link:
-    __slots__ = ("heard_at", "incarnation", "state_ok", "stream")
+    """`heard_at` tells silence; `spoke_at` is a time after which the other side surely spoke."""
+
+    __slots__ = ("deaf", "heard_at", "incarnation", "spoke_at", "state_ok", "stream")
 
     def __init__(self, stream, incarnation, now):
         self.stream = stream
         self.incarnation = incarnation
-        self.heard_at = now
+        self.heard_at = self.spoke_at = now
         self.state_ok = True
+        self.deaf = False
 
 
 class Peers:
@@ -100,8 +103,11 @@
                         self._on_up(label)
                         continue
                     link.heard_at = self._loop.now()
+                    if not self._loop.catching_up:
+                        link.spoke_at = link.heard_at
                     if type(frame) is Beat:
                         link.state_ok = frame.state_ok
+                        link.deaf = frame.deaf
                     self._on_frame(label, link.incarnation, frame)
                     if self.links.get(label) is not link:
                         return
@@ -144,6 +150,11 @@
             return False
         return True
 
+    def excuse(self):
+        """After a stall: nobody was silent in time in which we were not looking."""
+        for link in self.links.values():
+            link.heard_at = self._loop.now()
+
     def reset(self):
         """Ends every link, since this process's incarnation changed."""
         for label, link in list(self.links.items()):
--- a/roadhead/membership/term.py
+++ b/roadhead/membership/term.py
@@ -9,33 +9,42 @@
     An incarnation is the token that its process took when it joined; tokens are never
     given twice. A changed set of labels renews every token, since machines change homes.
     The warden owns the jobs of all teams with a limit; it changes only with its incarnation.
+    `relieved` members go on serving users and owning jobs, but are home to no machine: workers
+    could not reach them. One member at least is a home.
     """
 
-    __slots__ = ("_homes", "members", "next", "number", "warden")
+    __slots__ = ("_homes", "homes", "members", "next", "number", "relieved", "warden")
 
-    def __init__(self, number=0, next_token=1, members=None, warden=None):
+    def __init__(self, number=0, next_token=1, members=None, warden=None, relieved=()):
         self.number = number
         self.next = next_token
         self.members = members or {}
         self.warden = warden
+        homes = [label for label in self.members if label not in relieved]
+        self.relieved = frozenset(self.members).intersection(relieved) if homes else frozenset()
+        self.homes = frozenset(homes or self.members)
         self._homes = {}
 
     @classmethod
     def from_record(cls, record):
         members = {label: tuple(entry) for label, entry in record["members"].items()}
-        return cls(record["number"], record["next"], members, record["warden"])
+        return cls(record["number"], record["next"], members, record["warden"],
+                   record.get("relieved", ()))
 
     def to_record(self):
         return {
             "number": self.number,
             "next": self.next,
             "warden": self.warden,
+            "relieved": sorted(self.relieved),
             "members": {label: list(entry) for label, entry in self.members.items()},
         }
 
-    def _renewed(self, members, changed):
+    def _renewed(self, members, changed, relieved=None):
         """The next term with `members`; `changed` labels (or all) take a new token."""
-        if set(members) != set(self.members):
+        if relieved is None:
+            relieved = self.relieved - changed
+        if set(members) != set(self.members) or relieved != self.relieved:
             changed = set(members)
         token = self.next
         entries = {
@@ -45,7 +54,7 @@
         warden = self.warden
         if warden not in entries or self.incarnation(warden) != entries[warden][0]:
             warden = pick(entries, "warden")
-        return Term(self.number + 1, token + 1, entries, warden)
+        return Term(self.number + 1, token + 1, entries, warden, relieved)
 
     def join(self, label, nonce):
         members = dict(self.members)
@@ -57,7 +66,18 @@
         return self._renewed(members, set())
 
     def raise_token(self, label):
-        return self._renewed(dict(self.members), {label})
+        return self._renewed(dict(self.members), {label}, self.relieved)
+
+    def relieve(self, label):
+        """The label's machines get other homes; this term if that can't be."""
+        if not self.homes - {label} or label not in self.homes:
+            return self
+        return self._renewed(dict(self.members), set(), self.relieved | {label})
+
+    def restore(self, label):
+        if label not in self.relieved:
+            return self
+        return self._renewed(dict(self.members), set(), self.relieved - {label})
 
     def incarnation(self, label):
         entry = self.members.get(label)
@@ -75,7 +95,7 @@
         if home is None:
             if len(self._homes) > 10000:
                 self._homes.clear()
-            home = self._homes[machine] = pick(self.members, machine)
+            home = self._homes[machine] = pick(self.homes, machine)
         return home
 
     def heir(self, job, label, limited):
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -18,7 +18,7 @@
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
 from roadhead.state.client import StateClient, Unavailable, Unsure
-from roadhead.telemetry import Counters
+from roadhead.telemetry import Counters, Troubles
 from roadhead.wire import frames, messages
 
 log = logging.getLogger("roadhead.node")
@@ -36,6 +36,7 @@
         deployment = self._deployment = settings.deployment
         workers = deployment.workers
         self.counters = Counters()
+        self.troubles = Troubles(loop.now, time_of_day)
         self.state = StateClient(loop, net, settings.external.state, deployment.state, deployment.nodes)
         self.cloud = CloudClient(loop, net, settings.external.cloud, deployment.cloud, deployment.nodes)
         # A controller out of touch must stop renewing before this is up (safety 4).
@@ -140,7 +141,21 @@
                 self.counters.add("duties_failed")
             await self._loop.sleep(self._beat_s)
 
+    def _stalled(self, seconds):
+        """The process stood still: whoever relied on us may have gone on without us.
+
+        Leases, the term and what we may command are looked at by the clock wherever they are
+        used, so nothing is done on an authority that ran out meanwhile.
+        """
+        log.warning("stood still for %.1f s%s", seconds,
+                    "; the lease may have ended" if self.member.lapsed() else "")
+        self.counters.add("stalls")
+        self.troubles.note("stood still", seconds)
+        self.peers.excuse()
+        self.home.awake_at = self._loop.now()
+
     def start(self):
+        self._loop.stall_s, self._loop.on_stall = self._beat_s, self._stalled
         self._net.listen(self.settings.front, self.api.accept)
         self.peers.start()
         self._loop.spawn(self.member.run(), "member")
@@ -158,7 +173,26 @@
 
     def _beat(self):
         term = self.member.term
-        return frames.Beat(term.number if term else 0, self._state_ok())
+        return frames.Beat(term.number if term else 0, self._state_ok(), self.home.deaf())
+
+    def home_of(self, report):
+        """The home's label for a worker that asks here, or None if it would not get through.
+
+        A worker sent to a controller that is silent waits there for 4 s, a third of a
+        lease; without a name it asks the next one after 1 s. If its home is well but hears
+        hardly any worker, the network between them is cut: then others shall be their homes.
+        """
+        home = self.member.term.home(report.machine)
+        if home == self.label:
+            return home
+        link = self.peers.links.get(home)
+        if link is None:
+            return None
+        if link.deaf:
+            if report.token:  # it was in touch with its home before
+                self.member.relieve(home)
+            return None
+        return home
 
     def _state_ok(self):
         return self._loop.now() - self.state.ok_at < self.member._lease_s / 2
@@ -169,18 +203,29 @@
         A controller that can learn neither from the state service nor from every other
         member that a job was cancelled must let go of its machines in time (safety 4).
         """
-        now = self._loop.now()
-        if now - self.member.watched_at < self._blind_s:
+        if self._loop.now() - self.member.watched_at < self._blind_s:
             return True
-        heard = now
+        return self._heard_all(self._blind_s)
+
+    def sure(self):
+        """Whether no other controller can have renewed the workers of machines homed here.
+
+        A lapsed member may have been dropped, and its machines have other homes, without
+        its knowing (a stall, a cut); not so if all others still speak to it.
+        """
+        return not self.member.lapsed() or self._heard_all(self.settings.deployment.workers.lease_s / 4)
+
+    def _heard_all(self, within_s):
+        """Whether every other member of the term spoke within that time."""
+        now = heard = self._loop.now()
         for label, (incarnation, *_rest) in self.member.term.members.items():
             if label == self.label:
                 continue
             link = self.peers.links.get(label)
             if link is None or link.incarnation != incarnation:
                 return False
-            heard = min(heard, link.heard_at)
-        return now - heard < self._blind_s
+            heard = min(heard, link.spoke_at)
+        return now - heard < within_s
 
     def ready(self):
         """Ready while the state service answers, or while it seems to answer nobody."""
@@ -343,6 +388,13 @@
                 log.info("taking over %s, found without an owner", job_id)
             self.book.adopt([(record, stamp)])
 
+    async def _try_workers(self):
+        """Relieved of its machines, this controller is their home again once it reaches workers."""
+        running = self.fleet.running
+        some = self._random.sample(running, min(3, len(running)))
+        if some and 2 * await self.workers.reached(some) > len(some):
+            self.member.restore()
+
     # Links and frames
 
     def _on_up(self, label):
@@ -481,13 +533,15 @@
             await self._loop.sleep(self._beat_s)
             if not self.member.joined:
                 continue
-            released = self.home.tick()
+            released = self.home.tick(self.sure())
             if released:
                 self.fleet.release([machine.id for machine in released])
             self.fleet.return_idle()
             self.dispatcher.changed()
             self._tell_orphans()
             every += 1
+            if self.label in self.member.term.relieved and every % 6 == 0:
+                self._loop.spawn(self._try_workers(), "try workers")
             if every % 2 == 0:
                 self.dispatcher.refresh()
                 news = frames.HomeNews(self.home.news())
--- a/roadhead/runtime/loop.py
+++ b/roadhead/runtime/loop.py
@@ -11,6 +11,8 @@
 
 log = logging.getLogger("roadhead.loop")
 
+CATCH_UP_MOST = 1000  # rounds of reading after a stall, should the sockets never run empty
+
 
 class Cancelled(BaseException):
     """Raised inside a routine at its current await when it is cancelled."""
@@ -157,8 +159,18 @@
 
 
 class Loop:
+    """`on_stall(seconds)`, if set, is told when the process stood still for `stall_s` or longer
+    while its clock ran on. What lies in the sockets by then is read before any timer runs, so
+    that nobody is taken for silent, or late, for time in which we were not looking; meanwhile
+    `catching_up` holds, since nobody knows how old what is read there is.
+    """
+
     def __init__(self, clock=time.monotonic, selector=None):
         self.now = clock
+        self.on_stall = None
+        self.stall_s = 0.0
+        self.catching_up = False
+        self._selected_at = clock()
         self.selector = selector if selector is not None else selectors.DefaultSelector()
         self._ready = deque()
         self._timers = []  # heap of (when, number, Timer): numbers break ties
@@ -227,15 +239,35 @@
 
     def turn(self):
         """One turn: wait for events or the next timer, then run what is ready."""
-        timeout = 0 if self._ready else None
-        if timeout is None:
+        timeout = 0.0
+        if not self._ready:
             when = self.next_timer()
-            if when is not None:
-                timeout = max(0.0, when - self.now())
-        for key, mask in self.selector.select(timeout):
-            key.data(mask)
+            timeout = None if when is None else max(0.0, when - self.now())
+        events = self.selector.select(timeout)
+        now = self.now()
+        # Late: the time that neither waiting nor a turn's work accounts for.
+        late = now - self._selected_at - (timeout or 0.0) if timeout is not None else 0.0
+        self._selected_at = now
+        if self.on_stall is not None and late >= self.stall_s:
+            self._catch_up(late, events)
+        else:
+            for key, mask in events:
+                key.data(mask)
         self.run_due()
 
+    def _catch_up(self, late, events):
+        self.catching_up = True
+        for _ in range(CATCH_UP_MOST):
+            for key, mask in events:
+                key.data(mask)
+            self._run_ready()
+            events = self.selector.select(0)
+            if not events and not self._ready:
+                break
+        self.catching_up = False
+        self._selected_at = self.now()
+        self._guard(self.on_stall, (late,))
+
     def run_due(self):
         timers = self._timers
         if timers:
@@ -244,6 +276,9 @@
                 timer = heapq.heappop(timers)[2]
                 if timer.fn is not None:
                     self._guard(timer.fn, timer.args)
+        self._run_ready()
+
+    def _run_ready(self):
         ready = self._ready
         for _ in range(len(ready)):
             fn, args = ready.popleft()
--- a/roadhead/telemetry.py
+++ b/roadhead/telemetry.py
@@ -3,6 +3,7 @@
 import logging
 import os
 import sys
+import time
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -15,6 +16,47 @@
     logging.raiseExceptions = False
 
 
+class Troubles:
+    """What went wrong since the start, for the morning reader: a bounded number of lines.
+
+    Of each kind the count, the longest and the newest few are kept.
+    """
+
+    KEPT = 5
+
+    def __init__(self, now, time_of_day):
+        self._now = now
+        self._time_of_day = time_of_day
+        self._kinds = {}  # text -> [count, longest, newest times of day]
+        self._open = {}  # text -> since when
+
+    def note(self, text, seconds=0.0):
+        """Something happened, and lasted `seconds` until now."""
+        if text not in self._kinds and len(self._kinds) >= 100:
+            text = "others"
+        entry = self._kinds.setdefault(text, [0, 0.0, []])
+        entry[0] += 1
+        entry[1] = max(entry[1], seconds)
+        entry[2].append(self._time_of_day() - seconds)
+        del entry[2][: -self.KEPT]
+
+    def holds(self, text, on):
+        """Whether something holds now; noted when it ends."""
+        if on:
+            self._open.setdefault(text, self._now())
+        elif text in self._open:
+            self.note(text, self._now() - self._open.pop(text))
+
+    def lines(self):
+        lines = [f"{text}: now, for {self._now() - since:.0f} s" for text, since in self._open.items()]
+        for text, (count, longest, times) in self._kinds.items():
+            clock = ", ".join(time.strftime("%H:%M:%S", time.gmtime(at)) for at in times)
+            many = "once" if count == 1 else f"{count} times, last"
+            lasted = f", {'up to ' if count > 1 else ''}{longest:.1f} s" if longest else ""
+            lines.append(f"{text}: {many} at {clock}{lasted}")
+        return lines
+
+
 class Counters:
     """Named counts of this process."""
 
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -166,10 +166,11 @@
 
 
 class Beat(Frame):
-    """Sign of life: the term served, and whether the state service answers here."""
+    """Sign of life: the term served, whether the state service answers here, and whether most
+    machines homed here have fallen silent (`deaf`)."""
 
-    kind, layout = 2, "q?"
-    fields = ("term", "state_ok")
+    kind, layout = 2, "q??"
+    fields = ("term", "state_ok", "deaf")
 
 
 class TermNews(Frame):
--- a/tests/sim.py
+++ b/tests/sim.py
@@ -40,6 +40,7 @@
         self.alive = True
         self.hung = False
         self._held = []
+        self._packets = []
         super().__init__(lambda: sim.time * rate + offset, NoSelector())
 
     def _go(self, fn, args):
@@ -64,15 +65,38 @@
         self.sim._push(Timer(self.sim.time + delay, fire, ()))
         return timer
 
+    def deliver(self, delay, fn, *args):
+        """A packet comes in; while the host stands still it lies in the socket."""
+        def arrive():
+            if self.alive and self.hung:
+                self._packets.append((fn, args))
+            elif self.alive:
+                fn(*args)
+
+        self.sim._push(Timer(self.sim.time + delay, arrive, ()))
+
     def hang(self):
         self.hung = True
+        self._hung_at = self.now()
 
     def wake(self):
+        """As the real loop does it: what lies in the sockets is read before any timer runs."""
         self.hung = False
+        packets, self._packets = self._packets, []
         held, self._held = self._held, []
-        for fn, args in held:
+        self.catching_up = True
+        for fn, args in packets:
             self.call_soon(fn, *args)
 
+        def go_on():
+            self.catching_up = False
+            if self.on_stall is not None and self.alive:
+                self.on_stall(self.now() - self._hung_at)
+            for fn, args in held:
+                self.call_soon(fn, *args)
+
+        self.sim._push(Timer(self.sim.time + 1e-6, go_on, ()))
+
 
 class SimStream:
     def __init__(self, net, host, peer_host):
@@ -150,7 +174,7 @@
     def _post(self, peer, data):
         loop = self.loops.get(peer.host)
         if loop is not None:
-            loop.call_at(loop.now() + self.latency * loop.rate, peer._deliver, data)
+            loop.deliver(self.latency, peer._deliver, data)
 
     def cut(self, a, b, mode):
         """`hold`: packets arrive once the cut ends; `lose`: they never do."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -423,6 +423,7 @@
         self.sim.call_later(seconds, self.loop.wake)
 
     def _end_session(self):
+        self.world.killed += sum(i.status != "exited" for i in self.tasks.values())
         for item in list(self.tasks.values()):
             self._leave(item)
         self.tasks.clear()
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -35,13 +35,13 @@
     """2: tasks of a machine that was silent for a while are taken for gone."""
     real = Home.tick
 
-    def tick(self):
+    def tick(self, sure=True):
         now = self._loop.now()
         for machine in list(self.machines.values()):
             if now - (machine.heard_at or now) > 0.4 * self._workers.lease_s:
                 for task in machine.tasks.values():
                     self._tell(task.owner, frames.Free(machine.id, *task.key, "silent"))
-        return real(self)
+        return real(self, sure)
 
     patch.setattr(Home, "tick", tick)
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -46,6 +46,7 @@
         self.fetch_s = options["fetch_s"]
         self.stuck_boots = 0
         self.no_rooms = 0
+        self.killed = 0  # tasks, by their workers' leases
         self.jobs = {}
         self.users = {}
         self.completed = set()
@@ -203,6 +204,10 @@
             })
         elif verb == "crash":
             self.crash(int(rest[0]), float(rest[1]) if len(rest) > 1 else 3.0)
+        elif verb == "stall":
+            loop = self.network.loops[f"10.0.0.{int(rest[0]) + 1}"]
+            loop.hang()
+            self.sim.call_later(float(rest[1]), loop.wake)
         elif verb == "outage":
             self.state.outage(True)
             self.sim.call_later(float(rest[0]), self.state.outage, False)
@@ -301,6 +306,9 @@
             elif words[0] == "machines":
                 if len(self.cloud.rented) > int(words[1]):
                     faults.append(f"{len(self.cloud.rented)} machines are rented still")
+            elif words[0] == "killed":
+                if self.killed > int(words[2]):
+                    faults.append(f"{self.killed} tasks were killed by their lease")
             elif words[0] == "no_rooms":
                 if self.no_rooms:
                     faults.append(f"{self.no_rooms} starts found no room")
