--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -121,11 +121,11 @@
         if not node.member.joined or not node.home.types:
             return REFUSED
         if spec.id in node.book.jobs:
-            record, _stamp = await node.read(KEY + spec.id)
+            record = await node.read(spec.id)
             return (200, self._state(record, spec.id), None) if record else REFUSED
         fault = node.impossible(spec)
         if fault:
-            record, _stamp = await node.read(KEY + spec.id)
+            record = await node.read(spec.id)
             if record:
                 return 200, self._state(record, spec.id), None
             return 422, messages.error(fault), None
@@ -144,7 +144,7 @@
         known = self._known(job_id)
         if known is not None:
             return 200, known, None
-        record, _stamp = await self._node.read(KEY + job_id)
+        record = await self._node.read(job_id)
         if record is None:
             return 404, messages.error("no such job"), None
         return 200, self._state(record, job_id), None
@@ -156,7 +156,7 @@
         for _ in range(5):
             known = node.book.finals.get(job_id)
             if known is None:
-                known, stamp = await node.read(KEY + job_id)
+                known, stamp = await node.state.get(KEY + job_id)
             if known is None:
                 return 404, messages.error("no such job"), None
             if known["s"] in FINAL:
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -140,6 +140,17 @@
     return Job(spec_of(record), owner, record["at"], stamp, record["done"], inherited=True)
 
 
+def shorten(record):
+    """What of a record is kept to answer polls, as long as its stamp holds."""
+    if record["s"] != "open":
+        return record
+    spec, done = record["spec"], record["done"]
+    return {
+        "s": "open", "o": record["o"], "spec": {"crew": spec["crew"], "legs": spec["legs"]},
+        "done": [0, sum(done[1::2]) - sum(done[0::2])],
+    }
+
+
 def answer(record, job_id):
     """The answer to a poll, from a record alone."""
     if record["s"] == "open":
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -12,17 +12,20 @@
 from roadhead.homes.machine import Needs
 from roadhead.homes.workers import Workers
 from roadhead.jobs.book import Book
-from roadhead.jobs.job import FINAL, KEY, spec_of
+from roadhead.jobs.job import FINAL, KEY, shorten, spec_of
 from roadhead.jobs.recorder import Recorder
 from roadhead.jobs.risk import Risk
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
 from roadhead.state.client import StateClient, Unavailable, Unsure
+from roadhead.state.reader import Reader
 from roadhead.telemetry import Counters, Troubles
 from roadhead.wire import frames, messages
 
 log = logging.getLogger("roadhead.node")
 
+POLL_S = 2.0  # users wait that long for the answer to a poll (PROTOCOL)
+
 
 class Node:
     def __init__(self, loop, net, settings, tuning, rng=None, time_of_day=time.time):
@@ -38,6 +41,7 @@
         self.counters = Counters()
         self.troubles = Troubles(loop.now, time_of_day)
         self.state = StateClient(loop, net, settings.external.state, deployment.state, deployment.nodes)
+        self.reader = Reader(loop, self.state, POLL_S / 2, shorten)
         self.cloud = CloudClient(loop, net, settings.external.cloud, deployment.cloud, deployment.nodes)
         # A controller out of touch must stop renewing before this is up (safety 4).
         self._blind_s = 0.8 * (workers.cancel_s - workers.lease_s)
@@ -155,6 +159,11 @@
         self.home.awake_at = self._loop.now()
 
     def start(self):
+        for team in self._teams.values():
+            log.info("team %s: cpus %g to %g, gpus %g to %g (0: no limit)", team.name,
+                     team.cpus, team.cpus_max, team.gpus, team.gpus_max)
+            if team.guarantee != (team.cpus, team.gpus):
+                log.warning("team %s: the guarantee is above the limit; the limit holds", team.name)
         self._loop.stall_s, self._loop.on_stall = self._beat_s, self._stalled
         self._net.listen(self.settings.front, self.api.accept)
         self.peers.start()
@@ -255,11 +264,9 @@
                 return None
         return "fits no machine type"
 
-    async def read(self, key):
-        """A record for a user; turned away if duties need the state service more."""
-        if not self.state.requests.spare(0.1):
-            raise Unavailable("busy")
-        return await self.state.get(key)
+    async def read(self, job_id):
+        """A job's record for a user; turned away if duties need the state service more."""
+        return await self.reader.read(KEY + job_id)
 
     def cancelled(self, jobs):
         """Jobs cancelled through this controller: every home hears of it."""
--- a/roadhead/settings.py
+++ b/roadhead/settings.py
@@ -26,12 +26,20 @@
 
 
 class Team(Struct):
+    """What a team is guaranteed, and the most its tasks may use at once; 0 is no limit."""
+
     name: str
     cpus: float = 0.0
     cpus_max: float = 0.0
     gpus: float = 0.0
     gpus_max: float = 0.0
 
+    @property
+    def guarantee(self):
+        """(cpus, gpus): a guarantee above the limit counts up to the limit."""
+        return tuple(min(sure, most) if most else sure
+                     for sure, most in ((self.cpus, self.cpus_max), (self.gpus, self.gpus_max)))
+
 
 class Objective(Struct, rename={"klass": "class"}):
     kind: str
@@ -166,6 +174,14 @@
     ):
         if not 0 < value < float("inf"):
             faults.append(f"deployment.{name}: must be above 0, is {value}")
+    names = [team.name for team in deployment.teams]
+    for name in sorted({name for name in names if names.count(name) > 1}):
+        faults.append(f"deployment.teams: {name!r} stands twice")
+    for team in deployment.teams:
+        for amount in ("cpus", "cpus_max", "gpus", "gpus_max"):
+            value = getattr(team, amount)
+            if not 0 <= value < float("inf"):
+                faults.append(f"deployment.teams: {team.name!r}: {amount}: must not be negative, is {value}")
     if deployment.workers.cancel_s <= deployment.workers.lease_s:
         faults.append("deployment.workers.cancel_s: must be above lease_s")
     if faults:
--- a/roadhead/state/client.py
+++ b/roadhead/state/client.py
@@ -106,6 +106,15 @@
         log.error("transaction refused: %s %s", status, answer)
         raise Unavailable(f"multi: {status}")
 
+    async def unchanged(self, conditions):
+        """Raises Conflict, naming keys that changed, unless every (key, stamp) still holds."""
+        body = {"if": [{"k": key, "stamp": stamp} for key, stamp in conditions], "writes": []}
+        status, answer = await self._call("POST", "/multi", messages.encode(body), timeout=1.5)
+        if status == 409:
+            raise Conflict(answer.get("failed", []))
+        if status != 200:
+            raise Unavailable(f"multi: {status}")
+
     async def lease(self, life_s):
         body = messages.encode({"lifeMs": int(life_s * 1000)})
         status, answer = await self._call("POST", "/leases", body)
--- /dev/null
+++ b/roadhead/state/reader.py
@@ -0,0 +1,114 @@
+"""Records read for users: one request answers many polls.
+
+Every poll is answered from what a request sent after it came has shown. Records seen before
+are not read again but compared, many in one transaction that only has conditions: as long as
+their stamps hold, what was read then is still true.
+"""
+
+from itertools import islice
+
+from roadhead.runtime.loop import Future
+from roadhead.state.client import Conflict, Unavailable, Unsure
+
+LANES = 2  # batches under way at once
+READS = 4  # records read side by side in a batch
+ROUNDS = 3  # of comparing what did not change; the rest is read
+KEPT_MOST = 5000
+AMPLE = 0.6  # of the burst of requests: with less left, polls are gathered
+GATHER = 0.05  # of the patience
+
+
+class Reader:
+    def __init__(self, loop, state, patience_s, shorten):
+        self._loop = loop
+        self._state = state
+        self._patience_s = patience_s
+        self._shorten = shorten  # record -> what of it is kept
+        self._most = 4 * int(state.limits.txn_ops)  # conditions of a transaction
+        self._waiting = {}  # key -> [Future]
+        self._known = {}  # key -> (record, stamp) as last read; (None, 0) where there was none
+        self._lanes = 0
+
+    async def read(self, key):
+        """The record as it is now, or None. Raises Unavailable at once if it is too much."""
+        crowded = len(self._waiting) >= 4 * self._most and key not in self._waiting
+        if crowded or not self._state.requests.spare(0.1):
+            raise Unavailable("busy")
+        future = Future()
+        self._waiting.setdefault(key, []).append(future)
+        if self._lanes < LANES:
+            self._lanes += 1
+            self._loop.spawn(self._lane(), "read")
+        return await self._loop.within(self._patience_s, future)
+
+    async def _lane(self):
+        try:
+            while self._waiting:
+                if not self._state.requests.spare(AMPLE):
+                    # More is asked than could be read one by one: let a few come together.
+                    await self._loop.sleep(self._patience_s * GATHER)
+                batch = dict(islice(self._waiting.items(), self._most))
+                for key in batch:
+                    del self._waiting[key]
+                await self._serve(batch)
+        finally:
+            self._lanes -= 1
+
+    async def _serve(self, batch):
+        known = {key: self._known[key] for key in batch if key in self._known}
+        if len(known) > 1:
+            await self._compare(batch, known)
+        left = list(batch)
+        for at in range(0, len(left), READS):
+            reads = [self._loop.spawn(self._read(key, batch[key]), "read one")
+                     for key in left[at : at + READS]]
+            for routine in reads:
+                await routine.done
+
+    async def _compare(self, batch, known):
+        """Answers, and takes out of the batch, what has not changed since it was read."""
+        for _ in range(ROUNDS):
+            sent_at = self._loop.now()
+            try:
+                await self._state.unchanged([(key, stamp) for key, (_, stamp) in known.items()])
+            except Conflict as conflict:
+                for key in conflict.failed:
+                    known.pop(key, None)
+                if not known or not conflict.failed:
+                    return
+                continue
+            except (Unavailable, Unsure) as error:
+                for key in known:
+                    self._fail(batch.pop(key), error)
+                return
+            for key, (record, _stamp) in known.items():
+                self._answer(batch.pop(key), record, sent_at)
+            return
+
+    async def _read(self, key, futures):
+        sent_at = self._loop.now()
+        try:
+            record, stamp = await self._state.get(key)
+        except (Unavailable, Unsure) as error:
+            self._fail(futures, error)
+            return
+        if record is not None:
+            record = self._shorten(record)
+        self._known.pop(key, None)
+        self._known[key] = (record, stamp)
+        if len(self._known) > KEPT_MOST:
+            del self._known[next(iter(self._known))]
+        self._answer(futures, record, sent_at)
+
+    def _answer(self, futures, record, sent_at):
+        if self._loop.now() - sent_at > self._patience_s:
+            # It lay in the socket while this process stood still: it may be out of date.
+            self._fail(futures, Unavailable("read too long ago"))
+            return
+        for future in futures:
+            future.set(record)
+
+    @staticmethod
+    def _fail(futures, error):
+        for future in futures:
+            future.fail(error)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -60,6 +60,8 @@
         self.permits = 0
         self.down = False
         self.refused_hosts = set()
+        self.requests = self.refused = 0
+        self.level, self.level_at = world.settings["state"]["rps"], 0.0
         self.waiters = []
         self.loop.spawn(self._expire(), "leases")
 
@@ -95,6 +97,15 @@
             self._wake()
 
     async def handle(self, method, path, args, body, host):
+        self.requests += 1
+        rps = self.world.settings["state"]["rps"]
+        now = self.sim.time
+        self.level = min(rps, self.level + (now - self.level_at) * rps) - 1
+        self.level_at = now
+        if self.level < 0:
+            self.level += 1
+            self.refused += 1
+            return 429, {"error": "too much"}
         await self.loop.sleep(0.004)
         refused = lambda: self.down or host in self.refused_hosts  # noqa: E731
         if refused():
@@ -444,6 +455,36 @@
         self.changed()
 
 
+class Storm:
+    """Polls at a steady rate: of known jobs, and every fifth of one that nobody submitted."""
+
+    def __init__(self, world, rate, seconds):
+        self.world = world
+        self.polls = self.answered = 0
+        for number in range(int(rate * seconds)):
+            world.sim.call_later(number / rate, self._start, number)
+
+    def _start(self, number):
+        self.world.user_loop.spawn(self._poll(number), "poll")
+
+    async def _poll(self, number):
+        users = [user for user in self.world.users.values() if user.accepted]
+        if not users:
+            return
+        user = users[number % len(users)]
+        self.polls += 1
+        if number % 5:
+            status, answer = await user._ask("GET", f"/v1/jobs/{user.id}", None, 2.0)
+            final = answer is not None and answer.get("status") in ("done", "cancelled")
+            if status == 404 or final:
+                user._hear(status, answer)
+        else:
+            status, _ = await user._ask("GET", f"/v1/jobs/req-{900000 + number % 40}", None, 2.0)
+            if status == 200:
+                self.world.break_rule("invented", "req-9...")
+        self.answered += status in (200, 404)
+
+
 class User:
     """Submits a job and polls it until it is over, as the protocol says users do."""
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,7 +5,7 @@
 
 import msgspec
 from sim import HostLoop, Network, Sim
-from standins import Cloud, State, User
+from standins import Cloud, State, Storm, User
 
 from roadhead.node import Node
 from roadhead.settings import Tuning, parse
@@ -49,6 +49,7 @@
         self.killed = 0  # tasks, by their workers' leases
         self.jobs = {}
         self.users = {}
+        self.storms = []
         self.completed = set()
         self.running = {}  # task -> worker
         self.cancelled_at = {}
@@ -204,6 +205,8 @@
             })
         elif verb == "crash":
             self.crash(int(rest[0]), float(rest[1]) if len(rest) > 1 else 3.0)
+        elif verb == "storm":
+            self.storms.append(Storm(self, float(rest[0]), float(rest[1])))
         elif verb == "stall":
             loop = self.network.loops[f"10.0.0.{int(rest[0]) + 1}"]
             loop.hang()
@@ -307,6 +310,13 @@
             elif words[0] == "machines":
                 if len(self.cloud.rented) > int(words[1]):
                     faults.append(f"{len(self.cloud.rented)} machines are rented still")
+            elif words[0] == "answered":
+                for storm in self.storms:
+                    if storm.answered < float(words[2]) * storm.polls:
+                        faults.append(f"{storm.answered} of {storm.polls} polls were answered")
+            elif words[0] == "state_requests":
+                if self.state.requests > int(words[2]):
+                    faults.append(f"{self.state.requests} requests to the state service")
             elif words[0] == "killed":
                 if self.killed > int(words[2]):
                     faults.append(f"{self.killed} tasks were killed by their lease")
