--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -67,6 +67,7 @@
         except (Unavailable, Unsure, Conflict, Timeout) as error:
             # Whatever is not known for sure is said to be so, never guessed (safety 5).
             log.debug("%s %s: %r", request.method, path, error)
+            self._node.counters.add("refused_unsure")
             return REFUSED
         return 404, messages.error("no such path"), None
 
@@ -130,6 +131,7 @@
                 return 200, self._state(record, spec.id), None
             return 422, messages.error(fault), None
         if node.member.lapsed() or node.book.recorder.backlog() > node.most_creating:
+            node.counters.add("refused_busy")
             return 503, messages.error("too much at once"), 2
         new, record = await self._loop.within(self._create_s, node.book.create(spec))
         if new:
--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -96,6 +96,7 @@
     lines.append(f"machines: {answer['machines']}, failing: {answer['failing']}")
     lines.append("controllers heard: " + ", ".join(answer["heard"]))
     lines += [f"behind: {duty}" for duty in answer["behind"]] or ["no duty is behind"]
+    lines += [f"since start: {line}" for line in answer["troubles"]] or ["since start: no trouble"]
     return "\n".join(lines)
 
 
--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -256,12 +256,12 @@
                     for job in group:
                         if job.free and job.room_shape not in full:
                             self._place_job(job, with_image, starts, full)
-        waiting = [job for job in waiting if job.startable() > 0 and self._may_start(job)]
+        waiting = [job for job in waiting if job.startable() > 0 and self.may_start(job)]
         if self.idle:
             self._finish(waiting, starts)
         self._tell_demand(waiting)
 
-    def _may_start(self, job):
+    def may_start(self, job):
         """Whether its team's limit leaves room for one more task."""
         if not self._book.limited(job.spec.team):
             return True
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -104,7 +104,9 @@
                 and item.age_s > self._tuning.stuck_ratio * kind.boot_s
                 and (machine is None or machine.heard_at is None)
             ):
-                log.info("machine %s does not come up", item.id)
+                if item.id not in self._releasing:
+                    log.info("machine %s does not come up", item.id)
+                    self._count("machines_stuck")
                 stuck.append(item.id)
         for machine in list(home.machines.values()):
             if machine.id in names:
@@ -157,6 +159,12 @@
         if machines:
             self.release([machine.id for machine in machines])
 
+    def refused_kinds(self):
+        """Kinds of machine that the cloud refused lately."""
+        now = self._loop.now()
+        return [" ".join((kind, zone, "spot" if spot else "ordinary"))
+                for (kind, zone, spot), (until, _times) in self._refused.items() if until > now]
+
     def capacity(self):
         """The CPUs of all machines heard of that fall to one controller."""
         cpus = sum(
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -191,6 +191,8 @@
 
     def _freed(self, machine, task, cause):
         machine.drop(task)
+        if task.status not in (EXITED, LAUNCHING) and task.job not in self.cancelled:
+            self._count("tasks_lost")
         if not task.forget or task.job in self.cancelled:
             owner = task.owner or self.owners.get(task.job)
             self._tell(owner, frames.Free(machine.id, *task.key, cause))
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -33,6 +33,7 @@
         self._on_orphan = on_orphan
         self.scanned = 0  # number of the term for which all records were read
         self.jobs = {}  # open jobs owned here, by id
+        self.started_at = {}  # class -> when a task of it was last started
         self.seen = {}  # class -> number of its jobs that were ever owned here
         self.version = 0  # changes when a job joins or leaves them
         self.finals = {}  # id -> record of jobs known to be over
@@ -262,6 +263,7 @@
     def bind(self, job, machine, zone):
         """Takes a free task of the job for a start; (index, attempt)."""
         index = job.free.pop()
+        self.started_at[job.spec.klass] = self._loop.now()
         attempt = self.attempt()
         job.bound[index] = Binding(machine, zone, attempt, "launching", self._loop.now())
         return index, attempt
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -83,6 +83,7 @@
             patience_s=workers.lease_s / 1.2,
         )
         self.risk = Risk(self.aims, sorted({objective.klass for objective in deployment.objectives}))
+        self._waiting_since = {}  # class -> since when tasks of it wait here
         self.summaries = {}  # label -> (when, its SummaryNews)
         self._duties = []
         self._looking = set()
@@ -309,6 +310,7 @@
 
     def _on_lost(self):
         log.info("starting over as a new incarnation")
+        self.troubles.note("dropped by the others, and back as a new incarnation")
         self.peers.reset()
         self._reset()
 
@@ -508,7 +510,53 @@
         failing = sum(machine.draining and bool(machine.errors)
                       for machine in self.home.machines.values())
         rows = self.risk.rows(self.book.jobs.values(), self._time_of_day())
-        return frames.SummaryNews(rows, failing, behind)
+        stalled = self._stalled_classes()
+        behind += stalled
+        troubles = [f"{self.label}: {line}"
+                    for line in (*self.troubles.lines(), *self.counters.events())]
+        return frames.SummaryNews(rows, failing, behind, troubles)
+
+    def _stalled_classes(self):
+        """Classes of which tasks wait here and none was started for a lease, and why."""
+        now = self._loop.now()
+        lease_s = self.settings.deployment.workers.lease_s
+        waiting = {}
+        for job in self.book.jobs.values():
+            if job.free and job.state == "open":
+                waiting.setdefault(job.spec.klass, []).append(job)
+        for klass in [klass for klass in self._waiting_since if klass not in waiting]:
+            del self._waiting_since[klass]
+        lines = []
+        for klass, jobs in sorted(waiting.items()):
+            since = max(self.book.started_at.get(klass, 0.0), self._waiting_since.setdefault(klass, now))
+            if now - since > lease_s:
+                why = self._why_stalled(jobs)
+                lines.append(f"{self.label}: {klass}: nothing started for {now - since:.0f} s: {why}")
+                log.info("stalled: %s, nothing started for %.0f s: %s", klass, now - since, why)
+        return lines
+
+    def _why_stalled(self, jobs):
+        homes = {label for job in jobs for label in job.unsynced}
+        if homes:
+            return f"taken over, {', '.join(sorted(homes))} can't yet say what runs"
+        if all(job.doubtful for job in jobs):
+            return "its jobs fail wherever they run"
+        if not any(self.dispatcher.may_start(job) for job in jobs):
+            return "the team's limit is reached"
+        refused = self.fleet.refused_kinds()
+        if refused:
+            return f"no free room; the cloud has no more of {', '.join(refused)}"
+        return "no free room; more urgent work comes first, or machines are on their way"
+
+    def _look_for_trouble(self):
+        """What this controller is out of touch with; noted with its length when it ends."""
+        holds, term = self.troubles.holds, self.member.term
+        holds("state service does not answer", not self._state_ok())
+        holds("own lease has ended", self.member.lapsed())
+        holds("most workers are not heard", self.home.deaf())
+        holds("relieved of its machines, as workers could not reach it", self.label in term.relieved)
+        for member in self.settings.members:
+            holds(f"{member.label} is not heard", member.label not in self.peers.links)
 
     def summary(self):
         """The parts of all controllers heard lately, put together."""
@@ -529,6 +577,7 @@
             "machines": sum(row[3] for rows in self.fleet.fleet.values() for row in rows),
             "failing": sum(part.failing for part in parts.values()),
             "heard": sorted(parts),
+            "troubles": [line for _label, part in sorted(parts.items()) for line in part.troubles],
             "behind": [line for part in parts.values() for line in part.behind]
             + [f"{label}: not heard" for label in unheard],
         }
@@ -544,6 +593,7 @@
             released = self.home.tick(self.sure())
             if released:
                 self.fleet.release([machine.id for machine in released])
+            self._look_for_trouble()
             self.fleet.return_idle()
             self.dispatcher.changed()
             self._tell_orphans()
--- a/roadhead/telemetry.py
+++ b/roadhead/telemetry.py
@@ -57,6 +57,19 @@
         return lines
 
 
+EVENTS = {
+    "leases_out": "leases of machines that ran out",
+    "tasks_lost": "tasks to be started over, lost with their machine or its lease",
+    "machines_stuck": "machines late or never up, given back",
+    "machines_faulty": "machines that failed their tasks, given back",
+    "jobs_faulty": "jobs that fail wherever they run",
+    "task_errors": "tasks that failed",
+    "refused_busy": "submissions refused: more than can be written in time",
+    "refused_unsure": "requests refused: the state service, or our place in the term, unsure",
+    "duties_failed": "duties that failed (see the log)",
+}
+
+
 class Counters:
     """Named counts of this process."""
 
@@ -66,5 +79,9 @@
     def add(self, name, by=1):
         self.counts[name] = self.counts.get(name, 0) + by
 
+    def events(self):
+        """Lines for the morning reader."""
+        return [f"{text}: {self.counts[name]}" for name, text in EVENTS.items() if name in self.counts]
+
     def line(self):
         return " ".join(f"{name}={count}" for name, count in sorted(self.counts.items()))
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -306,10 +306,11 @@
 
 
 class SummaryNews(Frame):
-    """The sender's part of the summary: rows of classes, machines failing, duties behind."""
+    """The sender's part of the summary: rows of classes, machines failing, duties behind now, and
+    what went wrong since its start."""
 
-    kind, layout = 18, "RqT"
-    fields = ("rows", "failing", "behind")
+    kind, layout = 18, "RqTT"
+    fields = ("rows", "failing", "behind", "troubles")
     row = "sqqqq"  # class open done late at_risk
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -16,6 +16,7 @@
 SUMMARY = {
     "classes": [{"class": "letters", "open": 3, "done": 7, "late": 1, "atRisk": 2}],
     "machines": 4, "failing": 1, "heard": ["a", "b"], "behind": ["c: not heard"],
+    "troubles": ["a: stood still: once at 03:12:00, 6.0 s"],
 }
 
 
@@ -62,6 +63,7 @@
     assert cli.main(["summary", server]) == 0
     out = capsys.readouterr().out
     assert "letters" in out and "machines: 4, failing: 1" in out and "behind: c: not heard" in out
+    assert "since start: a: stood still: once at 03:12:00, 6.0 s" in out
 
 
 def test_refusals_and_unreachable(server, capsys):
--- a/tests/world.py
+++ b/tests/world.py
@@ -310,6 +310,10 @@
             elif words[0] == "machines":
                 if len(self.cloud.rented) > int(words[1]):
                     faults.append(f"{len(self.cloud.rented)} machines are rented still")
+            elif words[0] == "summary":
+                lines = [line for node in self.nodes.values() for line in node.summary()["troubles"]]
+                if not any(words[1] in line for line in lines):
+                    faults.append(f"the summary does not say {words[1]!r}")
             elif words[0] == "answered":
                 for storm in self.storms:
                     if storm.answered < float(words[2]) * storm.polls:
