--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -12,7 +12,8 @@
 class Link:
     """`heard_at` tells silence; `spoke_at` is a time after which the other side surely spoke."""
 
-    __slots__ = ("deaf", "heard_at", "incarnation", "spoke_at", "state_ok", "stream")
+    __slots__ = ("deaf", "heard_at", "incarnation", "spoke_at", "state_ok", "stream",
+                 "used")
 
     def __init__(self, stream, incarnation, now):
         self.stream = stream
@@ -20,6 +21,7 @@
         self.heard_at = self.spoke_at = now
         self.state_ok = True
         self.deaf = False
+        self.used = None  # (requests, writes) of the state service a second, once told
 
 
 class Peers:
@@ -108,6 +110,7 @@
                     if type(frame) is Beat:
                         link.state_ok = frame.state_ok
                         link.deaf = frame.deaf
+                        link.used = (frame.requests, frame.writes)
                     self._on_frame(label, link.incarnation, frame)
                     if self.links.get(label) is not link:
                         return
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -73,8 +73,7 @@
             elif objective.kind == "deadline":
                 times.append(objective.times)
         create_s = workers.lease_s / 3
-        # Creations that can be written while their users wait; more are turned away at once.
-        self.most_creating = max(1, int(create_s * self.state.writes.rate))
+        self._create_s = create_s
         self._teams = {team.name: team for team in deployment.teams}
         self.api = Api(
             loop, self,
@@ -83,6 +82,7 @@
             patience_s=workers.lease_s / 1.2,
         )
         self.risk = Risk(self.aims, sorted({objective.klass for objective in deployment.objectives}))
+        self._used = (0.0, 0.0)  # requests and writes a second, in the last beat
         self._waiting_since = {}  # class -> since when tasks of it wait here
         self.summaries = {}  # label -> (when, its SummaryNews)
         self._duties = []
@@ -183,7 +183,8 @@
 
     def _beat(self):
         term = self.member.term
-        return frames.Beat(term.number if term else 0, self._state_ok(), self.home.deaf())
+        return frames.Beat(term.number if term else 0, self._state_ok(), self.home.deaf(),
+                           *self._used)
 
     def home_of(self, report):
         """The home's label for a worker that asks here, or None if it would not get through.
@@ -265,6 +266,11 @@
                 return None
         return "fits no machine type"
 
+    @property
+    def most_creating(self):
+        """Creations that can be written while their users wait; more are turned away at once."""
+        return max(1, int(self._create_s * self.state.writes.rate))
+
     async def read(self, job_id):
         """A job's record for a user; turned away if duties need the state service more."""
         return await self.reader.read(KEY + job_id)
@@ -548,6 +554,15 @@
             return f"no free room; the cloud has no more of {', '.join(refused)}"
         return "no free room; more urgent work comes first, or machines are on their way"
 
+    def _share_state(self):
+        """Uses of the state service's limits what the other controllers leave."""
+        self._used = self.state.requests.used(), self.state.writes.used()
+        term, links = self.member.term, self.peers.links
+        self.state.share([
+            links[label].used if label in links else (None if label in term.members else (0.0, 0.0))
+            for label in (member.label for member in self.settings.members)
+        ])
+
     def _look_for_trouble(self):
         """What this controller is out of touch with; noted with its length when it ends."""
         holds, term = self.troubles.holds, self.member.term
@@ -594,6 +609,7 @@
             if released:
                 self.fleet.release([machine.id for machine in released])
             self._look_for_trouble()
+            self._share_state()
             self.fleet.return_idle()
             self.dispatcher.changed()
             self._tell_orphans()
--- a/roadhead/state/client.py
+++ b/roadhead/state/client.py
@@ -13,6 +13,10 @@
 log = logging.getLogger("roadhead.state")
 
 
+USABLE = 0.95  # of a limit
+IDLE_PART = 0.2  # of its equal part is left to a controller that uses less
+
+
 class Unavailable(Exception):
     pass
 
@@ -40,11 +44,32 @@
         self._loop = loop
         self._http = Client(loop, net, address, max_idle=6)
         self.limits = limits
+        self._nodes = nodes
         rps, writes = limits.rps / nodes, limits.write_rps / nodes
-        self.requests = Bucket(loop, 0.95 * rps, rps)
-        self.writes = Bucket(loop, 0.95 * writes, writes)
+        self.requests = Bucket(loop, USABLE * rps, rps)
+        self.writes = Bucket(loop, USABLE * writes, writes)
+        self.batch = max(1, int(writes))  # of writes in a transaction, as long as it can be chosen
         self.ok_at = -1e9  # when the last request that got a proper answer was sent
 
+    def share(self, others):
+        """Sets this controller's part of the limits: an equal one, or what the others leave.
+
+        `others` has for each other controller what it uses of (requests, writes) a second,
+        or None for one that may use its equal part unseen.
+        """
+        for place, (bucket, limit) in enumerate((
+            (self.requests, self.limits.rps), (self.writes, self.limits.write_rps)
+        )):
+            equal = limit / self._nodes
+            # Of what another does not use a part is left to it, for it to start with.
+            left = limit - sum(
+                equal if used is None else min(equal, max(used[place], IDLE_PART * equal))
+                for used in others
+            )
+            rate = USABLE * max(equal, left)
+            if abs(rate - bucket.rate) > 0.05 * bucket.rate:
+                bucket.retune(rate)
+
     async def _call(self, method, target, body=b"", timeout=3.0):
         await self.requests.take()
         sent_at = self._loop.now()
@@ -56,6 +81,8 @@
             raise Unavailable(str(error)) from None
         if status == 429:
             self.requests.empty()
+            if target == "/multi":
+                self.writes.empty()
             raise Unavailable("429")
         if status >= 500:
             raise Unavailable(str(status))
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -166,11 +166,12 @@
 
 
 class Beat(Frame):
-    """Sign of life: the term served, whether the state service answers here, and whether most
-    machines homed here have fallen silent (`deaf`)."""
+    """Sign of life: the term served, whether the state service answers here, whether most
+    machines homed here have fallen silent (`deaf`), and what was used of the state service
+    lately, a second."""
 
-    kind, layout = 2, "q??"
-    fields = ("term", "state_ok", "deaf")
+    kind, layout = 2, "q??dd"
+    fields = ("term", "state_ok", "deaf", "requests", "writes")
 
 
 class TermNews(Frame):
