--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -19,6 +19,7 @@
 TIER_STEP = 1e4  # windows between tiers
 RANK_STEP = 2.5  # windows by which each step of urgency comes earlier within a tier
 ROWS_MOST = 256  # of a Demand, so that a frame stays far below its bound
+AIMLESS = 10  # times the aim assumed by default: the slack of jobs of which nothing is expected
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 
 
@@ -144,7 +145,8 @@
         from there to the next aim).
 
         An aim that even a task started now would miss is lost: time is better spent on
-        others' aims, so the next one counts, and without one the job comes after those.
+        others' aims, so the next one counts, and without one the job comes after those. A job
+        that never had an aim gets the room that would lie idle.
         """
         since = self.time_of_day() - job.accepted_at
         aims = job.aims
@@ -162,6 +164,8 @@
             if lost >= since:
                 later = aims[at + 1][0] - latest if at + 1 < len(aims) else self._default_aim_s
                 return latest - since, later
+        if not aims and job.spec.kind != "daemon":
+            return AIMLESS * self._default_aim_s - HOPELESS * since, self._default_aim_s
         hopeless = max(self._default_aim_s, aims[-1][0] if aims else 0.0) - HOPELESS * since
         return hopeless, self._default_aim_s
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -495,6 +495,7 @@
         self.id = job["id"]
         self.accepted = False
         self.told = None
+        self.told_at = 0.0
         self.gave_up = False
         self.asked_to_cancel = False
         self.told_cancelled_at = None
@@ -530,6 +531,8 @@
         if state == "cancelled" and self.told_cancelled_at is None:
             self.told_cancelled_at = self.sim.time
             world.cancelled_at[self.id] = self.sim.time
+        if self.told != state:
+            self.told_at = self.sim.time
         self.told = state
 
     async def run(self):
--- a/tests/world.py
+++ b/tests/world.py
@@ -314,6 +314,11 @@
                 lines = [line for node in self.nodes.values() for line in node.summary()["troubles"]]
                 if not any(words[1] in line for line in lines):
                     faults.append(f"the summary does not say {words[1]!r}")
+            elif words[0] == "done_before":
+                later = self.users[f"req-{int(words[2]):06d}"].told_at
+                for number in words[1].split(","):
+                    if self.users[f"req-{int(number):06d}"].told_at > later:
+                        faults.append(f"job {number} was done after {words[2]}")
             elif words[0] == "answered":
                 for storm in self.storms:
                     if storm.answered < float(words[2]) * storm.polls:
