--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -196,9 +196,8 @@
                 if aim is not None:
                     wait_s = self._tuning.drain_ratio * aim
                 else:
-                    # A deadline's slack; work without any aim drains when it suits.
                     wait_s = max(slack, self._tuning.drain_ratio * estimate_s)
-                    wait_s = min(wait_s, self._default_aim_s)
+                    wait_s = min(wait_s, self._tuning.drain_ratio * self._default_aim_s)
                 key = (rank, cpus, gpus, memory, spot, zone, tuple(types), klass)
                 want = wants.get(key)
                 if want is None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -182,6 +182,19 @@
         parse(json.dumps({**PLATFORM, **change}).encode())
 
 
+def test_teams_are_checked():
+    def teams(*teams):
+        deployment = {**PLATFORM["deployment"], "teams": list(teams)}
+        return parse(json.dumps({**PLATFORM, "deployment": deployment}).encode()).deployment.teams
+
+    assert teams({"name": "guests"})[0].guarantee == (0, 0)
+    assert teams({"name": "a", "cpus": 9, "cpus_max": 4, "gpus": 2})[0].guarantee == (4, 2)
+    for bad in ([{"name": "a"}, {"name": "a"}], [{"name": "a", "cpus_max": -1}]):
+        with pytest.raises(SettingsError) as error:
+            teams(*bad)
+        assert len(error.value.faults) == 1
+
+
 @fixed
 @given(st.recursive(
     st.none() | st.booleans() | st.floats() | st.integers() | texts,
