--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -567,9 +567,11 @@
         """What this controller is out of touch with; noted with its length when it ends."""
         holds, term = self.troubles.holds, self.member.term
         holds("state service does not answer", not self._state_ok())
-        holds("own lease has ended", self.member.lapsed())
+        holds("not a member", not self.member.joined)
+        holds("own lease has ended", self.member.joined and self.member.lapsed())
         holds("most workers are not heard", self.home.deaf())
-        holds("relieved of its machines, as workers could not reach it", self.label in term.relieved)
+        holds("relieved of its machines, as workers could not reach it",
+              term is not None and self.label in term.relieved)
         for member in self.settings.members:
             holds(f"{member.label} is not heard", member.label not in self.peers.links)
 
@@ -578,6 +580,7 @@
         now = self._loop.now()
         parts = {label: part for label, (at, part) in self.summaries.items()
                  if now - at < 15 * self._beat_s}
+        parts[self.label] = self._summary()  # also while it is no member
         classes = {}
         for part in parts.values():
             for klass, *counts in part.rows:
@@ -603,12 +606,12 @@
         every = 0
         while True:
             await self._loop.sleep(self._beat_s)
+            self._look_for_trouble()
             if not self.member.joined:
                 continue
             released = self.home.tick(self.sure())
             if released:
                 self.fleet.release([machine.id for machine in released])
-            self._look_for_trouble()
             self._share_state()
             self.fleet.return_idle()
             self.dispatcher.changed()
