--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from roadhead.jobs.job import FINAL, KEY, answer
+from roadhead.jobs.job import FINAL, KEY, answer, closing
 from roadhead.jobs.records import find
 from roadhead.runtime.loop import Timeout
 from roadhead.state.client import Conflict, Unavailable, Unsure
@@ -11,6 +11,9 @@
 log = logging.getLogger("roadhead.api")
 
 CANCEL = "c/x/"
+OPEN_PATHS = ("/ready", "/v1/report")  # to the platform and the workers; the rest is the gateways'
+UNSIGNED = (401, messages.error("not signed by a gateway"), None)
+USAGE = "/v1/tenants/"
 REFUSED = (503, messages.error("not able to say now"), 1)
 
 
@@ -38,6 +41,9 @@
 
     async def _handle(self, request):
         path = request.target.partition("?")[0]
+        desk = self._node.desk
+        if desk is not None and path not in OPEN_PATHS and not desk.signed(request):
+            return UNSIGNED
         if path == "/v1/report":
             if request.method != "POST":
                 return 405, b"", None
@@ -50,6 +56,8 @@
             if request.method != "GET":
                 return 405, b"", None
             return 200, messages.encode(self._node.summary()), None
+        if desk is not None and path.startswith(USAGE) and path[len(USAGE):].isdigit():
+            return 200, desk.usage(int(path[len(USAGE):])), None
         try:
             if path == "/v1/jobs":
                 if request.method != "POST":
@@ -131,6 +139,13 @@
             if record:
                 return 200, self._state(record, spec.id), None
             return 422, messages.error(fault), None
+        if node.desk is not None and spec.id not in node.book.pending():
+            refusal = node.desk.refusal(spec, node.most_creating)
+            if refusal is not None:
+                record = await node.read(spec.id)  # a retry of an accepted job is answered as ever
+                if record:
+                    return 200, self._state(record, spec.id), None
+                return refusal.status, messages.error(refusal.text), refusal.retry_after
         if node.member.lapsed() or node.book.recorder.backlog() > node.most_creating:
             node.counters.add("refused_busy")
             return 503, messages.error("too much at once"), 2
@@ -167,12 +182,7 @@
                 if known["s"] == "cancelled":
                     node.cancelled([job_id])
                 return 200, messages.job_status(job_id, known["s"]), None
-            done = known["done"]
-            record = {
-                "s": "cancelled",
-                "n": known["spec"]["legs"],
-                "d": sum(done[1::2]) - sum(done[0::2]),
-            }
+            record = closing(known)
             try:
                 revision = await node.state.multi(
                     [(KEY + job_id, stamp)],
--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -5,9 +5,10 @@
 
 import heapq
 import logging
+from itertools import islice
 
 from roadhead.fleet.plan import DOUBTFUL
-from roadhead.homes.machine import fits
+from roadhead.homes.machine import fits, times
 from roadhead.wire import frames
 
 log = logging.getLogger("roadhead.dispatch")
@@ -20,6 +21,10 @@
 RANK_STEP = 2.5  # windows by which each step of urgency comes earlier within a tier
 ROWS_MOST = 256  # of a Demand, so that a frame stays far below its bound
 AIMLESS = 10  # times the aim assumed by default: the slack of jobs of which nothing is expected
+BORROWED = 5  # added to the urgency of work beyond its team's guarantee, where teams share
+ROUNDS = 16  # of a placing pass, where teams share
+SORTED_MOST = 1000  # jobs put in order at every gap; more of them, less often
+LOOKED_AT = 4000  # startable jobs of a pass: far more than there are rows of a Demand
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 
 
@@ -95,6 +100,7 @@
         self._demand_timer = None
         self.time_of_day = None
         self.capacity = lambda: 0.0  # CPUs that fall to this controller
+        self.sharing = None  # where teams share by guarantee and weight
 
     def changed(self):
         if not self._placing:
@@ -210,6 +216,10 @@
                 if back == number:
                     break
         self._order = sorted((entry[4] for entry in jobs), key=lambda job: job.place)
+        if self.sharing is not None:
+            now = self._loop.now()
+            self.sharing.arrange([job for job in self._order if self._startable(job, now)])
+            self._order.sort(key=lambda job: job.place)
 
     def _startable(self, job, now):
         return (job.free and job.state == "open" and not job.unsynced and job.not_before <= now
@@ -222,10 +232,14 @@
         jobs for every grant would cost more than the grants themselves.
         """
         now = self._loop.now()
-        if self._ordered != self._book.version or now - self._ordered_at > self._gap_s:
+        # With very many jobs the order is kept longer, new ones too wait for it: sorting must not
+        # take all the time there is.
+        crowd = len(self._book.jobs) // SORTED_MOST
+        stale = self._ordered != self._book.version and not crowd
+        if stale or now - self._ordered_at > self._gap_s * (1 + crowd):
             self._put_in_order()
             self._ordered, self._ordered_at = self._book.version, now
-        return [job for job in self._order if self._startable(job, now)]
+        return list(islice((job for job in self._order if self._startable(job, now)), LOOKED_AT))
 
     def _allowed(self, job, listing):
         spec = job.spec
@@ -255,16 +269,26 @@
         starts = {}  # machine -> {job: [(index, attempt)]}
         if self.idle:
             full = set()  # shapes for which the list has no room: it only shrinks in a pass
-            for group in self._groups(waiting):
-                for with_image in (True, False):
-                    for job in group:
-                        if job.free and job.room_shape not in full:
-                            self._place_job(job, with_image, starts, full)
+            self._place_all(waiting, starts, full)
+            for _ in range(ROUNDS if self.sharing is not None else 0):
+                # Whoever borrows gets no further ahead than a quantum before it is the next one's turn.
+                if not any(job.free and not job.part and job.room_shape not in full for job in waiting):
+                    break
+                self._ordered_at = -1e9
+                waiting = self.waiting()
+                self._place_all(waiting, starts, full)
         waiting = [job for job in waiting if job.startable() > 0 and self.may_start(job)]
         if self.idle:
             self._finish(waiting, starts)
         self._tell_demand(waiting)
 
+    def _place_all(self, waiting, starts, full):
+        for group in self._groups(waiting):
+            for with_image in (True, False):
+                for job in group:
+                    if job.free and job.room_shape not in full:
+                        self._place_job(job, with_image, starts, full)
+
     def may_start(self, job):
         """Whether its team's limit leaves room for one more task."""
         if not self._book.limited(job.spec.team):
@@ -312,16 +336,17 @@
         The tasks that share a machine share one fetch of their image.
         """
         spec = job.spec
+        alone = self.sharing is None
         left = None
         if self._book.limited(spec.team):
             left = self._book.headroom(spec.team)
-        while job.free and fitting:
+        while job.free and fitting and (alone or job.part > 0):
             place = self._random.randrange(len(fitting))
             listing = fitting[place]
             fitting[place] = fitting[-1]
             fitting.pop()
             tasks = None
-            while job.free and fits(need, listing.room):
+            while job.free and fits(need, listing.room) and (alone or job.part > 0):
                 if zoned and not self._zone_allowed(job, listing.zone):
                     break
                 if job.doubtful and job.startable() <= 0:
@@ -333,6 +358,7 @@
                 if tasks is None:
                     tasks = starts.setdefault(listing.id, {}).setdefault(job, [])
                 listing.take(need)
+                job.part -= 1
                 tasks.append(self._book.bind(job, listing.id, listing.zone))
 
     def _finish(self, waiting, starts):
@@ -387,6 +413,8 @@
         for job in coming:
             if job.free and not job.doubtful:
                 self._add_row(rows, job, False)
+        if self.sharing is not None:
+            rows = dict(sorted(rows.items(), key=lambda item: item[1][3]))
         demand = {key: row[0] for key, row in rows.items()}
         if demand == self._demand:
             return
@@ -405,15 +433,30 @@
             self._send(label, frame)
 
     def _add_row(self, rows, job, startable):
+        for count, rank, place in self._parts(job, startable):
+            self._add_part(rows, job, startable, count, rank, place)
+
+    def _parts(self, job, startable):
+        """(tasks, urgency, place in the queue) of what waits of a job: where teams share, what is
+        within its team's guarantee, and the rest as far as its limit leaves room for it."""
+        rank = DOUBTFUL if job.doubtful else job.rank
         count = job.startable()
+        if self.sharing is None or not startable:
+            return ((count, rank, job.place),)
+        sure = min(job.sure, count)
+        more = min(count, times(job.need, self._book.headroom(job.spec.team))) - sure
+        parts = ((sure, rank, job.place), (more, rank + BORROWED, job.later))
+        return [part for part in parts if part[0] > 0]
+
+    def _add_part(self, rows, job, startable, count, rank, place):
         # A group's tasks are of use only side by side: without a run time the renter
         # finds room for all of them at once.
         work = 0.0 if job.spec.kind == "group" else count * job.spec.estimate_s
         slack = self.slack(job)
-        shape = (DOUBTFUL, *job.shape[1:]) if job.doubtful else job.shape
+        shape = (rank, *job.shape[1:])
         row = rows.get((shape, startable))
         if row is None:
-            rows[shape, startable] = [count, work, slack, job.place]
+            rows[shape, startable] = [count, work, slack, place]
         else:
             row[0] += count
             row[1] += work
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -167,14 +167,21 @@
 
     def capacity(self):
         """The CPUs of all machines heard of that fall to one controller."""
-        cpus = sum(
-            count * self.types[type_name].cpus
-            for rows in self.fleet.values()
-            for type_name, _zone, _spot, count, *_free in rows
-            if type_name in self.types
-        )
+        cpus = self.totals()[0]
         return cpus / max(1, len(self._member.term.members)) if self._member.joined else 0.0
 
+    def totals(self):
+        """(cpus, gpus, memory) of all machines heard of."""
+        cpus = gpus = memory = 0.0
+        for rows in self.fleet.values():
+            for type_name, _zone, _spot, count, *_free in rows:
+                kind = self.types.get(type_name)
+                if kind is not None:
+                    cpus += count * kind.cpus
+                    gpus += count * kind.gpus
+                    memory += count * kind.memory
+        return cpus, gpus, memory
+
     # Renting
 
     @property
--- /dev/null
+++ b/roadhead/gateway/admin_api.py
@@ -0,0 +1,337 @@
+"""The administration API: tenants and keys. Every change is a compare-and-set of one record."""
+
+import re
+
+from roadhead.gateway.answers import NOT_SURE, UNKNOWN_KEY, Refused
+from roadhead.gateway.routes import Route, Routes
+from roadhead.gateway.tenants_api import authenticate
+from roadhead.gateway.types import (
+    KeyList,
+    KeyView,
+    NewKey,
+    NewTenant,
+    Rotation,
+    Suspension,
+    TenantChange,
+    TenantPage,
+    TenantView,
+    Usage,
+)
+from roadhead.state.client import Conflict, Unavailable, Unsure
+from roadhead.tenants.ids import MOST_TENANTS
+from roadhead.tenants.records import (
+    ADMIN_SCOPES,
+    ADMINISTRATORS,
+    NAME,
+    NEXT,
+    REMOVED,
+    REMOVING,
+    TENANT_SCOPES,
+    Contradiction,
+    Tenant,
+    from_record,
+    key_of,
+    transit,
+)
+
+READ, WRITE, KEYS = ADMIN_SCOPES
+TRIES = 8
+ETAG = re.compile(r'\s*(?:W/)?"([0-9]{1,18})"\s*\Z')
+BASE = "/admin/v1"
+TENANTS = f"{BASE}/tenants"
+ONE = f"{TENANTS}/{{name}}"
+
+ROUTES = Routes([
+    Route("POST", TENANTS, "create", WRITE, NewTenant, TenantView, 201, "Create a tenant"),
+    Route("GET", TENANTS, "list", READ, None, TenantPage, 200, "List tenants", ("state", "after", "limit")),
+    Route("GET", ONE, "show", READ, None, TenantView, 200, "A tenant"),
+    Route("PATCH", ONE, "change", WRITE, TenantChange, TenantView, 200, "Change teams, limits or weight"),
+    Route("POST", f"{ONE}/suspend", "suspend", WRITE, Suspension, TenantView, 200, "Suspend a tenant"),
+    Route("POST", f"{ONE}/resume", "resume", WRITE, None, TenantView, 200, "Resume a tenant"),
+    Route("DELETE", ONE, "remove", WRITE, None, TenantView, 202, "Remove a tenant and all it has"),
+    Route("GET", f"{ONE}/usage", "usage", READ, None, Usage, 200, "What a tenant holds now"),
+    Route("GET", f"{ONE}/keys", "keys", KEYS, None, KeyList, 200, "A tenant's keys"),
+    Route("POST", f"{ONE}/keys", "new_key", KEYS, NewKey, KeyView, 201, "Make a key"),
+    Route("POST", f"{ONE}/keys/{{key}}/rotate", "rotate", KEYS, Rotation, KeyView, 201,
+          "A new key in place of an old one, which stays good for a while"),
+    Route("DELETE", f"{ONE}/keys/{{key}}", "revoke", KEYS, None, None, 204, "Revoke a key"),
+    Route("GET", f"{BASE}/administrators/keys", "admin_keys", KEYS, None, KeyList, 200, "Administrators' keys"),
+    Route("POST", f"{BASE}/administrators/keys", "new_admin_key", KEYS, NewKey, KeyView, 201,
+          "Make an administrator's key"),
+    Route("DELETE", f"{BASE}/administrators/keys/{{key}}", "revoke_admin_key", KEYS, None, None, 204,
+          "Revoke an administrator's key"),
+    Route("GET", f"{BASE}/openapi.json", "document", None, None, None, 200, "This API as OpenAPI"),
+])
+
+
+class AdminApi:
+    """`usage(entry)` tells what a tenant holds (gateway/tenants_api.py)."""
+
+    def __init__(self, table, secrets, state, time_of_day, usage, overlap_s):
+        self._table = table
+        self._secrets = secrets
+        self._state = state
+        self._time_of_day = time_of_day
+        self._usage_of = usage
+        self._overlap_s = overlap_s
+
+    async def handle(self, request):
+        """(status, message, version or None) of a request. Raises Refused."""
+        route, values = ROUTES.find(request)
+        if route.scope is None:
+            return 200, ROUTES.document("roadhead administration"), None
+        self._authorize(request.key(), route.scope)
+        request_key = request.request_key()
+        try:
+            return await getattr(self, f"_{route.name}")(request, request_key, **values)
+        except (Unavailable, Unsure):
+            raise NOT_SURE from None
+        except Contradiction as error:
+            raise Refused(422, "what is asked for contradicts itself", faults=error.faults) from None
+
+    def _authorize(self, text, scope):
+        if self._secrets.is_root(text):
+            return
+        entry, key = authenticate(self._table, self._secrets, text, self._time_of_day())
+        if entry.tenant.number != ADMINISTRATORS:
+            raise UNKNOWN_KEY  # a tenant's key is unknown here
+        if scope not in key.scopes:
+            raise Refused(403, f"the key's scopes do not hold {scope!r}")
+
+    # Reading
+
+    async def _load(self, name):
+        """(Tenant, stamp) by name, as stored now. Raises Refused 404 or 410."""
+        number, _stamp = await self._state.get(NAME + name) if name.isascii() and name.replace(
+            "-", "").isalnum() else (None, 0)
+        if number is None:
+            raise Refused(404, "no such tenant")
+        tenant, stamp = await self._load_number(number)
+        if tenant.state == REMOVED:
+            raise Refused(410, "the tenant is removed")
+        return tenant, stamp
+
+    async def _load_number(self, number):
+        record, stamp = await self._state.get(key_of(number))
+        if record is None:
+            raise NOT_SURE
+        self._table.take(key_of(number), record, stamp)
+        return from_record(record), stamp
+
+    async def _show(self, _request, _key, name):
+        tenant, _stamp = await self._load(name)
+        return 200, view(tenant), tenant.version
+
+    async def _list(self, request, _key):
+        limit = request.count("limit", 100, 500)
+        after = request.query.get("after", "0")
+        if not after.isdigit():
+            raise Refused(400, "after: what a page gave as next")
+        state = request.query.get("state")
+        found = []
+        entries = self._table.entries  # a snapshot, however long this takes
+        for number in sorted(number for number in entries if number > int(after[:9])):
+            tenant = entries[number].tenant
+            if tenant.state != state if state else tenant.state == REMOVED:
+                continue
+            if len(found) == limit:
+                return 200, TenantPage(found, str(found[-1].number)), None
+            found.append(view(tenant))
+        return 200, TenantPage(found, None), None
+
+    async def _usage(self, _request, _key, name):
+        tenant, _stamp = await self._load(name)
+        return 200, await self._usage_of(self._table.entry(tenant.number)), None
+
+    async def _keys_of(self, tenant):
+        now = self._time_of_day()
+        return 200, KeyList([KeyView(key.id, key.scopes, key.label, key.until) for key in tenant.keys
+                             if tenant.key(key.id, now)]), tenant.version
+
+    # Changing
+
+    async def _store(self, tenant, stamp, conditions=(), writes=()):
+        """Writes a version over the one with `stamp`. Raises Conflict, Unsure, Unavailable."""
+        tenant.check()
+        key = key_of(tenant.number)
+        revision = await self._state.multi(
+            [(key, stamp), *conditions], [{"put": key, "data": tenant.to_record()}, *writes])
+        self._table.take(key, tenant.to_record(), revision)
+
+    async def _apply(self, load, request_key, change):
+        """Loads, changes and stores a tenant until nobody came between; the stored Tenant.
+
+        `change(tenant)` gives the next version, or the same one if nothing is left to do. A
+        repeated request finds its request key in the record and changes nothing.
+        """
+        for _ in range(TRIES):
+            tenant, stamp = await load()
+            if request_key and request_key in tenant.requests:
+                return tenant
+            new = change(tenant)
+            if new is tenant:
+                return tenant
+            try:
+                await self._store(new, stamp)
+                return new
+            except Conflict:
+                continue
+            except Unsure:
+                if not request_key:
+                    raise
+        raise NOT_SURE
+
+    async def _create(self, request, request_key):
+        wanted = request.read(NewTenant)
+        Tenant(1, wanted.name, teams=wanted.teams, limits=wanted.limits, weight=wanted.weight).check()
+        for _ in range(TRIES):
+            named, name_stamp = await self._state.get(NAME + wanted.name)
+            if named is not None:
+                tenant, _stamp = await self._load_number(named)
+                if request_key and request_key in tenant.requests:
+                    return 201, view(tenant), tenant.version
+                if tenant.state != REMOVED:
+                    raise Refused(409, "the name is taken")
+            number, number_stamp = await self._state.get(NEXT)
+            number = number or 1
+            if number > MOST_TENANTS:
+                raise Refused(422, "no numbers are left: each is given once")
+            tenant = Tenant(number, wanted.name, teams=wanted.teams, limits=wanted.limits,
+                            weight=wanted.weight, requests={request_key: 1} if request_key else {})
+            try:
+                await self._store(tenant, 0, [(NAME + wanted.name, name_stamp), (NEXT, number_stamp)], [
+                    {"put": NAME + wanted.name, "data": number}, {"put": NEXT, "data": number + 1}])
+                return 201, view(tenant), tenant.version
+            except (Conflict, Unsure) as error:
+                if isinstance(error, Unsure) and not request_key:
+                    raise
+        raise NOT_SURE
+
+    async def _change(self, request, request_key, name):
+        match = ETAG.match(request.headers.get("if-match", ""))
+        if match is None:
+            raise Refused(428, 'If-Match: "VERSION" is needed, as the ETag of a tenant gives it')
+        wanted = request.read(TenantChange)
+        fields = {field: getattr(wanted, field) for field in wanted.__struct_fields__
+                  if getattr(wanted, field) is not None}
+
+        def change(tenant):
+            if tenant.version != int(match[1]):
+                raise Refused(412, f"the version is {tenant.version} by now")
+            if tenant.state == REMOVING:
+                raise Refused(410, "the tenant is being removed")
+            return tenant.changed(request_key, **fields)
+
+        tenant = await self._apply(lambda: self._load(name), request_key, change)
+        return 200, view(tenant), tenant.version
+
+    async def _transit(self, name, request_key, verb, **more):
+        def change(tenant):
+            new = transit(tenant, verb, request_key, **more)
+            if new is None:
+                raise Refused(410 if tenant.state == REMOVING else 409, f"the tenant is {tenant.state}")
+            return new
+
+        tenant = await self._apply(lambda: self._load(name), request_key, change)
+        return view(tenant), tenant.version
+
+    async def _suspend(self, request, request_key, name):
+        wanted = request.read(Suspension)
+        return 200, *await self._transit(name, request_key, "suspend", running=wanted.running)
+
+    async def _resume(self, _request, request_key, name):
+        return 200, *await self._transit(name, request_key, "resume")
+
+    async def _remove(self, _request, request_key, name):
+        return 202, *await self._transit(name, request_key, "remove")
+
+    # Keys
+
+    async def _administrators(self):
+        record, stamp = await self._state.get(key_of(ADMINISTRATORS))
+        return (from_record(record) if record else Tenant(ADMINISTRATORS, "administrators"), stamp)
+
+    async def _make_key(self, load, request, request_key, scopes):
+        wanted = request.read(NewKey)
+        unknown = sorted(set(wanted.scopes) - set(scopes))
+        if unknown:
+            raise Refused(422, f"scopes: of {', '.join(scopes)}")
+        return await self._add_key(load, request_key, lambda tenant: (wanted.scopes, wanted.label, tenant))
+
+    async def _add_key(self, load, request_key, ask):
+        """Makes a key; `ask(tenant)` gives (scopes, label, the tenant to add it to)."""
+        told = []
+
+        def change(tenant):
+            scopes, label, tenant = ask(tenant)
+            text, digest = self._secrets.new_key(tenant.number, tenant.next_key, request_key)
+            new, key = tenant.with_key(digest, scopes, label, self._time_of_day(), request_key)
+            told[:] = [text, key]
+            return new
+
+        tenant = await self._apply(load, request_key, change)
+        made = tenant.key_of_request(request_key)
+        if made is not None:
+            text, _digest = self._secrets.new_key(tenant.number, made.id, request_key)
+        elif told and tenant.keys and tenant.keys[-1] == told[1]:
+            text, made = told
+        else:
+            raise Refused(409, "the request made another key, which is gone")
+        return 201, KeyView(made.id, made.scopes, made.label, made.until, text), tenant.version
+
+    async def _end_key(self, load, key, request_key, until):
+        number = int(key) if key.isascii() and key.isdigit() and len(key) < 10 else -1
+
+        def change(tenant):
+            return tenant.ending_key(number, until, request_key) if any(
+                known.id == number for known in tenant.keys) else tenant
+
+        return await self._apply(load, request_key, change)
+
+    async def _keys(self, _request, _key, name):
+        tenant, _stamp = await self._load(name)
+        return await self._keys_of(tenant)
+
+    async def _new_key(self, request, request_key, name):
+        return await self._make_key(lambda: self._load_living(name), request, request_key, TENANT_SCOPES)
+
+    async def _load_living(self, name):
+        tenant, stamp = await self._load(name)
+        if tenant.state == REMOVING:
+            raise Refused(410, "the tenant is being removed")
+        return tenant, stamp
+
+    async def _rotate(self, request, request_key, name, key):
+        wanted = request.read(Rotation)
+        overlap_s = self._overlap_s if wanted.overlap_s is None else wanted.overlap_s
+        now = self._time_of_day()
+
+        def ask(tenant):
+            old = tenant.key(int(key) if key.isascii() and key.isdigit() and len(key) < 10 else -1, now)
+            if old is None:
+                raise Refused(404, "no such key")
+            # One version does both: there is no moment with neither key.
+            ending = tenant.ending_key(old.id, now + overlap_s) if overlap_s else tenant.ending_key(old.id, 0)
+            return old.scopes, old.label, from_record({**ending.to_record(), "version": tenant.version})
+
+        return await self._add_key(lambda: self._load_living(name), request_key, ask)
+
+    async def _revoke(self, _request, request_key, name, key):
+        tenant = await self._end_key(lambda: self._load(name), key, request_key, 0)
+        return 204, None, tenant.version
+
+    async def _admin_keys(self, _request, _key):
+        tenant, _stamp = await self._administrators()
+        return await self._keys_of(tenant)
+
+    async def _new_admin_key(self, request, request_key):
+        return await self._make_key(self._administrators, request, request_key, ADMIN_SCOPES)
+
+    async def _revoke_admin_key(self, _request, request_key, key):
+        tenant = await self._end_key(self._administrators, key, request_key, 0)
+        return 204, None, tenant.version
+
+
+def view(tenant):
+    return TenantView(tenant.name, tenant.number, tenant.state, tenant.version, tenant.running,
+                      tenant.teams, tenant.limits, tenant.weight)
--- /dev/null
+++ b/roadhead/gateway/gateway.py
@@ -0,0 +1,86 @@
+"""A gateway: two addresses, two APIs, no state of its own. Wires the parts of this package."""
+
+import logging
+import random
+import time
+
+from roadhead.gateway.admin_api import AdminApi
+from roadhead.gateway.answers import NOT_SURE, Refused, Request, answer, problem
+from roadhead.gateway.controllers import Controllers
+from roadhead.gateway.tenants_api import TenantsApi
+from roadhead.gateway.watch import Watch
+from roadhead.state.client import StateClient
+from roadhead.tenants.keys import Secrets
+from roadhead.tenants.table import Table
+from roadhead.wire import http
+
+log = logging.getLogger("roadhead.gateway")
+
+PATIENCE_S = 10.0  # for a request begun to be whole
+
+
+class Gateway:
+    """`time_of_day` within the deployment's bound: keys end and requests are signed by it."""
+
+    def __init__(self, loop, net, hosted, rng=None, time_of_day=time.time):
+        self._loop = loop
+        self._net = net
+        self._hosted = hosted
+        self._streams = {"tenants": 0, "administration": 0}
+        self.table = Table()
+        secrets = Secrets(hosted.master)
+        self.state = StateClient(loop, net, hosted.cluster.state, hosted.gateway_limits(), 1)
+        self.watch = Watch(loop, self.state, self.table, hosted.stale_s)
+        controllers = Controllers(loop, net, hosted.cluster.controllers, secrets,
+                                  lambda: self.watch.term, time_of_day, rng or random.Random())
+        self._tenants = TenantsApi(loop, self.table, secrets, controllers, self.state, time_of_day)
+        self._administration = AdminApi(self.table, secrets, self.state, time_of_day,
+                                        self._tenants.usage, hosted.overlap_s)
+
+    def start(self):
+        gateway = self._hosted.gateway
+        self._loop.spawn(self.watch.run(), "watch")
+        self._net.listen(gateway.tenants, self._accepting("tenants", self._serve_tenants))
+        self._net.listen(gateway.administration,
+                         self._accepting("administration", self._serve_administration))
+
+    def _accepting(self, name, handle):
+        async def serve(stream):
+            try:
+                await http.serve(self._loop, stream, handle, PATIENCE_S)
+            finally:
+                self._streams[name] -= 1
+
+        def accept(stream):
+            if self._streams[name] >= self._hosted.gateway.connections:
+                stream.close()
+                return
+            self._streams[name] += 1
+            self._loop.spawn(serve(stream), name)
+
+        return accept
+
+    async def _serve_tenants(self, message):
+        async def handle(request):
+            return *await self._tenants.handle(request), None
+
+        return await self._answer(message, handle)
+
+    async def _serve_administration(self, message):
+        return await self._answer(message, self._administration.handle)
+
+    async def _answer(self, message, handle):
+        request = Request(message)
+        if request.parts == ["ready"]:
+            return (200 if self.watch.fresh() else 503), b"", None
+        try:
+            if not self.watch.fresh():
+                raise NOT_SURE
+            status, value, version = await handle(request)
+        except Refused as refused:
+            return problem(refused, request.media)
+        except Exception:  # whatever it was, its text is for the log, not for the asker
+            log.exception("%s %s failed", request.method, "/".join(request.parts[:3]))
+            return problem(Refused(500, "a fault of ours"), request.media)
+        headers = [("ETag", f'"{version}"')] if version is not None else []
+        return answer(status, value, request.media, headers)
--- /dev/null
+++ b/roadhead/gateway/tenants_api.py
@@ -0,0 +1,199 @@
+"""The tenants' API: their own jobs, by their own ids. Nothing here names anybody else."""
+
+from roadhead.gateway.answers import NOT_SURE, UNKNOWN_KEY, Refused
+from roadhead.gateway.routes import Route, Routes
+from roadhead.gateway.types import ClassRow, Job, JobPage, Submission, TeamUse, Usage
+from roadhead.jobs.job import FINAL, KEY, SHELF
+from roadhead.state.client import Unavailable, Unsure
+from roadhead.tenants import admission, ids
+from roadhead.tenants.keys import split_key
+from roadhead.tenants.records import ADMINISTRATORS
+from roadhead.wire import messages
+
+PAGE, PAGE_MOST = 100, 500
+PATIENCE_S = 4.0
+# What a controller may say of a submission that can never run: nothing else is passed on.
+REASONS = ("unknown team", "more than the team's limit", "fits no machine type")
+TEXTS = (admission.TOO_FAST, admission.TOO_MANY_JOBS, admission.TOO_MANY_TASKS,
+         admission.TOO_MUCH_AT_ONCE, admission.RESTING.text, admission.GONE.text)
+
+ROUTES = Routes([
+    Route("POST", "/v1/jobs", "submit", "submit", Submission, Job, 201,
+          "Submit a job; the same id again is the same job, also through another gateway"),
+    Route("GET", "/v1/jobs", "list", "read", None, JobPage, 200, "List jobs",
+          ("state", "class", "team", "after", "limit")),
+    Route("GET", "/v1/jobs/{id}", "status", "read", None, Job, 200, "A job's state"),
+    Route("POST", "/v1/jobs/{id}/cancel", "cancel", "cancel", None, Job, 200, "Cancel a job"),
+    Route("GET", "/v1/summary", "summary", "read", None, Usage, 200,
+          "What is held and waits, by team and class"),
+    Route("GET", "/v1/openapi.json", "document", None, None, None, 200, "This API as OpenAPI"),
+])
+
+
+def authenticate(table, secrets, text, now):
+    """(Entry, Key) of an access key. Raises Refused, the same for unknown and revoked ones."""
+    named = split_key(text)
+    entry = table.entry(named[0]) if named is not None else None
+    key = entry.tenant.key(named[1], now) if entry is not None else None
+    if not secrets.good(text, key):
+        raise UNKNOWN_KEY
+    return entry, key
+
+
+class TenantsApi:
+    def __init__(self, loop, table, secrets, controllers, state, time_of_day):
+        self._table = table
+        self._secrets = secrets
+        self._controllers = controllers
+        self._state = state
+        self._time_of_day = time_of_day
+        self._rates = admission.Rates(loop)
+
+    async def handle(self, request):
+        """(status, message) of a request. Raises Refused."""
+        route, values = ROUTES.find(request)
+        if route.scope is None:
+            return 200, ROUTES.document("roadhead for tenants")
+        entry, key = authenticate(self._table, self._secrets, request.key(), self._time_of_day())
+        if entry.tenant.number == ADMINISTRATORS:
+            raise UNKNOWN_KEY  # administrators have no jobs
+        if route.scope not in key.scopes:
+            raise Refused(403, f"the key's scopes do not hold {route.scope!r}")
+        number = entry.tenant.number
+        if "id" in values:
+            try:
+                job_id = ids.to_job(number, values["id"])
+            except ValueError:
+                raise Refused(404, "no such job") from None
+        if route.name == "submit":
+            return await self._submit(entry, request)
+        if route.name == "list":
+            return 200, await self._list(number, request)
+        if route.name == "summary":
+            return 200, await self.usage(entry)
+        if route.name == "status":
+            return await self._told(number, values["id"], "GET", f"/v1/jobs/{job_id}", 2.0)
+        return await self._told(number, values["id"], "POST", f"/v1/jobs/{job_id}/cancel", PATIENCE_S)
+
+    async def _told(self, number, own, method, target, within_s, body=b""):
+        """(status, Job) by what a controller says of the tenant's job. Raises Refused."""
+        status, answer, headers = await self._controllers.ask(number, method, target, body, within_s)
+        if status in (200, 201):
+            if answer.get("id") != ids.to_job(number, own):
+                raise NOT_SURE  # never somebody else's
+            return status, Job(own, answer["status"], answer.get("done"), answer.get("running"))
+        text = answer.get("error")
+        if status == 404:
+            raise Refused(404, "no such job")
+        if status == 422:
+            raise Refused(422, text if text in REASONS else "can never run")
+        if status in (403, 410, 429) and text in TEXTS:
+            wait = headers.get("retry-after", "1")
+            raise Refused(status, text, int(wait) if status == 429 and wait.isdigit() else None)
+        raise NOT_SURE
+
+    async def _submit(self, entry, request):
+        tenant = entry.tenant
+        submission = request.read(Submission)
+        number = tenant.number
+        job_id = ids.to_job(number, submission.id)
+        resting = admission.standing(tenant)
+        if resting is not None:
+            try:  # what was accepted before is known as ever
+                return await self._told(number, submission.id, "GET", f"/v1/jobs/{job_id}", 2.0)
+            except Refused as refused:
+                if refused.status != 404:
+                    raise
+            raise Refused(*resting)
+        refusal = self._rates.take(tenant)
+        if refusal is not None:
+            raise Refused(*refusal)
+        if tenant.team(submission.team) is None:
+            raise Refused(422, "unknown team")
+        body = messages.encode(submission.to_protocol(job_id, ids.to_team(number, submission.team)))
+        return await self._told(number, submission.id, "POST", "/v1/jobs", PATIENCE_S, body)
+
+    async def _list(self, number, request):
+        """One page, read from the state service: the open jobs' place first, then the shelf."""
+        limit = request.count("limit", PAGE, PAGE_MOST)
+        state = request.query.get("state")
+        if state not in (None, "open", *FINAL):
+            raise Refused(400, "state: open, done or cancelled")
+        wanted = {name: request.query.get(name) for name in ("class", "team")}
+        place, after = self._cursor(number, request.query.get("after", ""))
+        found = []
+        # A filter may pass over much: a request reads a bounded number of pages all the same.
+        for _ in range(4):
+            prefix = place + ids.prefix(number)
+            try:
+                items, more, _revision = await self._state.page(prefix, after, PAGE_MOST)
+            except (Unavailable, Unsure):
+                raise NOT_SURE from None
+            for key, record, _stamp in items:
+                after = key
+                job = job_of(number, key[len(place):], record)
+                if job is None or (state and state != (job.status if job.status in FINAL else "open")):
+                    continue
+                if any(value and value != getattr(job, "klass" if name == "class" else name)
+                       for name, value in wanted.items()):
+                    continue
+                found.append(job)
+                if len(found) == limit:
+                    return JobPage(found, self._next(place, after))
+            if not more:
+                if place == SHELF:
+                    return JobPage(found, None)
+                place, after = SHELF, ""
+        return JobPage(found, self._next(place, after))
+
+    @staticmethod
+    def _next(place, after):
+        own = ids.from_job(after[len(place):]) if after else None
+        return f"{place[0]}.{own[1] if own else ''}"
+
+    @staticmethod
+    def _cursor(number, text):
+        """(place, key after which to go on) of what `next` of a page said."""
+        if not text:
+            return KEY, ""
+        place, dot, own = text.partition(".")
+        if f"{place}/" not in (KEY, SHELF) or not dot:
+            raise Refused(400, "after: what a page gave as next")
+        try:
+            return f"{place}/", f"{place}/{ids.to_job(number, own)}" if own else ""
+        except ValueError:
+            raise Refused(400, "after: what a page gave as next") from None
+
+    async def usage(self, entry):
+        """What a tenant holds, by all controllers that answer."""
+        answers = await self._controllers.ask_all(f"/v1/tenants/{entry.tenant.number}")
+        teams = {team.name: TeamUse(team.name) for team in entry.tenant.teams}
+        classes = {}
+        for answer in answers:
+            for name, (cpus, gpus, memory, tasks, jobs, waiting) in answer["teams"].items():
+                use = teams.setdefault(name, TeamUse(name))
+                use.cpus += cpus
+                use.gpus += gpus
+                use.memory_gb += memory
+                use.tasks += tasks
+                use.open_jobs += jobs
+                use.waiting_tasks += waiting
+            for klass, running, at_risk in answer["classes"]:
+                row = classes.setdefault(klass, ClassRow(klass, 0, 0))
+                row.open += running
+                row.at_risk += at_risk
+        return Usage(list(teams.values()), [row for _name, row in sorted(classes.items())],
+                     any(answer["warden"] for answer in answers))
+
+
+def job_of(number, job_id, record):
+    """A Job by its stored record, or None for a record that is not one of the tenant's jobs."""
+    named = ids.from_job(job_id)
+    if named is None or named[0] != number:
+        return None
+    if record["s"] in FINAL:
+        return Job(named[1], record["s"], record["d"], tasks=record["n"])
+    spec, done = record["spec"], record["done"]
+    count = sum(done[1::2]) - sum(done[0::2])
+    return Job(named[1], "running" if count else "pending", count, None, spec["legs"], spec["jobclass"],
+               ids.from_team(spec["crew"])[1])
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -255,6 +255,15 @@
         return orders, launches
 
 
+def times(need, room):
+    """How many tasks of `need` fit in `room`; where it names fewer amounts, those count."""
+    most = 1 << 30
+    for part, free in zip(need, room, strict=False):
+        if part > 0:
+            most = min(most, int((free + 1e-6) / part))
+    return max(0, most)
+
+
 def fits(need, room):
     return (
         need[0] <= room[0] + 1e-6 and need[1] <= room[1] + 1e-6 and need[2] <= room[2] + 1e-6
--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -3,7 +3,7 @@
 No sockets here: frames from controllers come in as calls, frames go out through `send`.
 """
 
-from roadhead.homes.machine import fits
+from roadhead.homes.machine import fits, times
 from roadhead.wire import frames
 
 PART_MARGIN = 1.2  # what others have parked was told a while ago
@@ -37,15 +37,6 @@
     )
 
 
-def times_fitting(row, room):
-    """How many tasks of a row fit in `room`."""
-    most = 1 << 30
-    for need, free in zip(row[CPUS : MEMORY + 1], room, strict=True):
-        if need > 0:
-            most = min(most, int((free + 1e-6) / need))
-    return most
-
-
 class Demand:
     """What waits at a controller: rows in its queue order, and the length of its idle list."""
 
@@ -62,7 +53,7 @@
         left = machine.room()
         for row in self.rows:
             if row_fits(row, machine, left):
-                count = min(row[COUNT], times_fitting(row, left))
+                count = min(row[COUNT], times(row[CPUS : MEMORY + 1], left))
                 row[COUNT] -= count
                 self.left -= count
                 left = (left[0] - count * row[CPUS], left[1] - count * row[GPUS],
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -6,8 +6,9 @@
 
 import logging
 
-from roadhead.jobs.job import FINAL, Binding, Job, from_record
+from roadhead.jobs.job import FINAL, NOBODY, Binding, Job, from_record
 from roadhead.jobs.recorder import LATER, SOON, URGENT
+from roadhead.jobs.teams import Accounts
 from roadhead.runtime.loop import Future
 from roadhead.wire import frames
 
@@ -15,12 +16,12 @@
 
 CANCEL = "c/x/"
 MAX_FINALS = 20000
-NOBODY = ("", 0)
+NO_ROOM = (-1.0, -1.0)  # not even for a task that takes nothing
 
 
 class Book:
     def __init__(self, loop, member, recorder_of, send, changed, counters, time_of_day, lease_s,
-                 on_finished, limits, on_orphan, shelve):
+                 on_finished, teams, on_orphan, shelve):
         self._loop = loop
         self._member = member
         self._send = send
@@ -29,7 +30,9 @@
         self._time_of_day = time_of_day
         self._lease_s = lease_s
         self._on_finished = on_finished
-        self._limits = limits  # team -> (cpus, gpus) that it may use at most; 0 is no limit
+        self.teams = teams
+        self.accounts = Accounts(teams)
+        self.warden_since = {}  # slot of wardens held here -> number of the term that gave it
         self._on_orphan = on_orphan
         self._shelve = shelve  # (job id, final record, its stamp)
         self.scanned = 0  # number of the term for which all records were read
@@ -64,7 +67,7 @@
         if pending is None:
             pending = self._creating[spec.id] = Future()
             owner = self._me
-            if spec.team in self._limits and self._member.term.warden != self._member.label:
+            if not self.owns(spec.team):
                 owner = NOBODY  # the warden takes it over
             job = self._new[spec.id] = Job(spec, owner, self._time_of_day())
             self.recorder.mark(job, URGENT)
@@ -84,7 +87,6 @@
             pending.set((True, None))
             return
         if job in self._adopting:
-            self._adopting.discard(job)
             self._begin(job)
             if not self._adopted:
                 self._loop.call_soon(self._sync_adopted)
@@ -98,46 +100,70 @@
 
     def _created(self, job):
         if job.owner == NOBODY:
-            self._on_orphan(job.id)
+            self._on_orphan(job)
         else:
             self._begin(job)
 
     # Limits
 
+    def owns(self, team):
+        """Whether jobs of the team may be owned here: those of a limited one are its warden's."""
+        group = self.teams.group(team)
+        return group is None or self._member.term.warden(group) == self._member.label
+
+    def on_term(self, old, new):
+        """Which slots of wardens are held here, and since which term."""
+        label = self._member.label
+        same = old is not None and old.incarnation(label) == new.incarnation(label)
+        held = {slot for slot, warden in enumerate(old.wardens) if warden == label} if same else set()
+        self.warden_since = {
+            slot: self.warden_since.get(slot, new.number) if slot in held else new.number
+            for slot, warden in enumerate(new.wardens) if warden == label
+        }
+
     def headroom(self, team):
         """How many (cpus, gpus) the tasks of a limited team may still take.
 
-        The warden alone starts them, and only while it knows of every task of the team that
-        may be on a machine: until then there is none.
+        The warden alone starts them, and only while it knows of every task of the group that
+        may be on a machine: until then there is none. A slot held since a term for which all
+        records were read has no jobs but those that are owned here, whatever changed since.
         """
-        if self._member.term.warden != self._member.label:
-            return (0.0, 0.0)
-        if self.scanned != self._member.term.number or any(
-            job.spec.team in self._limits for job in self._adopting
-        ):
-            return (0.0, 0.0)
-        used = [0.0, 0.0]
-        for job in self.jobs.values():
-            if job.spec.team == team:
-                if job.unsynced:
-                    return (0.0, 0.0)
-                held = sum(binding.status != "exited" for binding in job.bound.values())
-                used[0] += held * job.spec.cpus
-                used[1] += held * job.spec.gpus
-        return tuple(
-            most - taken if most else float("inf")
-            for most, taken in zip(self._limits[team], used, strict=True)
-        )
+        term = self._member.term
+        group = self.teams.group(team)
+        since = self.warden_since.get(term.slot(group))
+        account = self.accounts.get(group)
+        levels = self.teams.levels(team)
+        if since is None or self.scanned < since or levels is None or (account and account.unsure):
+            return NO_ROOM
+        left = [float("inf"), float("inf")]
+        for name, limits in levels:
+            account = self.accounts.get(name)
+            for place, most in enumerate(limits):
+                if most:
+                    held = account.held[place] if account is not None else 0.0
+                    left[place] = min(left[place], most - held)
+        return tuple(left)
 
     @property
     def has_limits(self):
-        return bool(self._limits)
+        return self.teams.limited
 
     def limited(self, team):
-        return team in self._limits
+        return self.teams.group(team) is not None
+
+    def _leave(self, job):
+        """The job is no longer among those owned here."""
+        if self.jobs.pop(job.id, None) is not None:
+            self.accounts.leave(job)
+            return True
+        return False
 
     def _begin(self, job):
+        self._adopting.discard(job)
         self.jobs[job.id] = job
+        self.accounts.enter(job)
+        if job.unsynced:
+            self.accounts.unsure(job)
         self.version += 1
         self.seen[job.spec.klass] = self.seen.get(job.spec.klass, 0) + 1
         self._changed()
@@ -148,7 +174,7 @@
         self._shelve(job.id, record, job.stamp)
         self.recorder.unmark(job)
         if record["s"] == "done":
-            if self.jobs.pop(job.id, None) is not None:
+            if self._leave(job):
                 self._on_finished(job, self._time_of_day())
             self._forget(job.id, job.bound.items())
             job.bound.clear()
@@ -178,7 +204,7 @@
             self.recorder.unmark(job)
             return
         if record["s"] in FINAL:
-            self._adopting.discard(job)
+            self._drop_adopting(job)
             self.recorder.unmark(job)
             if record["s"] == "done":
                 job.stamp = stamp
@@ -193,11 +219,16 @@
             job.stamp = stamp
             return
         log.info("job %s belongs to %s now", job.id, record["o"])
-        self._adopting.discard(job)
+        self._drop_adopting(job)
         self.recorder.unmark(job)
-        self.jobs.pop(job.id, None)
+        self._leave(job)
         self.version += 1
 
+    def _drop_adopting(self, job):
+        if job in self._adopting:
+            self._adopting.discard(job)
+            self.accounts.sure(job)
+
     # Taking over
 
     def knows(self, job_id):
@@ -210,6 +241,8 @@
             job = from_record(record, self._me, stamp)
             if job.id not in known:
                 self._adopting.add(job)
+                if job.unsynced:
+                    self.accounts.unsure(job)
                 self.recorder.mark(job, SOON)
 
     def _sync_adopted(self):
@@ -257,7 +290,9 @@
         for job in jobs:
             if label in job.unsynced:
                 job.unsynced.discard(label)
-                ready = ready or not job.unsynced
+                if not job.unsynced:
+                    self.accounts.sure(job)
+                    ready = True
         if ready:
             self._changed()
 
@@ -268,16 +303,45 @@
         index = job.free.pop()
         self.started_at[job.spec.klass] = self._loop.now()
         attempt = self.attempt()
-        job.bound[index] = Binding(machine, zone, attempt, "launching", self._loop.now())
+        binding = job.bound[index] = Binding(machine, zone, attempt, "launching", self._loop.now())
+        self.accounts.hold(job, binding)
         return index, attempt
 
+    def refuse(self, group):
+        """Creations of a group that may not come about: their users are to ask again."""
+        for job in [job for job in self._new.values() if self.teams.group(job.spec.team) == group]:
+            del self._new[job.id]
+            self.recorder.unmark(job)
+            self._creating.pop(job.id).set((False, None))
+
+    def pending(self):
+        """Ids of jobs that are being created."""
+        return self._creating
+
+    def knows_all(self, group):
+        """Whether the warden of a group, this controller, knows of every job of it."""
+        since = self.warden_since.get(self._member.term.slot(group))
+        return since is not None and self.scanned >= since
+
+    def creating(self, group):
+        return sum(self.teams.group(job.spec.team) == group for job in self._new.values())
+
+    def stop_group(self, group):
+        """Running work of a group stops, saved where it can be, and waits."""
+        account = self.accounts.get(group)
+        for job in account.jobs if account is not None else ():
+            for index, binding in job.bound.items():
+                if binding.held and job.state == "open":
+                    self._send_home(binding, frames.Stop(
+                        binding.machine, job.id, index, binding.attempt, job.spec.save_s))
+
     def _unbind(self, job, index):
-        del job.bound[index]
+        self.accounts.let_go(job, job.bound.pop(index))
         if job.state == "open" and index not in job.done:
             job.free.append(index)
             self._changed()
         elif job.state == "cancelled" and not job.bound:
-            self.jobs.pop(job.id, None)
+            self._leave(job)
             self.recorder.drop(CANCEL + job.id)
 
     def on_free(self, frame):
@@ -336,6 +400,10 @@
                       job.spec.klass, self._time_of_day() - job.accepted_at, prepared, machine)
         binding.status = status
         binding.zone = zone
+        if status == "exited":
+            self.accounts.let_go(job, binding)
+        else:
+            self.accounts.hold(job, binding)
         if status != "exited":
             if job.state != "open":
                 self._away(label, key, status)
@@ -435,5 +503,5 @@
         for index, binding in list(job.bound.items()):
             self._send_home(binding, frames.Stop(binding.machine, job_id, index, binding.attempt, 0.0))
         if not job.bound:
-            self.jobs.pop(job_id, None)
+            self._leave(job)
             self.recorder.drop(CANCEL + job_id)
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from roadhead.jobs.ranges import Ranges
+from roadhead.jobs.ranges import Pool, Ranges
 from roadhead.wire import messages
 from roadhead.wire.messages import URGENCIES, JobSpec
 
@@ -10,13 +10,14 @@
 SHELF = "f/"  # where final records are moved to
 RANK = {name: rank for rank, name in enumerate(URGENCIES)}
 FINAL = ("done", "cancelled")
+NOBODY = ("", 0)  # owner of a job that its warden has yet to take over
 TRIES = 2  # tasks at once of a job that seems to fail wherever it runs
 
 
 class Binding:
     """A task's attempt that is, or may be, on a machine."""
 
-    __slots__ = ("at", "attempt", "machine", "status", "zone")
+    __slots__ = ("at", "attempt", "held", "machine", "status", "zone")
 
     def __init__(self, machine, zone, attempt, status, at):
         self.at = at  # when it was bound here
@@ -24,6 +25,7 @@
         self.zone = zone
         self.attempt = attempt
         self.status = status
+        self.held = False  # counted in its team's account
 
 
 class Job:
@@ -34,8 +36,8 @@
     """
 
     __slots__ = ("accepted_at", "aims", "bound", "built", "done", "doubtful", "failed_on", "free", "id",
-                 "not_before", "owner", "pauses", "place", "rank", "room_shape", "saved_count", "shape",
-                 "spec", "stamp", "state", "unsynced", "written_at")
+                 "later", "not_before", "owner", "part", "pauses", "place", "rank", "room_shape",
+                 "saved_count", "shape", "spec", "stamp", "state", "sure", "unsynced", "written_at")
 
     def __init__(self, spec, owner, accepted_at, stamp=0, done=(), inherited=False):
         self.id = spec.id
@@ -45,8 +47,7 @@
         self.stamp = stamp
         self.state = "open"
         self.done = Ranges(done)
-        self.free = list(self.done.missing(spec.tasks))
-        self.free.reverse()
+        self.free = Pool(self.done, spec.tasks)
         self.bound = {}
         self.rank = RANK[spec.urgency]
         self.unsynced = {""} if inherited else set()
@@ -58,6 +59,10 @@
         self.written_at = 0.0
         self.aims = None  # seconds after acceptance, kept by the dispatcher
         self.place = 0.0  # in its queue
+        # Where teams share by guarantee and weight: tasks within the guarantee, the place of the
+        # others, and how many may start before the next round.
+        self.sure = self.part = 0
+        self.later = 0.0
         needs = (
             spec.cpus, spec.gpus, spec.memory, spec.spot, spec.zone or "", tuple(spec.types or ())
         )
@@ -137,8 +142,9 @@
 
 
 def from_record(record, owner, stamp):
-    """An inherited job."""
-    return Job(spec_of(record), owner, record["at"], stamp, record["done"], inherited=True)
+    """An inherited job. Nothing of one that nobody has owned can have been started."""
+    return Job(spec_of(record), owner, record["at"], stamp, record["done"],
+               inherited=tuple(record["o"]) != NOBODY)
 
 
 def shorten(record):
@@ -152,6 +158,12 @@
     }
 
 
+def closing(record):
+    """The final record of an open job that is cancelled."""
+    done = record["done"]
+    return {"s": "cancelled", "n": record["spec"]["legs"], "d": sum(done[1::2]) - sum(done[0::2])}
+
+
 def answer(record, job_id):
     """The answer to a poll, from a record alone."""
     if record["s"] == "open":
--- a/roadhead/jobs/ranges.py
+++ b/roadhead/jobs/ranges.py
@@ -40,10 +40,64 @@
     def flat(self):
         return [edge for pair in zip(self.starts, self.ends, strict=True) for edge in pair]
 
-    def missing(self, total):
-        """Numbers below `total` that are not in."""
+
+class Pool:
+    """Task numbers that may be taken: ranges not yet touched, and those that came back.
+
+    The lowest comes first, one that came back before all others. A job of 100,000 waiting tasks
+    takes two numbers of memory, not 100,000.
+    """
+
+    __slots__ = ("_back", "_ends", "_starts", "_untouched")
+
+    def __init__(self, done, total):
+        self._starts, self._ends = [], []
         at = 0
-        for start, end in zip(self.starts, self.ends, strict=True):
-            yield from range(at, start)
+        for start, end in zip([*done.starts, total], [*done.ends, total], strict=True):
+            if start > at:
+                self._starts.append(at)
+                self._ends.append(start)
             at = end
-        yield from range(at, total)
+        self._back = []
+        self._untouched = sum(self._ends) - sum(self._starts)
+
+    def __len__(self):
+        return self._untouched + len(self._back)
+
+    def _range(self, number):
+        """Where the untouched range with the number is, or -1."""
+        at = bisect_right(self._starts, number) - 1
+        return at if at >= 0 and number < self._ends[at] else -1
+
+    def __contains__(self, number):
+        return number in self._back or self._range(number) >= 0
+
+    def pop(self):
+        """Takes the next number. Raises IndexError if there is none."""
+        if self._back:
+            return self._back.pop()
+        number = self._starts[0]
+        self._starts[0] += 1
+        if self._starts[0] == self._ends[0]:
+            del self._starts[0], self._ends[0]
+        self._untouched -= 1
+        return number
+
+    def append(self, number):
+        """A number taken before comes back."""
+        self._back.append(number)
+
+    def remove(self, number):
+        """Takes that very number. Raises ValueError if it is not in."""
+        at = self._range(number)
+        if at < 0:
+            self._back.remove(number)
+            return
+        start, end = self._starts[at], self._ends[at]
+        parts = [(first, last) for first, last in ((start, number), (number + 1, end)) if first < last]
+        self._starts[at : at + 1] = [first for first, _last in parts]
+        self._ends[at : at + 1] = [last for _first, last in parts]
+        self._untouched -= 1
+
+    def clear(self):
+        self._starts, self._ends, self._back, self._untouched = [], [], [], 0
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -9,7 +9,7 @@
 
 from roadhead.jobs.job import KEY, SHELF
 from roadhead.jobs.records import find
-from roadhead.membership.member import TERM
+from roadhead.membership.member import TENANT, TERM
 from roadhead.runtime.loop import Signal
 from roadhead.state.client import Conflict, Unavailable, Unsure
 
@@ -19,16 +19,32 @@
 URGENT, SOON, LATER = range(3)
 
 
+class NoGuards:
+    """Where creations depend on nothing but the term."""
+
+    @staticmethod
+    def of(_job):
+        return None
+
+
+NO_GUARDS = NoGuards()
+
+
 class Recorder:
-    """`on_written(job, recorded)`, `on_conflict(job, record, stamp)` tell the outcome."""
+    """`on_written(job, recorded)`, `on_conflict(job, record, stamp)` tell the outcome.
+
+    `guards.of(job)` is a (key, stamp) under which alone the job may be created, or None;
+    `guards.changed(key, record, stamp)` is told what is there now once it does not hold.
+    """
 
-    def __init__(self, loop, state, progress_s, on_written, on_conflict, member):
+    def __init__(self, loop, state, progress_s, on_written, on_conflict, member, guards):
         self._loop = loop
         self._state = state
         self._progress_s = progress_s
         self._on_written = on_written
         self._on_conflict = on_conflict
         self._member = member
+        self._guards = guards
         self._dirty = {}  # job -> urgency
         self._drops = []
         self._wake = Signal()
@@ -94,9 +110,14 @@
             if written and size > MAX_BYTES:
                 break
             count = recorded.count
+            if len(conditions) + 5 > 4 * self._state.limits.txn_ops:
+                break
             conditions.append((KEY + job.id, job.stamp))
             if not job.stamp:
                 conditions.append((SHELF + job.id, 0))  # it may be over long since
+                guard = self._guards.of(job)
+                if guard is not None and guard not in conditions:
+                    conditions.append(guard)
             writes.append({"put": KEY + job.id, "data": record})
             written.append((job, self._dirty.pop(job), recorded, count, job.state))
         if any(not stamp for _key, stamp in conditions):
@@ -119,6 +140,8 @@
                     if key == TERM:
                         record, stamp = await self._state.get(TERM)
                         self._member.adopt(record, stamp)
+                    elif key.startswith(TENANT):
+                        self._guards.changed(key, *await self._state.get(key))
                     for job, *_rest in written:
                         if key in (KEY + job.id, SHELF + job.id):
                             record, stamp = await find(self._state, job.id)
--- a/roadhead/jobs/risk.py
+++ b/roadhead/jobs/risk.py
@@ -37,6 +37,15 @@
         left = aim - (now - job.accepted_at)
         return left < job.spec.estimate_s * (1.0 if job.free else 0.5)
 
+    def rows_of(self, jobs, now):
+        """[class, open, at risk] of some jobs, without a note of what is new."""
+        counts = {}
+        for job in jobs:
+            entry = counts.setdefault(job.spec.klass, [0, 0])
+            entry[0] += 1
+            entry[1] += self.endangered(job, now)
+        return [[klass, *entry] for klass, entry in sorted(counts.items())]
+
     def rows(self, jobs, now):
         """(class, open, done, late, at risk) rows; a risk is logged when it first appears."""
         counts = {klass: [0, 0] for klass in self._classes}
--- /dev/null
+++ b/roadhead/jobs/teams.py
@@ -0,0 +1,130 @@
+"""Teams as the settings name them, and what the limited ones hold.
+
+Teams that share a limit form a group, whose jobs all have one owner: the group's warden. A team
+of the settings is a group of its own; the teams of a tenant form one (`tenants/teams.py`).
+"""
+
+NOTHING = (0.0, 0.0, 0.0)
+
+
+class Account:
+    """What one team, or a group of them, takes at its warden.
+
+    `held`: (cpus, gpus, memory) of tasks that may be on a machine, `jobs`: open ones, `unsure`:
+    ids of those taken over of which not all is known yet.
+    """
+
+    __slots__ = ("held", "jobs", "tasks", "unsure")
+
+    def __init__(self):
+        self.held = NOTHING
+        self.tasks = 0
+        self.jobs = set()
+        self.unsure = set()
+
+    def add(self, need):
+        self.held = tuple(held + part for held, part in zip(self.held, need, strict=True))
+        self.tasks += 1
+
+    def take_off(self, need):
+        self.tasks -= 1
+        # Amounts are decimal numbers: nothing of their rounding is left once nothing is held.
+        self.held = tuple(
+            held - part for held, part in zip(self.held, need, strict=True)
+        ) if self.tasks else NOTHING
+
+    def waiting(self):
+        return sum(len(job.free) for job in self.jobs)
+
+    @property
+    def empty(self):
+        return not (self.jobs or self.unsure or self.tasks)
+
+
+class Accounts:
+    """The accounts of all teams and groups with jobs here, by name."""
+
+    def __init__(self, teams):
+        self._teams = teams
+        self._accounts = {}
+
+    def get(self, name):
+        return self._accounts.get(name)
+
+    def groups(self):
+        """The groups that have an account."""
+        return [name for name in self._accounts if "/" not in name]
+
+    def _of(self, job):
+        """The accounts that a job counts in; none for a team without a limit."""
+        team = job.spec.team
+        group = self._teams.group(team)
+        names = () if group is None else (team,) if group == team else (team, group)
+        return [self._accounts.setdefault(name, Account()) for name in names]
+
+    def unsure(self, job):
+        for account in self._of(job):
+            account.unsure.add(job.id)
+
+    def sure(self, job):
+        for account in self._of(job):
+            account.unsure.discard(job.id)
+
+    def enter(self, job):
+        for account in self._of(job):
+            account.jobs.add(job)
+
+    def leave(self, job):
+        """The job is no longer owned here; neither is anything that it held."""
+        for binding in job.bound.values():
+            self.let_go(job, binding)
+        for account in self._of(job):
+            account.jobs.discard(job)
+            account.unsure.discard(job.id)
+        team = job.spec.team
+        for name in (team, self._teams.group(team)):
+            account = self._accounts.get(name)
+            if account is not None and account.empty:
+                del self._accounts[name]
+
+    def hold(self, job, binding):
+        if not binding.held:
+            binding.held = True
+            for account in self._of(job):
+                account.add(job.need)
+
+    def let_go(self, job, binding):
+        if binding.held:
+            binding.held = False
+            for account in self._of(job):
+                account.take_off(job.need)
+
+
+class FixedTeams:
+    """The teams of the settings."""
+
+    def __init__(self, teams):
+        self._teams = {team.name: team for team in teams}
+        self._limits = {team.name: (team.cpus_max, team.gpus_max) for team in teams
+                        if team.cpus_max or team.gpus_max}
+
+    def get(self, name):
+        return self._teams.get(name)
+
+    def most(self, name):
+        """(cpus, gpus) of each limit on a team that is known; 0 is none."""
+        team = self._teams[name]
+        return ((team.cpus_max, team.gpus_max),)
+
+    def group(self, name):
+        """The group that a team's jobs are owned by, None for a team without a limit."""
+        return name if name in self._limits else None
+
+    def levels(self, name):
+        """(account, (cpus, gpus) at most) of each limit that the team's tasks count in."""
+        return ((name, self._limits[name]),)
+
+    @property
+    def limited(self):
+        """Whether there may be any team with a limit."""
+        return bool(self._limits)
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -13,6 +13,7 @@
 TERM = "c/term"
 MEMBER = "c/m/"
 CANCEL = "c/x/"
+TENANT = "c/t/"
 DRIFT = 0.0005
 
 
@@ -20,7 +21,8 @@
     """Callbacks: `on_term(old, new)` for each adopted term, `on_lost()` when this
     incarnation was dropped, `on_cancel(jobs)` for cancellations seen."""
 
-    def __init__(self, loop, state, label, lease_s, watch_s, on_term, on_lost, on_cancel, record_format):
+    def __init__(self, loop, state, label, lease_s, watch_s, on_term, on_lost, on_cancel, record_format,
+                 slots=1, on_tenant=None):
         self._loop = loop
         self._state = state
         self.label = label
@@ -30,6 +32,8 @@
         self._on_lost = on_lost
         self._on_cancel = on_cancel
         self._format = record_format
+        self._slots = slots  # of wardens, in a term that has fewer
+        self._on_tenant = on_tenant  # (key, record, stamp) of a tenant's record, or None
         self.term = None
         self.token = 0  # ours in that term
         self.revision = 0
@@ -98,7 +102,7 @@
             entry = term.members.get(self.label)
             if entry is not None and entry[2] == nonce:
                 break  # an earlier try went through although its answer was lost
-            new = term.join(self.label, nonce)
+            new = term.spread(self._slots).join(self.label, nonce)
             try:
                 await self._state.multi(
                     [(TERM, self.revision)],
@@ -136,6 +140,8 @@
         for key, value, stamp in items:
             if key == TERM:
                 self.adopt(value, stamp)
+            elif self._on_tenant is not None and key.startswith(TENANT):
+                self._on_tenant(key, value, stamp)
         cancelled = [key[len(CANCEL):] for key, _, _ in items if key.startswith(CANCEL)]
         if cancelled:
             self._on_cancel(cancelled)
@@ -208,6 +214,8 @@
                         self._absent.set()
                 elif key.startswith(CANCEL) and "put" in event:
                     cancelled.append(key[len(CANCEL):])
+                elif self._on_tenant is not None and key.startswith(TENANT) and "put" in event:
+                    self._on_tenant(key, event["data"], event["stamp"])
             self._seen = max(self._seen, revision)
             if cancelled:
                 self._on_cancel(cancelled)
--- a/roadhead/membership/term.py
+++ b/roadhead/membership/term.py
@@ -8,18 +8,20 @@
 
     An incarnation is the token that its process took when it joined; tokens are never
     given twice. A changed set of labels renews every token, since machines change homes.
-    The warden owns the jobs of all teams with a limit; it changes only with its incarnation.
+    A warden owns the jobs of the teams with a limit that fall to one of its slots, by hash of their
+    group; a slot changes hands only with its warden's incarnation, so that nothing else stands
+    still for a takeover. There is one slot, or as many as a hosted service spreads its tenants over.
     `relieved` members go on serving users and owning jobs, but are home to no machine: workers
     could not reach them. One member at least is a home.
     """
 
-    __slots__ = ("_homes", "homes", "members", "next", "number", "relieved", "warden")
+    __slots__ = ("_homes", "homes", "members", "next", "number", "relieved", "wardens")
 
-    def __init__(self, number=0, next_token=1, members=None, warden=None, relieved=()):
+    def __init__(self, number=0, next_token=1, members=None, wardens=(None,), relieved=()):
         self.number = number
         self.next = next_token
         self.members = members or {}
-        self.warden = warden
+        self.wardens = tuple(wardens)
         homes = [label for label in self.members if label not in relieved]
         self.relieved = frozenset(self.members).intersection(relieved) if homes else frozenset()
         self.homes = frozenset(homes or self.members)
@@ -28,14 +30,15 @@
     @classmethod
     def from_record(cls, record):
         members = {label: tuple(entry) for label, entry in record["members"].items()}
-        return cls(record["number"], record["next"], members, record["warden"],
-                   record.get("relieved", ()))
+        wardens = record.get("wardens") or [record["warden"]]
+        return cls(record["number"], record["next"], members, wardens, record.get("relieved", ()))
 
     def to_record(self):
         return {
             "number": self.number,
             "next": self.next,
-            "warden": self.warden,
+            "warden": self.wardens[0],
+            **({"wardens": list(self.wardens)} if len(self.wardens) > 1 else {}),
             "relieved": sorted(self.relieved),
             "members": {label: list(entry) for label, entry in self.members.items()},
         }
@@ -51,10 +54,36 @@
             label: (incarnation, token if label in changed else old, nonce)
             for label, (incarnation, old, nonce) in members.items()
         }
-        warden = self.warden
-        if warden not in entries or self.incarnation(warden) != entries[warden][0]:
-            warden = pick(entries, "warden")
-        return Term(self.number + 1, token + 1, entries, warden, relieved)
+        return Term(self.number + 1, token + 1, entries, self._heirs(entries), relieved)
+
+    def _heirs(self, entries):
+        """The wardens among the next term's members: slots of those gone go to who has fewest."""
+        wardens = [label if label in entries and self.incarnation(label) == entries[label][0] else None
+                   for label in self.wardens]
+        for slot, label in enumerate(wardens):
+            if label is None and entries:
+                fewest = min(wardens.count(member) for member in entries)
+                wardens[slot] = pick(
+                    [member for member in entries if wardens.count(member) == fewest],
+                    f"warden {slot}" if slot else "warden")
+        return wardens
+
+    def spread(self, slots):
+        """This term with that many slots, where it has fewer: those added have yet to be given out."""
+        if len(self.wardens) >= slots:
+            return self
+        wardens = [*self.wardens, *[None] * (slots - len(self.wardens))]
+        return Term(self.number, self.next, self.members, wardens, self.relieved)
+
+    def warden(self, group):
+        """The label of the warden of a group of teams with a limit."""
+        return self.wardens[self.slot(group)]
+
+    def slot(self, group):
+        if len(self.wardens) == 1:
+            return 0
+        number = int.from_bytes(blake2b(group.encode(), digest_size=4).digest(), "big")
+        return number % len(self.wardens)
 
     def join(self, label, nonce):
         members = dict(self.members)
@@ -98,10 +127,10 @@
             home = self._homes[machine] = pick(self.homes, machine)
         return home
 
-    def heir(self, job, label, limited):
-        """Who takes over a job of a dropped incarnation of `label`."""
-        if limited:
-            return self.warden
+    def heir(self, job, label, group):
+        """Who takes over a job of a dropped incarnation of `label`; `group`: of a limited team."""
+        if group is not None:
+            return self.warden(group)
         return label if label in self.members else pick(self.members, job)
 
 
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -13,9 +13,10 @@
 from roadhead.homes.workers import Workers
 from roadhead.jobs.book import Book
 from roadhead.jobs.job import FINAL, KEY, SHELF, shorten, spec_of
-from roadhead.jobs.recorder import Recorder
+from roadhead.jobs.recorder import NO_GUARDS, Recorder
 from roadhead.jobs.records import FORMAT, Shelf, find
 from roadhead.jobs.risk import Risk
+from roadhead.jobs.teams import FixedTeams
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
 from roadhead.state.client import StateClient, Unavailable, Unsure
@@ -29,7 +30,7 @@
 
 
 class Node:
-    def __init__(self, loop, net, settings, tuning, rng=None, time_of_day=time.time):
+    def __init__(self, loop, net, settings, tuning, rng=None, time_of_day=time.time, hosted=None):
         self._loop = loop
         self._net = net
         self.settings = settings
@@ -41,7 +42,9 @@
         workers = deployment.workers
         self.counters = Counters()
         self.troubles = Troubles(loop.now, time_of_day)
-        self.state = StateClient(loop, net, settings.external.state, deployment.state, deployment.nodes)
+        self.desk = hosted  # tenants/desk.py, where tenants are served
+        state_limits = deployment.state if hosted is None else hosted.left_of(deployment.state)
+        self.state = StateClient(loop, net, settings.external.state, state_limits, deployment.nodes)
         self.reader = Reader(loop, self.state, POLL_S / 2, (KEY, SHELF), shorten)
         self.cloud = CloudClient(loop, net, settings.external.cloud, deployment.cloud, deployment.nodes)
         # A controller out of touch must stop renewing before this is up (safety 4).
@@ -53,6 +56,8 @@
             watch_s=self._blind_s / 4,
             on_term=self._on_term, on_lost=self._on_lost, on_cancel=self.on_cancelled,
             record_format=FORMAT,
+            slots=1 if hosted is None else hosted.slots,
+            on_tenant=None if hosted is None else hosted.table.take,
         )
         self.peers = Peers(
             loop, net, settings, self._beat_s,
@@ -76,7 +81,7 @@
                 times.append(objective.times)
         create_s = workers.lease_s / 3
         self._create_s = create_s
-        self._teams = {team.name: team for team in deployment.teams}
+        self.teams = FixedTeams(deployment.teams) if hosted is None else hosted.teams
         self.api = Api(
             loop, self,
             max_streams=int(0.75 * deployment.quota.fd_limit),
@@ -89,7 +94,7 @@
         self.summaries = {}  # label -> (when, its SummaryNews)
         self._duties = []
         self._looking = set()
-        self._orphans = set()  # jobs accepted for the warden, which has yet to be told
+        self._orphans = {}  # jobs accepted for a warden that has yet to be told -> their group
         self._reset()
 
     def _reset(self):
@@ -113,14 +118,13 @@
         self.shelf = Shelf(loop, self.state, self.member, self.counters)
 
         def recorder_of(on_written, on_conflict):
-            return Recorder(loop, self.state, workers.report_s * 2, on_written, on_conflict, self.member)
+            return Recorder(loop, self.state, workers.report_s * 2, on_written, on_conflict, self.member,
+                            self.desk or NO_GUARDS)
 
         self.book = Book(
             loop, self.member, recorder_of, self._send, self._changed, self.counters,
             self._time_of_day, workers.lease_s, self.risk.finished,
-            {team.name: (team.cpus_max, team.gpus_max) for team in deployment.teams
-             if team.cpus_max or team.gpus_max},
-            self._on_orphan, self.shelf.add,
+            self.teams, self._on_orphan, self.shelf.add,
         )
         self.dispatcher = Dispatcher(
             loop, self.label, self.member, self.book, self.stages, self._random, self._send,
@@ -135,9 +139,14 @@
         )
         self.fleet.types = types
         self.dispatcher.capacity = self.fleet.capacity
+        if self.desk is not None:
+            self.dispatcher.sharing = self.desk.sharing(self.book.accounts, self.fleet.totals,
+                                                        workers.lease_s)
         self._looking.clear()
         self._handlers = self._handler_table()
         duties = [self.book.recorder.run, self.shelf.run, self._tick, *self.fleet.duties()]
+        if self.desk is not None:
+            duties += self.desk.begin(self)
         self._duties = [loop.spawn(self._keep(duty), duty.__name__) for duty in duties]
 
     async def _keep(self, duty):
@@ -164,7 +173,7 @@
         self.home.awake_at = self._loop.now()
 
     def start(self):
-        for team in self._teams.values():
+        for team in self._deployment.teams if self.desk is None else ():
             log.info("team %s: cpus %g to %g, gpus %g to %g (0: no limit)", team.name,
                      team.cpus, team.cpus_max, team.gpus, team.gpus_max)
             if team.guarantee != (team.cpus, team.gpus):
@@ -252,13 +261,13 @@
 
     def impossible(self, spec):
         """Why no machine can ever run the job, or None."""
-        team = self._teams.get(spec.team)
-        if team is None:
+        if self.teams.get(spec.team) is None:
             return "unknown team"
         times = spec.tasks if spec.kind == "daemon" else 1
-        for need, most in ((spec.cpus, team.cpus_max), (spec.gpus, team.gpus_max)):
-            if most and need * times > most:
-                return "more than the team's limit"
+        for limits in self.teams.most(spec.team):
+            for need, most in zip((spec.cpus, spec.gpus), limits, strict=True):
+                if most and need * times > most:
+                    return "more than the team's limit"
         for kind in self.home.types.values():
             if (
                 spec.cpus <= kind.cpus
@@ -331,6 +340,7 @@
             self.peers.reset()
         else:
             self.home.on_term(old, new)
+        self.book.on_term(old, new)
         self.dispatcher.on_term()
         news = frames.TermNews(self.member.revision, messages.encode(new.to_record()))
         for label in list(self.peers.links):
@@ -376,20 +386,22 @@
 
     def _on_orphan(self, job):
         """A job of a limited team was accepted here: its warden shall take it over."""
-        self._orphans.add(job)
+        self._orphans[job.id] = self.teams.group(job.spec.team)
         self._tell_orphans()
 
     def _tell_orphans(self):
         """Links may not be up yet, as right after the start: tried again with every beat."""
-        warden = self.member.term.warden
-        for job in list(self._orphans):
-            if warden is None or not self._send(warden, frames.Orphan(job)):
-                return
-            self._orphans.discard(job)
+        unreached = set()
+        for job, group in list(self._orphans.items()):
+            warden = self.member.term.warden(group)
+            if warden is None or warden in unreached or not self._send(warden, frames.Orphan(job)):
+                unreached.add(warden)
+                continue
+            del self._orphans[job]
 
     def _heir(self, job_id, record):
-        limited = self.book.limited(record["spec"]["crew"])
-        return self.member.term.heir(job_id, record["o"][0], limited)
+        group = self.teams.group(record["spec"]["crew"])
+        return self.member.term.heir(job_id, record["o"][0], group)
 
     def seen(self, job_id, record):
         """A record was read for a user. If its owner is gone, its heir shall take it over.
@@ -629,6 +641,8 @@
             self.dispatcher.changed()
             self._tell_orphans()
             every += 1
+            if self.desk is not None and every % 6 == 0:
+                self.desk.tick()
             if self.label in self.member.term.relieved and every % 6 == 0:
                 self._loop.spawn(self._try_workers(), "try workers")
             if every % 2 == 0:
@@ -640,7 +654,7 @@
                 summary = self._summary()
                 for label in self.member.term.members:
                     self._send(label, summary)
-            if every % 30 == 0 and self.book.has_limits and self.member.term.warden == self.label:
+            if every % 30 == 0 and self.book.has_limits and self.label in self.member.term.wardens:
                 # Word of a job accepted for the warden may have been lost.
                 self._loop.spawn(self._inherit(self.member.term.number), "scan")
             if every % 10 == 0:
--- a/roadhead/runtime/rate.py
+++ b/roadhead/runtime/rate.py
@@ -45,6 +45,14 @@
         self._refill()
         self._level = min(self._level, 0.0)
 
+    def try_take(self):
+        """Takes one if there is one."""
+        self._refill()
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
     async def take(self, count=1):
         self._refill()
         self._level -= count
--- a/roadhead/settings.py
+++ b/roadhead/settings.py
@@ -123,7 +123,8 @@
     fleet: Fleet = field(default_factory=Fleet)
 
 
-def _address_fault(name, address):
+def address_fault(name, address):
+    """[fault] if `address` is not IPv4:port, else []."""
     host, colon, port = address.rpartition(":")
     parts = host.split(".")
     good = (
@@ -150,7 +151,7 @@
         ("external.state", settings.external.state),
         *((f"members: {member.label}", member.endpoint) for member in settings.members),
     ):
-        faults += _address_fault(name, address)
+        faults += address_fault(name, address)
     labels = [settings.label, *(member.label for member in settings.members)]
     if len(set(labels)) != len(labels):
         faults.append("members: a label stands twice")
--- a/roadhead/state/client.py
+++ b/roadhead/state/client.py
@@ -102,9 +102,9 @@
             raise Unavailable(f"get {key}: {status}")
         return answer["data"], answer["stamp"]
 
-    async def page(self, prefix, after=""):
+    async def page(self, prefix, after="", limit=1000):
         """([(key, value, stamp)], whether there is more, revision): one page, after a key."""
-        target = f"/store?under={prefix}&limit=1000" + (f"&after={after}" if after else "")
+        target = f"/store?under={prefix}&limit={limit}" + (f"&after={after}" if after else "")
         status, answer = await self._call("GET", target, timeout=6.0)
         if status != 200:
             raise Unavailable(f"list {prefix}: {status}")
--- /dev/null
+++ b/roadhead/tenants/desk.py
@@ -0,0 +1,133 @@
+"""A controller's side of hosting: who may submit, what of the table concerns it, what tenants hold.
+
+No sockets here: requests come in as calls of the API, changes as calls of the membership's watch.
+"""
+
+import logging
+
+from roadhead.tenants import admission, ids
+from roadhead.tenants.keys import Secrets
+from roadhead.tenants.records import ACTIVE, REMOVING, key_of
+from roadhead.tenants.removal import Removal
+from roadhead.tenants.table import Table
+from roadhead.tenants.teams import Sharing, TenantTeams
+from roadhead.wire import messages
+
+log = logging.getLogger("roadhead.desk")
+
+BORROWING = 1e5  # windows after the first place at which borrowed work begins
+WHOLE_FLEET = 1e6  # windows by which the share of a whole fleet comes later
+
+
+class Desk:
+    def __init__(self, loop, hosted, time_of_day):
+        self._loop = loop
+        self._hosted = hosted
+        self._time_of_day = time_of_day
+        self.slots = hosted.slots
+        self.left_of = hosted.left_of
+        self.table = Table(self._on_change)
+        self.teams = TenantTeams(self.table)
+        self.secrets = Secrets(hosted.master)
+        self._rates = admission.Rates(loop)
+        self._node = None
+        self._removal = None
+
+    def begin(self, node):
+        """A new incarnation starts: its duties."""
+        self._node = node
+        self._removal = Removal(self._loop, node, self.table)
+        return [self._removal.run]
+
+    @staticmethod
+    def sharing_places(window_s):
+        return BORROWING * window_s, WHOLE_FLEET * window_s
+
+    def sharing(self, accounts, totals, window_s):
+        return Sharing(self.teams, accounts, totals, *self.sharing_places(window_s))
+
+    # What changes
+
+    def _on_change(self, old, new):
+        if self._node is None:
+            return
+        tenant = new.tenant
+        group = str(tenant.number)
+        if tenant.state != ACTIVE:
+            self._node.book.refuse(group)
+        if self.teams.stopping(group):
+            self._node.book.stop_group(group)
+        if tenant.state == REMOVING:
+            self._removal.wake()
+        if old is not None and tenant.state != old.tenant.state:
+            log.info("tenant %d is %s", tenant.number, tenant.state)
+        self._node.dispatcher.changed()
+
+    def tick(self):
+        """Once in a while: what is inherited from a controller that ended before it stopped it."""
+        for group in self._node.book.accounts.groups():
+            if self.teams.stopping(group):
+                self._node.book.stop_group(group)
+
+    # Guards of creations (jobs/recorder.py)
+
+    def of(self, job):
+        """A job is created only while its tenant's record is the one known here: none comes after
+        the change that ended admission, however late its write."""
+        number, _team = ids.from_team(job.spec.team)
+        entry = self.table.entry(number)
+        return (key_of(number), entry.stamp if entry is not None else 0)
+
+    def changed(self, key, record, stamp):
+        if record is not None:
+            self.table.take(key, record, stamp)
+
+    # Requests
+
+    def signed(self, request):
+        return self.secrets.signed(request.headers.get("roadhead-signature"), request.method,
+                                   request.target, request.body, self._time_of_day())
+
+    def refusal(self, spec, most_creating):
+        """Why a submission is not taken now, or None. Its job is not known here."""
+        node = self._node
+        member = node.member
+        if self._loop.now() - member.watched_at > self._hosted.stale_s:
+            return admission.NOT_KNOWN  # whatever was decided of the tenant since
+        entry, team = self.table.team(spec.team)
+        if team is None:
+            return admission.NOT_KNOWN
+        tenant = entry.tenant
+        resting = admission.standing(tenant)
+        if resting is not None:
+            return resting
+        group = str(tenant.number)
+        crowded = admission.crowded(node.book.creating(group), most_creating)
+        if crowded is not None:
+            return crowded
+        if member.term.warden(group) == member.label:
+            account = node.book.accounts.get(group)
+            if account is not None:
+                refused = admission.full(tenant.limits, len(account.jobs), account.waiting(), spec.tasks)
+                if refused is not None:
+                    return refused
+        return self._rates.take(tenant)
+
+    def usage(self, number):
+        """What this controller knows of a tenant, and of nobody else: (body, status)."""
+        node = self._node
+        entry = self.table.entry(number)
+        teams = {}
+        rows = []
+        if entry is not None:
+            account = node.book.accounts.get(str(number))
+            jobs = account.jobs if account is not None else ()
+            for name, team in entry.teams.items():
+                held = node.book.accounts.get(name)
+                if held is not None:
+                    teams[team.name] = [*held.held, held.tasks, len(held.jobs), held.waiting()]
+            rows = node.risk.rows_of(jobs, self._time_of_day())
+        warden = node.member.joined and node.member.term.warden(str(number)) == node.label
+        return messages.encode({
+            "teams": teams, "classes": rows, "warden": bool(warden and node.book.knows_all(str(number))),
+        })
--- /dev/null
+++ b/roadhead/tenants/settings.py
@@ -0,0 +1,118 @@
+"""The operators' file that turns a deployment into a hosted one: TOML, checked before use."""
+
+import os
+
+import msgspec
+from msgspec import Struct, field
+
+from roadhead.settings import SettingsError, StateLimits, address_fault
+
+SECRET_LEAST = 32  # bytes of the master secret
+
+
+class Gateway(Struct, forbid_unknown_fields=True):
+    """Where tenants and administrators reach a gateway, and the most connections of each."""
+
+    tenants: str
+    administration: str
+    connections: int = 500
+
+
+class Cluster(Struct, forbid_unknown_fields=True):
+    """What a gateway must know of the deployment: the state service with its limits, and the
+    controllers' fronts by their labels."""
+
+    state: str
+    rps: float
+    write_rps: float
+    value_kb: float
+    txn_ops: int
+    controllers: dict[str, str]
+
+
+class Hosted(Struct, forbid_unknown_fields=True):
+    """`slots`: wardens that tenants are spread over; `state_share`: the part of the state service's
+    limits that is the gateways', of whom there are up to `gateways`; `stale_s`: how long a process
+    that hears nothing of changes goes on by what it last knew; `overlap_s`: how long a rotated key
+    stays good unless the call says otherwise."""
+
+    secret_file: str
+    gateway: Gateway
+    cluster: Cluster
+    slots: int = 24
+    state_share: float = 0.15
+    gateways: int = 2
+    stale_s: float = 20.0
+    overlap_s: float = 86400.0
+    master: bytes = field(default=b"")
+
+    def left_of(self, limits):
+        """The state service's limits for the controllers."""
+        return scaled(limits, 1.0 - self.state_share)
+
+    def gateway_limits(self):
+        """The part of one gateway."""
+        cluster = self.cluster
+        limits = StateLimits(cluster.rps, cluster.write_rps, cluster.value_kb, cluster.txn_ops)
+        return scaled(limits, self.state_share / self.gateways)
+
+
+def scaled(limits, share):
+    return StateLimits(limits.rps * share, limits.write_rps * share, limits.value_kb, limits.txn_ops)
+
+
+def parse(data):
+    """Hosted settings from the bytes of a TOML file, without the secret. Raises SettingsError."""
+    try:
+        hosted = msgspec.toml.decode(data, type=Hosted)
+    except (msgspec.DecodeError, ValueError) as error:
+        raise SettingsError([str(error)]) from None
+    faults = []
+    addresses = [("gateway.tenants", hosted.gateway.tenants),
+                 ("gateway.administration", hosted.gateway.administration),
+                 ("cluster.state", hosted.cluster.state),
+                 *((f"cluster.controllers.{label}", address)
+                   for label, address in hosted.cluster.controllers.items())]
+    for name, address in addresses:
+        faults += address_fault(name, address)
+    fronts = list(hosted.cluster.controllers.values())
+    if not fronts:
+        faults.append("cluster.controllers: none")
+    if len(set(fronts)) != len(fronts):
+        faults.append("cluster.controllers: an address stands twice")
+    if hosted.gateway.tenants == hosted.gateway.administration:
+        faults.append("gateway.administration: the tenants' address")
+    for name, value, most in (
+        ("slots", hosted.slots, 200), ("state_share", hosted.state_share, 0.5),
+        ("gateways", hosted.gateways, 100), ("stale_s", hosted.stale_s, 3600.0),
+        ("overlap_s", hosted.overlap_s, 1e8), ("gateway.connections", hosted.gateway.connections, 1e6),
+        ("cluster.rps", hosted.cluster.rps, 1e9), ("cluster.write_rps", hosted.cluster.write_rps, 1e9),
+        ("cluster.value_kb", hosted.cluster.value_kb, 1e9), ("cluster.txn_ops", hosted.cluster.txn_ops, 1e9),
+    ):
+        if not 0 < value <= most:
+            faults.append(f"{name}: must be above 0 and at most {most:g}, is {value:g}")
+    if hosted.master:
+        faults.append("master: belongs into secret_file")
+    if faults:
+        raise SettingsError(faults)
+    return hosted
+
+
+def load(path):
+    """Hosted settings with their master secret. Raises SettingsError."""
+    try:
+        with open(path, "rb") as file:
+            hosted = parse(file.read())
+    except OSError as error:
+        raise SettingsError([f"{path}: {error.strerror}"]) from None
+    except SettingsError as error:
+        raise SettingsError([f"{path}: {fault}" for fault in error.faults]) from None
+    secret = os.path.join(os.path.dirname(path), hosted.secret_file)
+    try:
+        with open(secret, "rb") as file:
+            hosted.master = file.read().strip()
+    except OSError as error:
+        raise SettingsError([f"{path}: secret_file: {error.strerror}"]) from None
+    if len(hosted.master) < SECRET_LEAST:
+        raise SettingsError([f"{path}: secret_file: must hold {SECRET_LEAST} bytes at least"])
+    return hosted
--- a/roadhead/wire/http.py
+++ b/roadhead/wire/http.py
@@ -11,8 +11,11 @@
 MAX_HEAD = 8192
 MAX_BODY = 65536
 REASONS = {
-    200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-    408: "Request Timeout", 409: "Conflict", 413: "Content Too Large", 421: "Misdirected Request",
+    200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 400: "Bad Request",
+    401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
+    406: "Not Acceptable", 408: "Request Timeout",
+    409: "Conflict", 410: "Gone", 412: "Precondition Failed", 415: "Unsupported Media Type",
+    428: "Precondition Required", 413: "Content Too Large", 421: "Misdirected Request",
     422: "Unprocessable Content", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
     500: "Internal Server Error", 503: "Service Unavailable",
 }
@@ -124,8 +127,10 @@
     return parts, headers, int(length) if len(length) < 12 else 1 << 62, close
 
 
-def request_bytes(method, target, host, body=b""):
+def request_bytes(method, target, host, body=b"", headers=()):
     head = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
+    for name, value in headers:
+        head += f"{name}: {value}\r\n"
     if body:
         head += "Content-Type: application/cbor\r\n"
     if body or method != "GET":
@@ -133,11 +138,14 @@
     return head.encode("latin-1") + b"\r\n" + body
 
 
-def response_bytes(status, body=b"", close=False, retry_after=None):
+def response_bytes(status, body=b"", close=False, retry_after=None, kind="application/cbor",
+                   headers=()):
     head = (
         f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\n"
-        f"Content-Type: application/cbor\r\nContent-Length: {len(body)}\r\n"
+        f"Content-Type: {kind}\r\nContent-Length: {len(body)}\r\n"
     )
+    for name, value in headers:
+        head += f"{name}: {value}\r\n"
     if retry_after is not None:
         head += f"Retry-After: {retry_after}\r\n"
     if close:
@@ -146,7 +154,8 @@
 
 
 async def serve(loop, stream, handle, patience):
-    """Serves one connection. `handle(request)` returns (status, body, retry_after).
+    """Serves one connection. `handle(request)` returns (status, body, retry_after), or these
+    and the body's media type and a list of further (name, value) headers.
 
     A request begun but not whole after `patience` seconds is answered 408; an idle
     connection may stay six times as long.
@@ -186,9 +195,9 @@
             if begun is not None:
                 begun.cancel()
                 begun = None
-            status, body, retry_after = await handle(message)
+            status, body, *more = await handle(message)
             idle_until = loop.now() + idle_s
-            stream.write(response_bytes(status, body, message.close, retry_after))
+            stream.write(response_bytes(status, body, message.close, *more))
             if message.close:
                 return
     except BadMessage as bad:
@@ -228,7 +237,7 @@
         self._max_idle = max_idle
         self._max_body = max_body
 
-    async def request(self, method, target, body=b"", timeout=4.0):
+    async def request(self, method, target, body=b"", timeout=4.0, headers=()):
         """The response as (status, body, headers). Raises NoAnswer."""
         loop = self._loop
         deadline = loop.now() + timeout
@@ -249,7 +258,7 @@
         timer = loop.call_at(deadline, stream.close)
         keep = False
         try:
-            stream.write(request_bytes(method, target, self.address, body))
+            stream.write(request_bytes(method, target, self.address, body, headers))
             parser = Parser(response=True, max_body=self._max_body)
             while (message := parser.next()) is None:
                 data = await stream.read()
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -9,6 +9,7 @@
 from roadhead.homes.machine import Machine
 from roadhead.jobs.book import Book
 from roadhead.jobs.job import Job
+from roadhead.jobs.teams import Accounts
 from roadhead.local.world import World
 from roadhead.membership.term import Term
 from roadhead.node import Node
@@ -94,25 +95,19 @@
 
 def shared_limit(patch):
     """Limits: every controller starts tasks of a limited team, up to the whole limit each."""
-    patch.setattr(Term, "_renewed", lambda self, members, changed, real=Term._renewed: (
-        _without_warden(real(self, members, changed))))
 
     def headroom(self, team):
         used = sum(len(job.bound) * job.spec.cpus for job in self.jobs.values())
-        return (self._limits[team][0] - used, float("inf"))
+        return (self.teams.get(team).cpus_max - used, float("inf"))
 
     patch.setattr(Book, "headroom", headroom)
-    patch.setattr(Book, "create", lambda self, spec, real=Book.create: _owned(self, spec, real))
+    patch.setattr(Book, "owns", lambda self, team: True)
 
 
-def _without_warden(term):
-    term.warden = None
-    return term
-
-
-def _owned(book, spec, real):
-    book._member.term.warden = book._member.label
-    return real(book, spec)
+def inherits_limits_unsure(patch):
+    """Limits: a warden counts only what it has heard of, before its takeover is complete."""
+    patch.setattr(Accounts, "unsure", lambda self, job: None)
+    patch.setattr(Book, "scanned", property(lambda self: 1 << 60, lambda self, number: None), raising=False)
 
 
 def frees_when_lapsed(patch):
@@ -144,6 +139,7 @@
     (renews_blindly, "cut-zone"),
     (told_before_durable, "crash-all-outage"),
     (shared_limit, "limit"),
+    (inherits_limits_unsure, "limit-takeover"),
     (forgets_loose_launches, "late-launch-cancel"),
     (frees_when_lapsed, "cut-in-two"),
 ])
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from roadhead.jobs.job import Job
-from roadhead.jobs.ranges import Ranges
+from roadhead.jobs.ranges import Pool, Ranges
 from roadhead.settings import SettingsError, parse, parse_tuning
 from roadhead.wire import frames, messages
 from roadhead.wire.http import MAX_BODY, MAX_HEAD, BadMessage, Parser, request_bytes
@@ -120,7 +120,16 @@
         known.add(number)
     assert ranges.count == len(known)
     assert [n for n in range(61) if n in ranges] == sorted(known)
-    assert list(ranges.missing(61)) == [n for n in range(61) if n not in known]
+    pool = Pool(ranges, 61)
+    free = [n for n in range(61) if n not in known]
+    assert [n for n in range(61) if n in pool] == free
+    taken = free[::2]
+    for number in taken:
+        pool.remove(number)
+    for number in taken[:3]:
+        pool.append(number)
+    assert len(pool) == len(free) - len(taken[3:])
+    assert [pool.pop() for _ in range(len(pool))] == [*taken[:3][::-1], *free[1::2]]
     assert Ranges(ranges.flat()).flat() == ranges.flat()
     assert all(end < start for end, start in zip(ranges.ends, ranges.starts[1:], strict=False))
 
