Hosting in virtual time: gateways, an administrator and tenants' users; scenario tenants

Need: the tenants' hard cases shown with everything failing. Change: a scenario may have gateways; tenants are created, limited, suspended, resumed and removed through the real administration API, their users go through the real tenants' API. A fault found by it: a Demand counted tasks by an unlimited headroom and failed; amounts without a limit are a large number now.

--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -17,6 +17,7 @@
 CANCEL = "c/x/"
 MAX_FINALS = 20000
 NO_ROOM = (-1.0, -1.0)  # not even for a task that takes nothing
+AMPLE = 1e12  # CPUs or GPUs of a team without a limit on them
 
 
 class Book:
@@ -135,7 +136,7 @@
         levels = self.teams.levels(team)
         if since is None or self.scanned < since or levels is None or (account and account.unsure):
             return NO_ROOM
-        left = [float("inf"), float("inf")]
+        left = [AMPLE, AMPLE]
         for name, limits in levels:
             account = self.accounts.get(name)
             for place, most in enumerate(limits):
--- a/roadhead/local/standins.py
+++ b/roadhead/local/standins.py
@@ -549,7 +549,7 @@
             elif status in (400, 422):
                 self.world.refusals[self.id] = status
                 return
-            elif self.sim.time - begun > 60:
+            elif self.gave_up or self.sim.time - begun > 60:
                 self.gave_up = True
                 return
             else:
--- /dev/null
+++ b/roadhead/local/tenancy.py
@@ -0,0 +1,183 @@
+"""Hosting in a virtual deployment: gateways, an administrator, and users of tenants."""
+
+import json
+import random
+
+import msgspec
+
+from roadhead.gateway.gateway import Gateway
+from roadhead.local.standins import User
+from roadhead.runtime.loop import Timeout
+from roadhead.tenants import ids
+from roadhead.tenants.desk import Desk
+from roadhead.tenants.keys import Secrets
+from roadhead.tenants.settings import Hosted
+from roadhead.wire.http import Client, NoAnswer
+
+MASTER = b"a master secret of a virtual world"
+ASKED = {  # fields of a scenario's job as a tenant names them
+    "jobclass": "class", "crew": "team", "shape": "kind", "urgency": "priority", "legs": "tasks",
+    "vcpus": "cpus", "gpus": "gpus", "ramGb": "memory_gb", "kit": "image", "sizeGb": "image_gb",
+    "rigs": "types", "paddock": "zone", "together": "same_zone", "scatter": "spread", "loaners": "spot",
+    "expectS": "expected_s", "musterS": "checkpoint_s", "stowS": "save_s", "dueS": "due_s",
+}
+
+
+class Tenancy:
+    """`numbers`, `keys`: of the tenants by name; `removed_at`: when their removal was confirmed."""
+
+    def __init__(self, world, gateways):
+        self.world = world
+        state = world.settings["state"]
+        self._hosted = [msgspec.convert({
+            "secret_file": "", "master": MASTER, "gateways": gateways, "slots": world.options["slots"],
+            "gateway": {"tenants": f"10.3.0.{n + 1}:8090", "administration": f"10.3.0.{n + 1}:8091"},
+            "cluster": {"state": "10.2.0.1:2379",
+                        "controllers": dict(zip(world.labels, world.fronts, strict=True)), **state},
+        }, Hosted) for n in range(gateways)]
+        self.root = Secrets(MASTER).root_key()
+        self.numbers, self.keys, self.limits, self.removed_at = {}, {}, {}, {}
+        self.gateways = {}
+        for number in range(gateways):
+            self.start(number)
+
+    def start(self, number):
+        host = f"10.3.0.{number + 1}"
+        loop = self.world.host_loop(host)
+        self.gateways[number] = Gateway(
+            loop, self.world.network.host(host, loop), self._hosted[number],
+            random.Random(self.world.sim.random.random()), self.time_of_day)
+        self.gateways[number].start()
+
+    def crash(self, number, back_after):
+        self.world.network.kill(f"10.3.0.{number + 1}")
+        self.gateways.pop(number, None)
+        self.world.sim.call_later(back_after, self.start, number)
+
+    def time_of_day(self):
+        return 1e9 + self.world.sim.time
+
+    def desk(self, loop):
+        return Desk(loop, self._hosted[0], self.time_of_day)
+
+    async def ask(self, kind, method, path, body, key, timeout=5.0, headers=()):
+        """(status, answer) of a gateway that is up."""
+        world = self.world
+        if not self.gateways:
+            return 0, None
+        gateway = self._hosted[world.sim.random.choice(list(self.gateways))].gateway
+        client = Client(world.user_loop, world.user_net, getattr(gateway, kind), 0)
+        data = json.dumps(body).encode() if body is not None else b""
+        try:
+            status, data, _ = await client.request(method, path, data, timeout, [
+                ("Authorization", f"Bearer {key}"), ("Accept", "application/json"), *headers], "application/json")
+        except (NoAnswer, Timeout):
+            return 0, None
+        return status, (json.loads(data) if data else None)
+
+    async def administrate(self, method, path, body=None, headers=()):
+        """Repeats a request under one request key until it has a final answer."""
+        key = f"{self.world.sim.random.random():.12f}"
+        while True:
+            status, answer = await self.ask("administration", method, f"/admin/v1/{path}", body, self.root,
+                                            headers=[("Idempotency-Key", key), *headers])
+            if status not in (0, 503):
+                return status, answer
+            await self.world.user_loop.sleep(0.5)
+
+    async def do(self, verb, name, *words):
+        """A scenario's line: tenant, limits, suspend, resume, remove."""
+        if verb == "tenant":
+            body = self._described(words)
+            status, answer = await self.administrate("POST", "tenants", {"name": name, **body})
+            assert status == 201, (status, answer)
+            self.numbers[name] = answer["number"]
+            self.limits[answer["number"]] = body
+            status, answer = await self.administrate(
+                "POST", f"tenants/{name}/keys", {"scopes": ["read", "submit", "cancel"]})
+            assert status == 201, (status, answer)
+            self.keys[name] = answer["key"]
+            return
+        if verb == "limits":
+            _status, answer = await self.administrate("GET", f"tenants/{name}")
+            status, answer = await self.administrate(
+                "PATCH", f"tenants/{name}", self._described(words),
+                [("If-Match", f'"{answer["version"]}"')])
+        elif verb == "remove":
+            for user in self.world.users.values():
+                user.asked_to_cancel |= getattr(user, "tenant", None) == name
+            status, answer = await self.administrate("DELETE", f"tenants/{name}")
+            self.removed_at[self.numbers[name]] = self.world.sim.time
+        else:
+            body = {"running": words[0]} if words else {}
+            status, answer = await self.administrate("POST", f"tenants/{name}/{verb}", body)
+        assert status in (200, 202), (status, answer)
+
+    @staticmethod
+    def _described(words):
+        """`cpus=8 weight=2 submissions=5 team=letters:cpus=4:cpus_max=6`, or team `crew` alone."""
+        teams, limits, body = [], {}, {}
+        for word in words:
+            name, value = word.split("=", 1)
+            if name == "team":
+                own, *amounts = value.split(":")
+                teams.append({"name": own, **{
+                    part.split("=")[0]: float(part.split("=")[1]) for part in amounts}})
+            elif name == "weight":
+                body["weight"] = float(value)
+            else:
+                limits[name] = int(value) if name in ("open_jobs", "waiting_tasks") else float(value)
+        return {"teams": teams or [{"name": "crew"}], "limits": limits, **body}
+
+    def check_limits(self, running):
+        """The first (tenant or team) whose running tasks use more than its limit, or None."""
+        used = {}
+        for task in running:
+            job = self.world.job_of(task)
+            if "tenant" in job:
+                number = self.numbers[job["tenant"]]
+                for name in (number, (number, job["crew"])):
+                    used[name] = used.get(name, 0.0) + job["vcpus"]
+        for number, body in self.limits.items():
+            if (most := body["limits"].get("cpus")) and used.get(number, 0.0) > most + 1e-6:
+                return number
+            for team in body["teams"]:
+                most = team.get("cpus_max")
+                if most and used.get((number, team["name"]), 0.0) > most + 1e-6:
+                    return number, team["name"]
+        return None
+
+    def left_of(self, number):
+        """Keys of a tenant's jobs that are still stored."""
+        return [key for key in self.world.state.data
+                if key.startswith(tuple(place + ids.prefix(number) for place in ("j/", "f/", "c/x/")))]
+
+
+class TenantUser(User):
+    """Submits and polls through the gateways, by the tenant's own id."""
+
+    def __init__(self, world, job, own):
+        super().__init__(world, job)
+        self.tenant, self.own = job["tenant"], own
+        self.first_accepted_at = self.refused_with = None
+
+    async def _ask(self, method, path, body, timeout):
+        path = path.replace(self.id, self.own)
+        if body is not None:
+            body = {"id": self.own, **{ASKED[name]: value for name, value in body.items() if name in ASKED}}
+            body = {name: value for name, value in body.items() if value is not None}
+        tenancy = self.world.tenancy
+        status, answer = await tenancy.ask("tenants", method, path, body, tenancy.keys[self.tenant], timeout)
+        if status in (200, 201):
+            if answer["id"] != self.own:
+                self.world.break_rule("invented", f"{self.own} is answered as {answer['id']}")
+            self.first_accepted_at = self.first_accepted_at or self.world.sim.time
+        elif status in (401, 403, 410):
+            self.refused_with = status
+            self.gave_up = True
+        return status, answer
+
+    def _hear(self, status, answer):
+        if status == 404 and tuple(self.world.tenancy.removed_at):
+            return  # its tenant may be going
+        super()._hear(status, answer)
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -7,13 +7,15 @@
 
 from roadhead.local.sim import HostLoop, Network, Sim
 from roadhead.local.standins import Cloud, State, Storm, User
+from roadhead.local.tenancy import Tenancy, TenantUser
 from roadhead.node import Node
 from roadhead.settings import Tuning, parse
+from roadhead.tenants.ids import to_job
 
 DEFAULTS = {
     "controllers": 3, "seed": 1, "report_s": 2.0, "lease_s": 12.0, "cancel_s": 32.0,
     "list_lag_s": 3.0, "txn_ops": 16, "capacity": 8, "fetch_s": 1.0, "until": 200.0,
-    "cpus_max": 0.0, "drift": 0.0005, "boot_s": 5.0,
+    "cpus_max": 0.0, "drift": 0.0005, "boot_s": 5.0, "gateways": 0, "slots": 24,
 }
 
 
@@ -50,8 +52,10 @@
         self.jobs = {}
         self.users = {}
         self.storms = []
+        self.named = {}  # tenant -> ids made for it
         self.completed = set()
         self.running = {}  # task -> worker
+        self.started = {}  # task -> when it first did
         self.cancelled_at = {}
         self.refusals = {}
         self.zones = ("north", "south")
@@ -66,6 +70,9 @@
         self.user_loop = self.host_loop("10.9.0.1")
         self.user_net = self.network.host("10.9.0.1", self.user_loop)
         self.nodes = {}
+        self.tenancy = None
+        if options["gateways"]:
+            self.tenancy = Tenancy(self, options["gateways"])
         for number in range(options["controllers"]):
             self.start(number)
         self.sim.spawn(self._check(), "checks")
@@ -101,7 +108,8 @@
         loop = self.host_loop(host)
         net = self.network.host(host, loop)
         node = Node(loop, net, self._settings_of(number), Tuning(),
-                    random.Random(self.sim.random.random()), time_of_day=lambda: 1e9 + self.sim.time)
+                    random.Random(self.sim.random.random()), time_of_day=lambda: 1e9 + self.sim.time,
+                    hosted=self.tenancy.desk(loop) if self.tenancy is not None else None)
         self.nodes[number] = node
         node.start()
 
@@ -137,7 +145,10 @@
         if job["scatter"] and zones.count(worker.zone) + 1 > (job["legs"] + 1) // 2:
             self.break_rule("wrong_place", f"{task} too close to its job")
         self.running[task] = worker
+        self.started.setdefault(task, self.sim.time)
         most = self.options["cpus_max"]
+        if self.tenancy is not None and (over := self.tenancy.check_limits(self.running)):
+            self.break_rule("quota", f"{over}: {task}")
         if most and sum(self.job_of(t)["vcpus"] for t in self.running) > most + 1e-6:
             self.break_rule("quota", task)
 
@@ -152,31 +163,60 @@
                 told = self.cancelled_at.get(task.rpartition("/")[0])
                 if told is not None and self.sim.time > told + self.settings["workers"]["cancel_s"]:
                     self.break_rule("ran_cancelled", task)
+                if self.tenancy is not None:
+                    told = self.tenancy.removed_at.get(self.tenancy.numbers.get(self.job_of(task).get("tenant")))
+                    if told is not None and self.sim.time > told + 2 * self.settings["workers"]["cancel_s"]:
+                        self.break_rule("ran_cancelled", f"{task} of a tenant that is removed")
 
     # What a scenario can do
 
+    @staticmethod
+    def _job(given):
+        job = {
+            "jobclass": "c", "crew": "crew", "shape": "batch",
+            "urgency": "standard", "legs": 4, "vcpus": 1.0, "gpus": 0.0, "ramGb": 1.0,
+            "kit": "img", "sizeGb": 1.0, "rigs": None, "paddock": None, "together": False,
+            "scatter": False, "loaners": True, "expectS": 10.0, "musterS": 0.0, "stowS": 0.0,
+            "dueS": None, "runS": 10.0, "faulty": False,
+        }
+        for name, text in given.items():
+            kind = type(job[name])
+            if name == "dueS":
+                kind = float
+            job[name] = text if kind is type(None) else kind(eval(text, {}) if kind is bool else (
+                text if kind is str else float(text)))
+        return job
+
     def submit(self, words):
         given = dict(word.split("=", 1) for word in words)
+        if "tenant" in given:
+            self._submit_as_tenant(given)
+            return
         number = len(self.jobs) + 1
         for _ in range(int(given.pop("count", 1))):
-            job = {
-                "id": f"req-{number:06d}", "jobclass": "c", "crew": "crew", "shape": "batch",
-                "urgency": "standard", "legs": 4, "vcpus": 1.0, "gpus": 0.0, "ramGb": 1.0,
-                "kit": "img", "sizeGb": 1.0, "rigs": None, "paddock": None, "together": False,
-                "scatter": False, "loaners": True, "expectS": 10.0, "musterS": 0.0, "stowS": 0.0,
-                "dueS": None, "runS": 10.0, "faulty": False,
-            }
-            for name, text in given.items():
-                kind = type(job[name])
-                if name == "dueS":
-                    kind = float
-                job[name] = text if kind is type(None) else kind(eval(text, {}) if kind is bool else (
-                    text if kind is str else float(text)))
+            job = {**self._job(given), "id": f"req-{number:06d}"}
             self.jobs[job["id"]] = job
             user = self.users[job["id"]] = User(self, job)
             self.user_loop.spawn(user.run(), job["id"])
             number += 1
 
+    def _submit_as_tenant(self, given):
+        """As `submit`, through a gateway; `id` is the first of the tenant's own ids."""
+        tenant, own = given.pop("tenant"), given.pop("id", "")
+        count, every = int(given.pop("count", 1)), float(given.pop("every", 0))
+        for number in range(count):
+            self.named[tenant] = self.named.get(tenant, 0) + 1
+            name = f"{own}{self.named[tenant]}"  # tenants' ids are alike
+
+            def begin(name=name):
+                job = {**self._job(given), "id": to_job(self.tenancy.numbers[tenant], name), "tenant": tenant}
+                self.jobs[job["id"]] = job
+                user = self.users[job["id"]] = TenantUser(self, job, name)
+                user.submitted_at = self.sim.time
+                self.user_loop.spawn(user.run(), name)
+
+            self.sim.call_later(number * every, begin)
+
     def _hosts(self, name):
         """Hosts by a scenario's names: a controller's number, state, cloud, workers, peers."""
         if name == "state":
@@ -205,6 +245,10 @@
                 "s": "open", "o": [self.labels[0], 0], "at": 1e9 + self.sim.time, "spec": public,
                 "done": [],
             })
+        elif verb in ("tenant", "limits", "suspend", "resume", "remove"):
+            self.user_loop.spawn(self.tenancy.do(verb, *rest), verb)
+        elif verb == "crash-gateway":
+            self.tenancy.crash(int(rest[0]), float(rest[1]))
         elif verb == "finals":
             # Jobs over long since, as an older version left them: final records under j/.
             for number in range(int(rest[0])):
@@ -286,6 +330,10 @@
 
     # What came of it
 
+    def _untold(self, tenant, wanted):
+        return [f"{user.own} of {tenant} was told {user.told}, not {wanted}" for user in self.users.values()
+                if getattr(user, "tenant", None) == tenant and user.told != wanted]
+
     def counter(self, name):
         return sum(node.counters.counts.get(name, 0) for node in self.nodes.values())
 
@@ -317,6 +365,19 @@
                 count = sum(key.startswith(words[1]) for key in self.state.data)
                 if not (count >= int(words[3]) if words[2] == ">=" else count <= int(words[3])):
                     faults.append(f"{count} keys under {words[1]}")
+            elif words[0] == "gone":
+                number = self.tenancy.numbers[words[1]]
+                record = self.state.data[f"c/t/{number:05d}"][0]
+                left = self.tenancy.left_of(number)
+                if record["state"] != "removed" or left:
+                    faults.append(f"tenant {words[1]} is {record['state']}, {len(left)} keys are left")
+            elif words[0] == "tenants_told":
+                faults += self._untold(words[1], words[2])
+            elif words[0] == "refused_with":
+                count = sum(getattr(user, "refused_with", None) == int(words[1]) for user in self.users.values()
+                            if user.job.get("tenant") == words[2])
+                if count < int(words[3]):
+                    faults.append(f"{count} jobs of {words[2]} were refused with {words[1]}")
             elif words[0] == "running":
                 if len(self.running) != int(words[1]):
                     faults.append(f"{len(self.running)} tasks run")
--- a/roadhead/wire/http.py
+++ b/roadhead/wire/http.py
@@ -127,12 +127,12 @@
     return parts, headers, int(length) if len(length) < 12 else 1 << 62, close
 
 
-def request_bytes(method, target, host, body=b"", headers=()):
+def request_bytes(method, target, host, body=b"", headers=(), kind="application/cbor"):
     head = f"{method} {target} HTTP/1.1\r\nHost: {host}\r\n"
     for name, value in headers:
         head += f"{name}: {value}\r\n"
     if body:
-        head += "Content-Type: application/cbor\r\n"
+        head += f"Content-Type: {kind}\r\n"
     if body or method != "GET":
         head += f"Content-Length: {len(body)}\r\n"
     return head.encode("latin-1") + b"\r\n" + body
@@ -237,7 +237,8 @@
         self._max_idle = max_idle
         self._max_body = max_body
 
-    async def request(self, method, target, body=b"", timeout=4.0, headers=()):
+    async def request(self, method, target, body=b"", timeout=4.0, headers=(),
+                      kind="application/cbor"):
         """The response as (status, body, headers). Raises NoAnswer."""
         loop = self._loop
         deadline = loop.now() + timeout
@@ -258,7 +259,7 @@
         timer = loop.call_at(deadline, stream.close)
         keep = False
         try:
-            stream.write(request_bytes(method, target, self.address, body, headers))
+            stream.write(request_bytes(method, target, self.address, body, headers, kind))
             parser = Parser(response=True, max_body=self._max_body)
             while (message := parser.next()) is None:
                 data = await stream.read()
