--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -2,12 +2,15 @@
 
 import argparse
 import json
+import os
 import sys
+import time
 
 from roadhead import __version__
 
 
-def _parser():
+def _parser(hosting):
+    """`hosting`: with the verbs that a controller's start-up need not know."""
     parser = argparse.ArgumentParser(
         prog="roadhead", description="A cluster scheduler: runs jobs on rented machines."
     )
@@ -23,6 +26,22 @@
             "--tuning", metavar="FILE",
             help="the operators' own settings (TOML); default: $ROADHEAD_TUNING",
         )
+        verb.add_argument("--hosted", metavar="FILE",
+                          help="serve tenants, as this file says (TOML); default: $ROADHEAD_HOSTED")
+    gateway = verbs.add_parser("gateway", help="run a gateway for tenants and administrators")
+    gateway.add_argument("--hosted", metavar="FILE", required=True, help="its settings (TOML)")
+    if hosting:
+        from roadhead.gateway.commands import add_to
+
+        add_to(verbs)
+    local = verbs.add_parser("local", help="a whole service on this machine, to try it")
+    local.add_argument("--run", metavar="FILE", help="run the jobs of a file (TOML), then stop")
+    local.add_argument("--keep", metavar="DIR", help="keep everything in DIR; without --run: serve on")
+    local.add_argument("--crash", metavar="N", type=int, default=0, help="kill controllers N times meanwhile")
+    local.add_argument("--timeout", metavar="SECONDS", type=float, default=50.0, help="for --run")
+    part = verbs.add_parser("local-part")
+    part.add_argument("arguments", nargs="+")
+
     def client(name, about):
         verb = verbs.add_parser(name, help=about)
         verb.add_argument("address", metavar="ADDRESS", help="a controller, as HOST:PORT")
@@ -100,7 +119,51 @@
     return "\n".join(lines)
 
 
-def serve(settings, tuning):
+def local(args):
+    """A cluster on this machine."""
+    import tempfile
+
+    from roadhead.local import cluster
+
+    if not args.run and not args.keep:
+        print("roadhead: local: --run FILE or --keep DIR", file=sys.stderr)
+        return 2
+    args.directory = tempfile.mkdtemp(prefix="roadhead-") if not args.keep else None
+    try:
+        return cluster.main(args, [os.path.abspath(sys.argv[0])])
+    except cluster.Failed as error:
+        print(f"roadhead: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        return 1
+
+
+def gateway(path):
+    from roadhead.gateway.gateway import Gateway
+    from roadhead.runtime.loop import Loop
+    from roadhead.runtime.net import Net
+    from roadhead.telemetry import set_up_logging
+    from roadhead.tenants.settings import load
+
+    hosted = load(path)
+    set_up_logging("gateway")
+    loop = Loop()
+    Gateway(loop, Net(loop), hosted).start()
+    loop.run()
+    return 0
+
+
+def desk_of(loop, path):
+    """The controller's side of hosting, where a file says so; else None."""
+    if not path:
+        return None
+    from roadhead.tenants.desk import Desk
+    from roadhead.tenants.settings import load
+
+    return Desk(loop, load(path), time.time)
+
+
+def serve(settings, tuning, hosted):
     import gc
 
     from roadhead.node import Node
@@ -110,29 +173,44 @@
 
     set_up_logging(settings.label)
     loop = Loop()
-    Node(loop, Net(loop), settings, tuning).start()
+    Node(loop, Net(loop), settings, tuning, hosted=desk_of(loop, hosted)).start()
     gc.freeze()
     loop.run()
     return 0
 
 
 def main(argv=None):
-    parser = _parser()
-    args = parser.parse_args(argv)
+    words = sys.argv[1:] if argv is None else argv
+    parser = _parser(hosting=not words or words[0] != "--config")
+    args = parser.parse_args(words)
     if args.verb is None and args.config is None:
         parser.print_help()
         return 2
-    if args.verb not in (None, "serve", "check"):
+    if args.verb == "tenants":
+        from roadhead.gateway import commands
+
+        return commands.main(args)
+    if args.verb == "local":
+        return local(args)
+    if args.verb == "local-part":
+        from roadhead.local import processes
+
+        return processes.main(*args.arguments)
+    if args.verb not in (None, "serve", "check", "gateway"):
         return ask(args)
     from roadhead.settings import SettingsError, load
 
+    hosted = getattr(args, "hosted", None) or os.environ.get("ROADHEAD_HOSTED")
     try:
+        if args.verb == "gateway":
+            return gateway(hosted)
         settings, tuning = load(args.config, getattr(args, "tuning", None))
+        if args.verb == "check":
+            desk_of(None, hosted)
+            print(f"{settings.label}: settings are fine")
+            return 0
+        return serve(settings, tuning, hosted)
     except SettingsError as error:
         for fault in error.faults:
             print(f"roadhead: {fault}", file=sys.stderr)
         return 2
-    if args.verb == "check":
-        print(f"{settings.label}: settings are fine")
-        return 0
-    return serve(settings, tuning)
--- a/roadhead/local/standins.py
+++ b/roadhead/local/standins.py
@@ -34,7 +34,8 @@
                     self.late.remove((matches, delay))
                     self.loop.spawn(self._later(delay, request.method, path, args, body, stream))
                     await Future()
-            status, answer = await self.handle(request.method, path, args, body, stream.peer_host)
+            host = getattr(stream, "peer_host", "")
+            status, answer = await self.handle(request.method, path, args, body, host)
             if self.lose > 0 and request.method == "POST":
                 self.lose -= 1
                 stream.close()
@@ -50,14 +51,21 @@
         await self.handle(method, path, args, body, stream.peer_host)
 
 
+KEPT = 10_000  # changes that a watch can ask for
+
+
 class State(Server):
-    def __init__(self, world):
-        super().__init__(world, "10.2.0.1", "10.2.0.1:2379")
-        self.data = {}  # key -> (value, stamp, permit)
-        self.epoch = 0
+    """`keeper` saves every change before it is answered; without one nothing outlives the process."""
+
+    def __init__(self, world, address="10.2.0.1:2379", keeper=None):
+        super().__init__(world, address.rpartition(":")[0], address)
+        self.keeper = keeper
+        data, self.epoch, leases, self.permits = keeper.load() if keeper else ({}, 0, {}, 0)
+        self.data = data  # key -> (value, stamp, permit)
         self.log = []
-        self.leases = {}  # permit -> [life, ends]
-        self.permits = 0
+        self.log_from = self.epoch  # changes up to here are no longer kept
+        # permit -> [life, ends]; as after an outage, all have their full time
+        self.leases = {permit: [life, self.sim.time + life] for permit, life in leases.items()}
         self.down = False
         self.refused_hosts = set()
         self.requests = self.refused = 0
@@ -77,12 +85,16 @@
 
     def _end(self, permit):
         del self.leases[permit]
+        if self.keeper:
+            self.keeper.lease(permit, None, self.permits)
         keys = [k for k, (_, _, p) in self.data.items() if p == permit]
         if keys:
             self.epoch += 1
             for key in keys:
                 del self.data[key]
                 self.log.append({"drop": key, "stamp": self.epoch})
+            if self.keeper:
+                self.keeper.save(self.epoch, {}, keys)
             self._wake()
 
     def _wake(self):
@@ -130,6 +142,8 @@
             self.permits += 1
             life = body["lifeMs"] / 1000
             self.leases[self.permits] = [life, self.sim.time + life]
+            if self.keeper:
+                self.keeper.lease(self.permits, life, self.permits)
             return 200, {"permit": self.permits}
         if path.startswith("/leases/"):
             permit = int(path.split("/")[2])
@@ -142,6 +156,8 @@
             after, prefix = int(args["after"]), args["under"]
             ends = self.sim.time + int(args.get("waitMs", 0)) / 1000
             while True:
+                if after < self.log_from:
+                    return 410, {}
                 found = [e for e in self.log
                          if e["stamp"] > after and (e.get("put") or e.get("drop")).startswith(prefix)]
                 if not refused() and (found or self.sim.time >= ends):
@@ -168,6 +184,9 @@
         if len(body["writes"]) > self.world.settings["state"]["txn_ops"]:
             return 400, {"error": "too many"}
         if body["writes"]:
+            if len(self.log) > 2 * KEPT:
+                self.log_from = self.log[-KEPT - 1]["stamp"]
+                self.log = [event for event in self.log if event["stamp"] > self.log_from]
             self.epoch += 1
             for write in body["writes"]:
                 if "put" in write:
@@ -175,13 +194,17 @@
                     self.log.append({"put": write["put"], "data": write["data"], "stamp": self.epoch})
                 elif self.data.pop(write["drop"], None) is not None:
                     self.log.append({"drop": write["drop"], "stamp": self.epoch})
+            if self.keeper:
+                self.keeper.save(
+                    self.epoch, {w["put"]: self.data[w["put"]] for w in body["writes"] if "put" in w},
+                    [w["drop"] for w in body["writes"] if "drop" in w])
             self._wake()
         return 200, {"epoch": self.epoch}
 
 
 class Cloud(Server):
-    def __init__(self, world, kinds, capacity):
-        super().__init__(world, "10.2.0.2", "10.2.0.2:8443")
+    def __init__(self, world, kinds, capacity, address="10.2.0.2:8443"):
+        super().__init__(world, address.rpartition(":")[0], address)
         self.kinds = kinds
         self.capacity = capacity
         self.rented = {}  # name -> Worker
@@ -242,10 +265,13 @@
             self.names += 1
             name = f"n-{self.names:06d}"
             kind = next(k for k in self.kinds if k["name"] == kind_name)
-            self.rented[name] = Worker(self.world, name, self.names, kind, zone, spot)
+            self.rented[name] = self.new_worker(name, self.names, kind, zone, spot)
             names.append(name)
         return names
 
+    def new_worker(self, name, number, kind, zone, spot):
+        return Worker(self.world, name, number, kind, zone, spot)
+
 
 class OnMachine:
     """An attempt on a worker."""
@@ -260,10 +286,9 @@
 
 
 class Worker(Server):
-    def __init__(self, world, name, number, kind, zone, spot):
-        host = f"10.1.{number // 200}.{number % 200 + 1}"
-        self.address = f"{host}:9000"
-        super().__init__(world, host, self.address)
+    def __init__(self, world, name, number, kind, zone, spot, address=None):
+        self.address = address or f"10.1.{number // 200}.{number % 200 + 1}:9000"
+        super().__init__(world, self.address.rpartition(":")[0], self.address)
         self.name, self.kind, self.zone, self.spot = name, kind, zone, spot
         self.born = self.sim.time
         self.up = False
--- a/roadhead/local/tenancy.py
+++ b/roadhead/local/tenancy.py
@@ -69,8 +69,10 @@
         client = Client(world.user_loop, world.user_net, getattr(gateway, kind), 0)
         data = json.dumps(body).encode() if body is not None else b""
         try:
-            status, data, _ = await client.request(method, path, data, timeout, [
-                ("Authorization", f"Bearer {key}"), ("Accept", "application/json"), *headers], "application/json")
+            status, data, _ = await client.request(
+                method, path, data, timeout,
+                [("Authorization", f"Bearer {key}"), ("Accept", "application/json"), *headers],
+                "application/json")
         except (NoAnswer, Timeout):
             return 0, None
         return status, (json.loads(data) if data else None)
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -164,7 +164,8 @@
                 if told is not None and self.sim.time > told + self.settings["workers"]["cancel_s"]:
                     self.break_rule("ran_cancelled", task)
                 if self.tenancy is not None:
-                    told = self.tenancy.removed_at.get(self.tenancy.numbers.get(self.job_of(task).get("tenant")))
+                    tenant = self.job_of(task).get("tenant")
+                    told = self.tenancy.removed_at.get(self.tenancy.numbers.get(tenant))
                     if told is not None and self.sim.time > told + 2 * self.settings["workers"]["cancel_s"]:
                         self.break_rule("ran_cancelled", f"{task} of a tenant that is removed")
 
@@ -374,7 +375,7 @@
             elif words[0] == "tenants_told":
                 faults += self._untold(words[1], words[2])
             elif words[0] == "refused_with":
-                count = sum(getattr(user, "refused_with", None) == int(words[1]) for user in self.users.values()
+                count = sum(user.refused_with == int(words[1]) for user in self.users.values()
                             if user.job.get("tenant") == words[2])
                 if count < int(words[3]):
                     faults.append(f"{count} jobs of {words[2]} were refused with {words[1]}")
