--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -5,7 +5,6 @@
 
 import heapq
 import logging
-from itertools import islice
 
 from roadhead.fleet.plan import DOUBTFUL
 from roadhead.homes.machine import fits, times
@@ -23,8 +22,6 @@
 AIMLESS = 10  # times the aim assumed by default: the slack of jobs of which nothing is expected
 BORROWED = 5  # added to the urgency of work beyond its team's guarantee, where teams share
 ROUNDS = 16  # of a placing pass, where teams share
-SORTED_MOST = 1000  # jobs put in order at every gap; more of them, less often
-LOOKED_AT = 4000  # startable jobs of a pass: far more than there are rows of a Demand
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 
 
@@ -189,7 +186,7 @@
         capacity = max(1e-6, self.capacity())
         window_s = self._window_s
         jobs = []
-        for job in self._book.jobs.values():
+        for job in self._book.jobs.values() if self.sharing is None else self.sharing.candidates():
             slack, later = self._aim(job)
             tier = TIERS[job.rank]
             if job.doubtful:
@@ -233,14 +230,10 @@
         jobs for every grant would cost more than the grants themselves.
         """
         now = self._loop.now()
-        # With very many jobs the order is kept longer, new ones too wait for it: sorting must not
-        # take all the time there is.
-        crowd = len(self._book.jobs) // SORTED_MOST
-        stale = self._ordered != self._book.version and not crowd
-        if stale or now - self._ordered_at > self._gap_s * (1 + crowd):
+        if self._ordered != self._book.version or now - self._ordered_at > self._gap_s:
             self._put_in_order()
             self._ordered, self._ordered_at = self._book.version, now
-        return list(islice((job for job in self._order if self._startable(job, now)), LOOKED_AT))
+        return [job for job in self._order if self._startable(job, now)]
 
     def _allowed(self, job, listing):
         spec = job.spec
--- a/roadhead/jobs/teams.py
+++ b/roadhead/jobs/teams.py
@@ -14,12 +14,14 @@
     ids of those taken over of which not all is known yet.
     """
 
-    __slots__ = ("held", "jobs", "tasks", "unsure")
+    __slots__ = ("by_rank", "held", "jobs", "tasks", "teams", "unsure")
 
     def __init__(self):
         self.held = NOTHING
         self.tasks = 0
         self.jobs = {}  # in the order in which they came, as a set
+        self.by_rank = ({}, {}, {}, {})  # the same, by urgency
+        self.teams = {}  # its teams with jobs -> how many
         self.unsure = set()
 
     def add(self, need):
@@ -34,6 +36,7 @@
         ) if self.tasks else NOTHING
 
     def waiting(self):
+        """Tasks that wait, by a look at every job."""
         return sum(len(job.free) for job in self.jobs)
 
     @property
@@ -59,8 +62,15 @@
         """The accounts that a job counts in; none for a team without a limit."""
         team = job.spec.team
         group = self._teams.group(team)
-        names = () if group is None else (team,) if group == team else (team, group)
-        return [self._accounts.setdefault(name, Account()) for name in names]
+        if group is None:
+            return ()
+        return (self._named(team),) if group == team else (self._named(team), self._named(group))
+
+    def _named(self, name):
+        account = self._accounts.get(name)
+        if account is None:
+            account = self._accounts[name] = Account()
+        return account
 
     def unsure(self, job):
         for account in self._of(job):
@@ -72,14 +82,19 @@
 
     def enter(self, job):
         for account in self._of(job):
-            account.jobs[job] = True
+            account.jobs[job] = account.by_rank[job.rank][job] = True
+            account.teams[job.spec.team] = account.teams.get(job.spec.team, 0) + 1
 
     def leave(self, job):
         """The job is no longer owned here; neither is anything that it held."""
         for binding in job.bound.values():
             self.let_go(job, binding)
         for account in self._of(job):
-            account.jobs.pop(job, None)
+            if account.jobs.pop(job, None):
+                del account.by_rank[job.rank][job]
+                account.teams[job.spec.team] -= 1
+                if not account.teams[job.spec.team]:
+                    del account.teams[job.spec.team]
             account.unsure.discard(job.id)
         team = job.spec.team
         for name in (team, self._teams.group(team)):
--- a/roadhead/tenants/desk.py
+++ b/roadhead/tenants/desk.py
@@ -18,6 +18,7 @@
 log = logging.getLogger("roadhead.desk")
 
 BORROWING = 1e5  # windows after the first place at which borrowed work begins
+COUNTED_S = 1.0  # for which a count of waiting tasks is kept
 WHOLE_FLEET = 1e6  # windows by which the share of a whole fleet comes later
 
 
@@ -32,6 +33,7 @@
         self.teams = TenantTeams(self.table)
         self.secrets = Secrets(hosted.master)
         self._rates = admission.Rates(loop)
+        self._waiting = {}  # group -> [until when it counts, tasks]
         self._node = None
         self._removal = self._preemption = None
 
@@ -128,10 +130,22 @@
         if member.term.warden(group) == member.label:
             account = node.book.accounts.get(group)
             if account is not None:
-                refused = admission.full(tenant.limits, len(account.jobs), account.waiting(), spec.tasks)
+                waiting = self._waiting_of(group, account)
+                refused = admission.full(tenant.limits, len(account.jobs), waiting, spec.tasks)
                 if refused is not None:
                     return refused
-        return self._rates.take(tenant)
+        refused = self._rates.take(tenant)
+        if refused is None and group in self._waiting:
+            self._waiting[group][1] += spec.tasks
+        return refused
+
+    def _waiting_of(self, group, account):
+        """Tasks that wait, counted anew once a second; what is taken meanwhile is added."""
+        now = self._loop.now()
+        if group not in self._waiting or self._waiting[group][0] < now:
+            self._waiting = {name: entry for name, entry in self._waiting.items() if entry[0] >= now}
+            self._waiting[group] = [now + COUNTED_S, account.waiting()]
+        return self._waiting[group][1]
 
     def usage(self, number):
         """What this controller knows of a tenant, and of nobody else: (body, status)."""
--- a/roadhead/tenants/preemption.py
+++ b/roadhead/tenants/preemption.py
@@ -91,11 +91,10 @@
 
     def tell(self):
         """With each beat: what is borrowed here."""
-        teams = dict.fromkeys(job.spec.team for group in self._book.accounts.groups()
-                              for job in self._book.accounts.get(group).jobs)
         total = NOTHING
-        for team in teams:
-            total = tuple(map(sum, zip(total, self._sharing.borrowed(team), strict=True)))
+        for group in self._book.accounts.groups():
+            for team in self._book.accounts.get(group).teams:
+                total = tuple(map(sum, zip(total, self._sharing.borrowed(team), strict=True)))
         labels = self._member.term.members
         self._borrowed = {label: held for label, held in self._borrowed.items() if label in labels}
         for label in labels:
--- a/roadhead/tenants/teams.py
+++ b/roadhead/tenants/teams.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+from itertools import chain, islice
 
 from roadhead.homes.machine import times
 from roadhead.jobs.teams import NOTHING
@@ -16,6 +17,8 @@
 EVERYTHING = 1 << 30
 QUANTUM = 1 / 64  # of the fleet, by which one who borrows may get ahead of the next in a round
 NO_PLACE = float("inf")
+ORDERED_MOST = 2000  # jobs put in order at once, of all groups
+ORDERED_LEAST = 20  # of one group
 
 
 class TenantTeams:
@@ -87,6 +90,17 @@
         account = self._accounts.get(name)
         return account.held if account is not None else NOTHING
 
+    def candidates(self):
+        """Jobs that may come first: of each group some, the most urgent and of those the oldest.
+
+        So an order costs the same however many jobs wait: what is left out comes after these.
+        """
+        groups = self._accounts.groups()
+        each = max(ORDERED_LEAST, ORDERED_MOST // max(1, len(groups)))
+        for group in groups:
+            by_rank = chain.from_iterable(self._accounts.get(group).by_rank)
+            yield from islice((job for job in by_rank if job.free and job.state == "open"), each)
+
     def borrowed(self, team):
         """(cpus, gpus, memory) that a team holds beyond its guarantee.
 
@@ -147,7 +161,7 @@
     def _teams_of(self, group, teams):
         """The teams of a group that hold anything, and those that wait."""
         account = self._accounts.get(group)
-        held = dict.fromkeys(job.spec.team for job in account.jobs) if account is not None else {}
+        held = account.teams if account is not None else {}
         return [*teams, *(team for team in held if team not in teams)]
 
     def _merged(self, teams, totals):
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -2,16 +2,21 @@
 
 import random
 import sys
+import tracemalloc
 
 import pytest
 
 from roadhead.dispatch.dispatcher import Dispatcher
 from roadhead.homes.home import Home
 from roadhead.homes.machine import Machine, Needs
+from roadhead.jobs.book import Book as RealBook
 from roadhead.jobs.job import Binding, Job
 from roadhead.local.sim import Sim
 from roadhead.local.world import World
 from roadhead.telemetry import Counters
+from roadhead.tenants import ids, records
+from roadhead.tenants.desk import Desk
+from roadhead.tenants.teams import Sharing
 from roadhead.wire import frames, messages
 
 KIND = messages.MachineType("box", 4.0, 16.0, 0.2, ["a"], cache_gb=40.0, spot_price=0.05)
@@ -158,6 +163,101 @@
     return dispatcher
 
 
+class Hosted:
+    master, slots, stale_s, patience, preempt = b"m" * 32, 24, 20.0, 0.1, True
+
+    def left_of(self, limits):
+        return limits
+
+
+class HostedNode:
+    """What a desk asks of its controller, with jobs of one tenant."""
+
+    def __init__(self, tenants, jobs):
+        self.loop = Sim(1)
+        self.desk = Desk(self.loop, Hosted(), lambda: 1e9)
+        for number in range(1, tenants + 1):
+            record = records.Tenant(number, f"tenant-{number}", teams=[
+                records.Team(f"team{team}", cpus=1.0) for team in range(10)])
+            self.desk.table.take(records.key_of(number), record.to_record(), number)
+        self.member = Member()
+        self.member.term = HostedTerm()
+        self.member.watched_at = 0.0
+        self.book = RealBook(
+            self.loop, self.member, lambda *_: None, lambda _label, _frame: True, lambda: None, Counters(),
+            lambda: 1e9, 12.0, None, self.desk.teams, None, None)
+        self.book.on_term(None, self.member.term)
+        self.book.scanned = 1
+        self.desk._node = self
+        for number in range(jobs):
+            job = Job(self.spec(number), ("here", 1), 0.0)
+            self.book._begin(job)
+        self.sharing = Sharing(self.desk.teams, self.book.accounts, lambda: (400.0, 0.0, 1600.0), 1e6, 1e7)
+
+    def spec(self, number):
+        return messages.JobSpec(
+            ids.to_job(1 + number % 5, f"j{number}"), "c", ids.to_team(1 + number % 5, f"team{number % 10}"),
+            "batch", "standard", 5, 1.0, 0.0, 3.0, 1.0, False, False, True, 10.0, 0.0, 0.0, "img")
+
+
+class HostedTerm(Term):
+    wardens = ("here",) * 24
+    incarnation = staticmethod(lambda _label: 1)
+
+    def slot(self, group):
+        return int(group) % 24
+
+    def warden(self, _group):
+        return "here"
+
+
+def test_idle_tenants_cost_nothing_where_jobs_are_taken_and_placed():
+    few, many = HostedNode(10, 200), HostedNode(1000, 200)
+    for node in (few, many):
+        node.jobs = list(node.book.jobs.values())
+    spec = few.spec(900_000)
+    assert 0 < calls(many.desk.refusal, spec, 10) <= calls(few.desk.refusal, spec, 10) + 2
+    assert 0 < calls(many.sharing.arrange, many.jobs) <= 1.05 * calls(few.sharing.arrange, few.jobs)
+    assert calls(many.book.headroom, "1/team3") <= calls(few.book.headroom, "1/team3") + 2
+    record = records.Tenant(7, "tenant-7", version=2, teams=[records.Team("team1")]).to_record()
+    few.dispatcher = many.dispatcher = Changed()
+    few.desk._removal = many.desk._removal = None
+    change = (records.key_of(7), record, 10**6)
+    # The persistent map is a tree: the depth of its path is all that grows.
+    assert calls(many.desk.table.take, *change) <= calls(few.desk.table.take, *change) + 8
+
+
+def test_the_order_costs_the_same_however_many_jobs_wait():
+    def ordered(node):
+        return calls(lambda: node.sharing.arrange(list(node.sharing.candidates())))
+
+    few, many = HostedNode(10, 3000), HostedNode(10, 12_000)
+    assert 0 < ordered(many) <= 1.05 * ordered(few)
+    spec = few.spec(900_000)
+    few.desk.refusal(spec, 10), many.desk.refusal(spec, 10)  # the tasks were counted lately
+    assert 0 < calls(many.desk.refusal, spec, 10) <= calls(few.desk.refusal, spec, 10) + 2
+
+
+class Changed:
+    def changed(self):
+        pass
+
+
+def test_memory_of_tenants_and_open_jobs_is_in_proportion():
+    """Figures stand in docs/tenants.md; here only that they hold at two sizes."""
+    def grown(tenants, jobs):
+        tracemalloc.start()
+        node = HostedNode(tenants, jobs)
+        size = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        assert len(node.book.jobs) == jobs
+        return size
+
+    base, tenants, jobs = grown(10, 10), grown(510, 10), grown(10, 2010)
+    assert (tenants - base) / 500 < 8_000
+    assert (jobs - base) / 2000 < 6_000
+
+
 def listed_at_takeover(finals):
     """Records read when a controller is dropped, with so many jobs over long since."""
     world = World("at 1 submit legs=4 runS=200\nat 30 crash 0 60\nuntil 60")
