--- a/roadhead/__init__.py
+++ b/roadhead/__init__.py
@@ -1,3 +1,3 @@
 """roadhead, a cluster scheduler."""
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,8 +1,12 @@
 """The command line, and the real loop and sockets underneath it, on loopback."""
 
 import json
+import os
 import socket
+import subprocess
+import sys
 import threading
+from pathlib import Path
 
 import pytest
 from test_wire import PLATFORM
@@ -11,8 +15,10 @@
 from roadhead.local.world import World
 from roadhead.runtime.loop import Loop
 from roadhead.runtime.net import Net
+from roadhead.tenants import settings as hosted_settings
 from roadhead.wire import http, messages
 
+ROOT = Path(__file__).resolve().parent.parent
 SUMMARY = {
     "classes": [{"class": "letters", "open": 3, "done": 7, "late": 1, "atRisk": 2}],
     "machines": 4, "failing": 1, "heard": ["a", "b"], "behind": ["c: not heard"],
@@ -95,3 +101,30 @@
         assert summary["classes"] == [{"class": "c", "open": 1, "done": 4, "late": 0, "atRisk": 1}]
         assert summary["heard"] == ["ctl-0", "ctl-1", "ctl-2"]
         assert summary["behind"] == []
+
+
+def test_a_controller_starts_with_what_it_needs_and_no_more():
+    """Nothing of hosting, local clusters or their libraries, without a hosted file."""
+    code = ("import sys, run, roadhead.cli, roadhead.node, roadhead.settings; roadhead.cli._parser(False); "
+            "print(*sorted(sys.modules))")
+    out = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True,
+                         env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}).stdout.split()
+    assert "roadhead.node" in out
+    unwanted = ("roadhead.tenants", "roadhead.gateway", "roadhead.local",
+                "blake3", "immutables", "lmdb", "tqdm")
+    assert [name for name in out if name.startswith(unwanted)] == []
+
+
+def test_the_hosted_file_that_comes_along_is_good(tmp_path, capsys):
+    assert hosted_settings.parse((ROOT / "deploy" / "hosted.toml").read_bytes()).slots == 24
+    (tmp_path / "settings.json").write_text(json.dumps(PLATFORM))
+    hosted = tmp_path / "hosted.toml"
+    hosted.write_bytes((ROOT / "deploy" / "hosted.toml").read_bytes())
+    check = ["check", "--config", str(tmp_path / "settings.json"), "--hosted", str(hosted)]
+    assert cli.main(check) == 2
+    assert "secret_file" in capsys.readouterr().err
+    (tmp_path / "secret").write_text("s" * 48)
+    assert cli.main(check) == 0
+    hosted.write_text(hosted.read_text().replace("slots", "colour"))
+    assert cli.main(check) == 2
+    assert len(capsys.readouterr().err.splitlines()) == 1
