--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -45,6 +45,8 @@
     def client(name, about):
         verb = verbs.add_parser(name, help=about)
         verb.add_argument("address", metavar="ADDRESS", help="a controller, as HOST:PORT")
+        verb.add_argument("--hosted", metavar="FILE", help="of a hosted service: whose secret signs "
+                          "what only gateways and operators may ask; default: $ROADHEAD_HOSTED")
         return verb
 
     client("submit", "submit a job").add_argument(
@@ -56,8 +58,9 @@
     return parser
 
 
-def call(address, method, path, body=None):
-    """(status, answer) of a controller. Raises OSError."""
+def call(address, method, path, body=None, hosted=None):
+    """(status, answer) of a controller, asked in the name of a hosted service's operators where its
+    file is given. Raises OSError."""
     import http.client
 
     import cbor2
@@ -65,7 +68,14 @@
     connection = http.client.HTTPConnection(address, timeout=10)
     try:
         data = cbor2.dumps(body) if body is not None else None
-        connection.request(method, path, data, {"Content-Type": "application/cbor"})
+        headers = {"Content-Type": "application/cbor"}
+        if hosted:
+            from roadhead.tenants.keys import Secrets
+            from roadhead.tenants.settings import load
+
+            headers["Roadhead-Signature"] = Secrets(load(hosted).master).sign(
+                method, path, data or b"", time.time())
+        connection.request(method, path, data, headers)
         response = connection.getresponse()
         data = response.read()
         return response.status, cbor2.loads(data) if data else {}
@@ -77,6 +87,8 @@
 
 def ask(args):
     """The verbs that talk to a running controller."""
+    from roadhead.settings import SettingsError
+
     if args.verb == "submit":
         try:
             with open(args.file) if args.file != "-" else sys.stdin as file:
@@ -92,10 +104,14 @@
     else:
         request = ("GET", "/v1/summary")
     try:
-        status, answer = call(args.address, *request)
+        status, answer = call(args.address, *request,
+                              hosted=args.hosted or os.environ.get("ROADHEAD_HOSTED"))
     except (OSError, ValueError) as error:
         print(f"roadhead: {args.address}: {error}", file=sys.stderr)
         return 1
+    except SettingsError as error:
+        print("\n".join(f"roadhead: {fault}" for fault in error.faults), file=sys.stderr)
+        return 2
     if status not in (200, 201):
         print(f"roadhead: {status} {answer.get('error', '')}".rstrip(), file=sys.stderr)
         return 1
--- a/roadhead/gateway/gateway.py
+++ b/roadhead/gateway/gateway.py
@@ -5,7 +5,7 @@
 import time
 
 from roadhead.gateway.admin_api import AdminApi
-from roadhead.gateway.answers import NOT_SURE, Refused, Request, answer, problem
+from roadhead.gateway.answers import JSON, NOT_SURE, Refused, Request, answer, problem
 from roadhead.gateway.controllers import Controllers
 from roadhead.gateway.tenants_api import TenantsApi
 from roadhead.gateway.watch import Watch
@@ -70,7 +70,10 @@
         return await self._answer(message, self._administration.handle)
 
     async def _answer(self, message, handle):
-        request = Request(message)
+        try:
+            request = Request(message)
+        except ValueError:  # more in the query than any path takes
+            return problem(Refused(400, "the target can't be read"), JSON)
         if request.parts == ["ready"]:
             return (200 if self.watch.fresh() else 503), b"", None
         try:
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -110,8 +110,8 @@
             if written and size > MAX_BYTES:
                 break
             count = recorded.count
-            if len(conditions) + 5 > 4 * self._state.limits.txn_ops:
-                break
+            if written and len(conditions) + 4 > 4 * self._state.limits.txn_ops:
+                break  # a creation takes three conditions, and the term's is to come
             conditions.append((KEY + job.id, job.stamp))
             if not job.stamp:
                 conditions.append((SHELF + job.id, 0))  # it may be over long since
--- a/roadhead/tenants/desk.py
+++ b/roadhead/tenants/desk.py
@@ -8,7 +8,7 @@
 from roadhead.tenants import admission, ids
 from roadhead.tenants.keys import Secrets
 from roadhead.tenants.preemption import Preemption
-from roadhead.tenants.records import ACTIVE, REMOVING, key_of
+from roadhead.tenants.records import ACTIVE, key_of
 from roadhead.tenants.removal import Removal
 from roadhead.tenants.spreading import Spreading
 from roadhead.tenants.table import Table
@@ -75,8 +75,7 @@
             self._node.book.refuse(group)
         if self.teams.stopping(group):
             self._node.book.stop_group(group)
-        if tenant.state == REMOVING:
-            self._removal.wake()
+        self._removal.note(tenant)
         if old is not None and tenant.state != old.tenant.state:
             log.info("tenant %d is %s", tenant.number, tenant.state)
         self._node.dispatcher.changed()
--- a/roadhead/tenants/preemption.py
+++ b/roadhead/tenants/preemption.py
@@ -35,6 +35,7 @@
         self._borrowed = {}  # label -> (cpus, gpus, memory) that its jobs hold beyond guarantees
         self._since = {}  # job -> since when tasks of it wait within the guarantee
         self._asked = {}  # job -> (until, tasks for which room was asked back)
+        self._timer = None
         self._stopping = {}  # (job, index, attempt) -> until when it is taken for on its way out
 
     # Whoever waits
@@ -60,11 +61,15 @@
             spec = job.spec
             key = (*job.need, spec.spot, spec.zone or "", tuple(spec.types or ()))
             rows[key] = rows.get(key, 0) + count
-        if soonest is not None:
-            self._loop.call_later(soonest, self._again)
+        if soonest is not None and self._timer is None:
+            self._timer = self._loop.call_later(soonest, self._look_again)
         if rows:
             self._ask(list(rows.items())[:ROWS_MOST])
 
+    def _look_again(self):
+        self._timer = None
+        self._again()
+
     def _ask(self, rows):
         """Each owner is asked for what it has, the one that borrows most first."""
         left = dict(self._borrowed)
--- a/roadhead/tenants/records.py
+++ b/roadhead/tenants/records.py
@@ -11,7 +11,8 @@
 import msgspec
 from msgspec import Struct, field
 
-TENANT = "c/t/"
+from roadhead.membership.member import TENANT
+
 NAME = "n/"
 NEXT = "n/"  # the key of the next number: no name is empty
 ADMINISTRATORS = 0
--- a/roadhead/tenants/removal.py
+++ b/roadhead/tenants/removal.py
@@ -35,17 +35,27 @@
         self._table = table
         self._cancel_s = node.settings.deployment.workers.cancel_s
         self._wake = Signal()
+        # Tenants that are to go, whoever carries it out.
+        self._going = {number for number, entry in table.entries.items()
+                       if entry.tenant.state == REMOVING}
         self._quiet_since = {}  # tenant's number -> since when none of its jobs was open
 
+    def note(self, tenant):
+        """A tenant's record changed."""
+        if tenant.state == REMOVING:
+            self._going.add(tenant.number)
+            self._wake.set()
+        else:
+            self._going.discard(tenant.number)
+
     def wake(self):
-        """A tenant is to go, or the members changed: somebody else's removal may be ours now."""
+        """The members changed: somebody else's removal may be ours now."""
         self._wake.set()
 
     def _mine(self):
         member = self._node.member
-        return [number for number in self._table.living()
-                if self._table.entry(number).tenant.state == REMOVING
-                and pick(member.term.members, f"removal {number}") == member.label]
+        return [number for number in sorted(self._going)
+                if pick(member.term.members, f"removal {number}") == member.label]
 
     async def run(self):
         """The duty: one piece of each removal that falls to this controller, again and again."""
--- a/roadhead/tenants/table.py
+++ b/roadhead/tenants/table.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from roadhead.tenants import ids
-from roadhead.tenants.records import ADMINISTRATORS, REMOVED, TENANT, from_record
+from roadhead.tenants.records import TENANT, from_record
 
 log = logging.getLogger("roadhead.tenants")
 
@@ -29,7 +29,6 @@
     def __init__(self, on_change=lambda old, new: None):
         self._on_change = on_change
         self.entries = immutables.Map()  # number -> Entry
-        self.names = immutables.Map()  # name -> number
 
     def take(self, key, record, stamp):
         """A record read or heard of; an older one than is known changes nothing."""
@@ -43,24 +42,11 @@
             return
         tenant = entry.tenant
         self.entries = self.entries.set(tenant.number, entry)
-        named = self.names.get(tenant.name)
-        if tenant.number != ADMINISTRATORS and (named is None or named <= tenant.number):
-            self.names = self.names.set(tenant.name, tenant.number)
         self._on_change(old, entry)
 
     def entry(self, number):
         return self.entries.get(number)
 
-    def named(self, name):
-        """The entry of the tenant that has, or last had, the name."""
-        number = self.names.get(name)
-        return None if number is None else self.entries[number]
-
-    def living(self):
-        """Numbers of all that are not removed, in order."""
-        return sorted(number for number, entry in self.entries.items()
-                      if entry.tenant.state != REMOVED and number != ADMINISTRATORS)
-
     def team(self, name):
         """(Entry, Team) of a team by its name in the service, or (None, None)."""
         number, _own = ids.from_team(name)
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -221,7 +221,8 @@
     assert calls(many.book.headroom, "1/team3") <= calls(few.book.headroom, "1/team3") + 2
     record = records.Tenant(7, "tenant-7", version=2, teams=[records.Team("team1")]).to_record()
     few.dispatcher = many.dispatcher = Changed()
-    few.desk._removal = many.desk._removal = None
+    for node in (few, many):
+        node.desk._removal = Changed()
     change = (records.key_of(7), record, 10**6)
     # The persistent map is a tree: the depth of its path is all that grows.
     assert calls(many.desk.table.take, *change) <= calls(few.desk.table.take, *change) + 8
@@ -242,6 +243,9 @@
     def changed(self):
         pass
 
+    def note(self, _tenant):
+        pass
+
 
 def test_memory_of_tenants_and_open_jobs_is_in_proportion():
     """Figures stand in docs/tenants.md; here only that they hold at two sizes."""
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -105,6 +105,10 @@
     assert cli.main(["tenants", "list", *address]) == 0
     assert "kestrel" in capsys.readouterr().out
     assert cli.main(["tenants", "remove", "kestrel", *address]) == 0
+    front = cluster.plan["fronts"][0]
+    assert cli.main(["summary", front]) == 1  # strangers are told nothing
+    assert cli.main(["summary", front, "--hosted", hosted]) == 0
+    assert "controllers heard: controller-0" in capsys.readouterr().out
 
 
 def test_one_tenant_floods_and_the_other_is_served(directory):
