Fault: a job created while its tenant was being suspended was accepted and owned by nobody

Cause: the change of a tenant dropped its creations under way; one of them had been written while its answer was lost.

Change: creations are refused only by the recorder, after their guard failed and a read showed that nothing was written; what was written is accepted. A tenant that is not active has a guard that never holds.

--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -51,7 +51,7 @@
         self._sync_number = 0
         self._attempts = 0
         self._unowned = []  # accepted while slots were closing
-        self.recorder = recorder_of(self._written, self._conflict)
+        self.recorder = recorder_of(self._written, self._conflict, self._refused)
 
     @property
     def _me(self):
@@ -321,12 +321,12 @@
         self.accounts.hold(job, binding)
         return index, attempt
 
-    def refuse(self, group):
-        """Creations of a group that may not come about: their users are to ask again."""
-        for job in [job for job in self._new.values() if self.teams.group(job.spec.team) == group]:
-            del self._new[job.id]
-            self.recorder.unmark(job)
-            self._creating.pop(job.id).set((False, None))
+    def _refused(self, job):
+        """A creation that surely did not and will not come about: its user is to ask again."""
+        self._new.pop(job.id, None)
+        pending = self._creating.pop(job.id, None)
+        if pending is not None:
+            pending.set((False, None))
 
     def pending(self):
         """Ids of jobs that are being created."""
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -34,15 +34,18 @@
     """`on_written(job, recorded)`, `on_conflict(job, record, stamp)` tell the outcome.
 
     `guards.of(job)` is a (key, stamp) under which alone the job may be created, or None;
-    `guards.changed(key, record, stamp)` is told what is there now once it does not hold.
+    `guards.changed(key, record, stamp)` is told what is there now once it does not hold, and
+    says whether nothing of it may be created any more. Then `on_refused(job)` is called for jobs
+    of which nothing was written.
     """
 
-    def __init__(self, loop, state, progress_s, on_written, on_conflict, member, guards):
+    def __init__(self, loop, state, progress_s, on_written, on_conflict, on_refused, member, guards):
         self._loop = loop
         self._state = state
         self._progress_s = progress_s
         self._on_written = on_written
         self._on_conflict = on_conflict
+        self._on_refused = on_refused
         self._member = member
         self._guards = guards
         self._dirty = {}  # job -> urgency
@@ -64,6 +67,19 @@
         if len(self._drops) < 1000:
             self._drops.append(key)
 
+    async def _refuse(self, jobs):
+        """Their guard has closed: what a write without an answer has created stays, and is ours.
+
+        No such write can take effect any more: it held under a stamp that is no longer there.
+        """
+        for job in jobs:
+            record, stamp = await find(self._state, job.id)
+            if record is not None:
+                self._on_conflict(job, record, stamp)
+            else:
+                self.unmark(job)
+                self._on_refused(job)
+
     def backlog(self):
         return sum(urgency == URGENT for urgency in self._dirty.values())
 
@@ -140,12 +156,14 @@
                     if key == TERM:
                         record, stamp = await self._state.get(TERM)
                         self._member.adopt(record, stamp)
-                    elif key.startswith(TENANT):
-                        self._guards.changed(key, *await self._state.get(key))
                     for job, *_rest in written:
                         if key in (KEY + job.id, SHELF + job.id):
                             record, stamp = await find(self._state, job.id)
                             self._on_conflict(job, record, stamp)
+                for key in error.failed:
+                    if key.startswith(TENANT) and self._guards.changed(key, *await self._state.get(key)):
+                        await self._refuse([job for job, *_rest in written if not job.stamp
+                                            and job in self._dirty and self._guards.of(job)[0] == key])
                 return
             raise
         now = self._loop.now()
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -391,6 +391,12 @@
                 left = self.tenancy.left_of(number)
                 if record["state"] != "removed" or left:
                     faults.append(f"tenant {words[1]} is {record['state']}, {len(left)} keys are left")
+            elif words[0] == "accepted_done":
+                faults += [f"{user.own} was accepted, and is {user.told}" for user in self.users.values()
+                           if user.tenant == words[1] and user.accepted and user.told != "done"]
+                # Whatever is stored was accepted, or would be if it were asked for.
+                faults += [f"{key} is open" for key, (record, *_) in self.state.data.items()
+                           if key.startswith("j/") and record["s"] == "open"]
             elif words[0] == "tenants_told":
                 faults += self._untold(words[1], words[2])
             elif words[0] == "refused_with":
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -117,9 +117,9 @@
 
         self.shelf = Shelf(loop, self.state, self.member, self.counters)
 
-        def recorder_of(on_written, on_conflict):
-            return Recorder(loop, self.state, workers.report_s * 2, on_written, on_conflict, self.member,
-                            self.desk or NO_GUARDS)
+        def recorder_of(on_written, on_conflict, on_refused):
+            return Recorder(loop, self.state, workers.report_s * 2, on_written, on_conflict, on_refused,
+                            self.member, self.desk or NO_GUARDS)
 
         self.book = Book(
             loop, self.member, recorder_of, self.send, self._changed, self.counters,
--- a/roadhead/tenants/desk.py
+++ b/roadhead/tenants/desk.py
@@ -18,6 +18,7 @@
 log = logging.getLogger("roadhead.desk")
 
 BORROWING = 1e5  # windows after the first place at which borrowed work begins
+NEVER = 0  # a stamp that a tenant's record never has: it is there
 COUNTED_S = 1.0  # for which a count of waiting tasks is kept
 WHOLE_FLEET = 1e6  # windows by which the share of a whole fleet comes later
 
@@ -71,8 +72,6 @@
             return
         tenant = new.tenant
         group = str(tenant.number)
-        if tenant.state != ACTIVE:
-            self._node.book.refuse(group)
         if self.teams.stopping(group):
             self._node.book.stop_group(group)
         self._removal.note(tenant)
@@ -97,11 +96,15 @@
         the change that ended admission, however late its write."""
         number, _team = ids.from_team(job.spec.team)
         entry = self.table.entry(number)
-        return (key_of(number), entry.stamp if entry is not None else 0)
+        if entry is None or entry.tenant.state != ACTIVE:
+            return key_of(number), NEVER
+        return key_of(number), entry.stamp
 
     def changed(self, key, record, stamp):
+        """What a guard's key holds now; whether nothing may be created under it."""
         if record is not None:
             self.table.take(key, record, stamp)
+        return record is None or record.get("state", ACTIVE) != ACTIVE
 
     # Requests
 
