Admission: work within a guarantee is written first and may take half of all creations

Need: with one flood of submissions, creation writes were first come, first served. Change: of creations waiting to be written those within their team's guarantee come first; of one tenant's at most a quarter is under way at once, a half within a guarantee. The generated OpenAPI documents are checked by a library.

--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -26,6 +26,10 @@
     def of(_job):
         return None
 
+    @staticmethod
+    def later(_job):
+        return False
+
 
 NO_GUARDS = NoGuards()
 
@@ -36,7 +40,7 @@
     `guards.of(job)` is a (key, stamp) under which alone the job may be created, or None;
     `guards.changed(key, record, stamp)` is told what is there now once it does not hold, and
     says whether nothing of it may be created any more. Then `on_refused(job)` is called for jobs
-    of which nothing was written.
+    of which nothing was written. `guards.later(job)`: whether its creation comes after others'.
     """
 
     def __init__(self, loop, state, progress_s, on_written, on_conflict, on_refused, member, guards):
@@ -107,7 +111,7 @@
 
     def _batch(self):
         due = [job for job, urgency in self._dirty.items() if self._due(job, urgency)]
-        due.sort(key=lambda job: self._dirty[job])
+        due.sort(key=lambda job: (self._dirty[job], not job.stamp and self._guards.later(job)))
         # No more than this controller's share of a second's writes: else the transactions of
         # several controllers meet, and the store refuses what had been waited for.
         most = max(1, min(int(self._state.limits.txn_ops), self._state.batch))
--- a/roadhead/tenants/admission.py
+++ b/roadhead/tenants/admission.py
@@ -13,6 +13,7 @@
 BURST_S = 10.0
 FULL_S = 5  # after which it is worth asking again when a tenant is full
 PART = 0.25  # of the creations that can be written in time are one tenant's at the most
+PART_WITHIN = 0.5  # the same for work within a guarantee
 KEPT_MOST = 4096
 
 
@@ -51,9 +52,12 @@
     return None
 
 
-def crowded(creating, most):
-    """Why a tenant with so many creations under way must wait, or None: others need the rest."""
-    if creating >= max(1, int(PART * most)):
+def crowded(creating, most, within):
+    """Why a tenant with so many creations under way must wait, or None: others need the rest.
+
+    Work `within` its team's guarantee may take half of all.
+    """
+    if creating >= max(1, int((PART_WITHIN if within else PART) * most)):
         return Refusal(429, TOO_MUCH_AT_ONCE, 1)
     return None
 
--- a/roadhead/tenants/desk.py
+++ b/roadhead/tenants/desk.py
@@ -5,6 +5,8 @@
 
 import logging
 
+from roadhead.homes.machine import times
+from roadhead.jobs.teams import NOTHING
 from roadhead.tenants import admission, ids
 from roadhead.tenants.keys import Secrets
 from roadhead.tenants.preemption import Preemption
@@ -100,6 +102,19 @@
             return key_of(number), NEVER
         return key_of(number), entry.stamp
 
+    def later(self, job):
+        """Creations of work beyond its team's guarantee are written after those within."""
+        return not self._within(job.spec)
+
+    def _within(self, spec):
+        """Whether its team's guarantee, as far as it is known here, has room for a task."""
+        team = self.teams.get(spec.team)
+        if team is None:
+            return False
+        account = self._node.book.accounts.get(spec.team)
+        held = account.held if account is not None else NOTHING
+        return times((spec.cpus, spec.gpus), (team.cpus - held[0], team.gpus - held[1])) > 0
+
     def changed(self, key, record, stamp):
         """What a guard's key holds now; whether nothing may be created under it."""
         if record is not None:
@@ -126,7 +141,7 @@
         if resting is not None:
             return resting
         group = str(tenant.number)
-        crowded = admission.crowded(node.book.creating(group), most_creating)
+        crowded = admission.crowded(node.book.creating(group), most_creating, self._within(spec))
         if crowded is not None:
             return crowded
         if member.term.warden(group) == member.label:
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -7,11 +7,14 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from openapi_spec_validator import validate
 
 from roadhead.jobs.job import Binding, Job
+from roadhead.jobs.recorder import URGENT, Recorder
 from roadhead.jobs.teams import Account, Accounts
 from roadhead.local.sim import Sim
 from roadhead.local.world import World
+from roadhead.runtime.rate import Bucket
 from roadhead.settings import SettingsError
 from roadhead.telemetry import Counters
 from roadhead.tenants import admission, ids, records
@@ -104,6 +107,27 @@
     assert len(rates._buckets) == admission.KEPT_MOST
 
 
+def test_one_tenant_never_takes_all_creations():
+    assert [admission.crowded(count, 8, False) is None for count in (0, 1, 2)] == [True, True, False]
+    assert [admission.crowded(count, 8, True) is None for count in (2, 3, 4)] == [True, True, False]
+    assert admission.crowded(0, 1, False) is None and admission.crowded(1, 1, True).status == 429
+
+
+def test_creations_within_a_guarantee_are_written_first():
+    sim = Sim(1)
+    member = type("Member", (), {"term": None})
+    state = type("State", (), {"limits": type("L", (), {"txn_ops": 16}), "batch": 2,
+                               "writes": Bucket(sim, 6.0, 6.0)})
+    guards = type("Guards", (), {"later": staticmethod(lambda job: job.spec.team == "1/b")})
+    recorder = Recorder(sim, state, 1.0, None, None, None, member, guards)
+    jobs = [Job(messages.JobSpec(
+        f"req-{number}", "c", team, "batch", "standard", 1, 1.0, 0.0, 1.0, 1.0, False, False, True, 1.0, 0.0,
+        0.0), ("here", 1), 0.0) for number, team in enumerate(("1/b", "1/b", "1/a", "1/b", "1/a"))]
+    for job in jobs:
+        recorder.mark(job, URGENT)
+    assert [job.spec.team for job in recorder._batch()] == ["1/a", "1/a"]
+
+
 HOSTED = """
 secret_file = "secret"
 [gateway]
@@ -269,7 +293,9 @@
     assert call.admin("GET", "tenants/kestrel")[0] == 410
     status, again = call.admin("POST", "tenants", new, Idempotency_Key="three")
     assert (status, again["number"]) == (201, 5)
-    assert call.admin("GET", "openapi.json", key="")[1]["openapi"] == "3.1.0"
+    for document in (call.admin("GET", "openapi.json", key=""),
+                     call("tenants", "GET", "/v1/openapi.json", key="")):
+        validate(document[1])
 
 
 def test_keys_are_made_rotated_and_revoked_everywhere():
