--- a/roadhead/local/tenancy.py
+++ b/roadhead/local/tenancy.py
@@ -15,6 +15,7 @@
 from roadhead.wire.http import Client, NoAnswer
 
 MASTER = b"a master secret of a virtual world"
+SETTLED_S = 15.0  # in which a start sent before limits changed has come
 ASKED = {  # fields of a scenario's job as a tenant names them
     "jobclass": "class", "crew": "team", "shape": "kind", "urgency": "priority", "legs": "tasks",
     "vcpus": "cpus", "gpus": "gpus", "ramGb": "memory_gb", "kit": "image", "sizeGb": "image_gb",
@@ -38,11 +39,15 @@
         }, Hosted) for n in range(gateways)]
         self.root = Secrets(MASTER).root_key()
         self.numbers, self.keys, self.limits, self.removed_at = {}, {}, {}, {}
+        self._turns = {}  # tenant -> the latest line about it
+        self.changed_at = {}  # when a tenant's limits were last changed
         self.gateways = {}
         for number in range(gateways):
             self.start(number)
 
     def start(self, number):
+        if number in self.gateways:
+            return
         host = f"10.3.0.{number + 1}"
         loop = self.world.host_loop(host)
         self.gateways[number] = Gateway(
@@ -88,6 +93,17 @@
                 return status, answer
             await self.world.user_loop.sleep(0.5)
 
+    def in_turn(self, verb, name, *words):
+        """A scenario's line, once those before it about the same tenant are done."""
+        before = self._turns.get(name)
+
+        async def act():
+            if before is not None:
+                await before.done
+            await self.do(verb, name, *words)
+
+        self._turns[name] = self.world.user_loop.spawn(act(), verb)
+
     async def do(self, verb, name, *words):
         """A scenario's line: tenant, limits, suspend, resume, remove."""
         if verb == "tenant":
@@ -102,10 +118,13 @@
             self.keys[name] = answer["key"]
             return
         if verb == "limits":
-            _status, answer = await self.administrate("GET", f"tenants/{name}")
-            status, answer = await self.administrate(
-                "PATCH", f"tenants/{name}", self._described(words),
-                [("If-Match", f'"{answer["version"]}"')])
+            body, status = self._described(words), 412
+            while status == 412:  # somebody else changed the tenant meanwhile
+                _status, answer = await self.administrate("GET", f"tenants/{name}")
+                status, answer = await self.administrate(
+                    "PATCH", f"tenants/{name}", body, [("If-Match", f'"{answer["version"]}"')])
+            self.limits[self.numbers[name]] = body
+            self.changed_at[self.numbers[name]] = self.world.sim.time
         elif verb == "remove":
             for user in self.world.users.values():
                 user.asked_to_cancel |= getattr(user, "tenant", None) == name
@@ -132,23 +151,26 @@
                 limits[name] = int(value) if name in ("open_jobs", "waiting_tasks") else float(value)
         return {"teams": teams or [{"name": "crew"}], "limits": limits, **body}
 
-    def check_limits(self, running):
-        """The first (tenant or team) whose running tasks use more than its limit, or None."""
-        used = {}
+    def check_limits(self, started, running):
+        """The tenant or team that uses more than its limit now that this task started, or None.
+
+        What ran before a limit shrank may end; a start may have been on its way for a while.
+        """
+        job = self.world.job_of(started)
+        number = self.numbers.get(job.get("tenant"))
+        if number is None or self.world.sim.time < self.changed_at.get(number, -SETTLED_S) + SETTLED_S:
+            return None
+        body = self.limits[number]
+        tenant = team = 0.0
         for task in running:
-            job = self.world.job_of(task)
-            if "tenant" in job:
-                number = self.numbers[job["tenant"]]
-                for name in (number, (number, job["crew"])):
-                    used[name] = used.get(name, 0.0) + job["vcpus"]
-        for number, body in self.limits.items():
-            if (most := body["limits"].get("cpus")) and used.get(number, 0.0) > most + 1e-6:
-                return number
-            for team in body["teams"]:
-                most = team.get("cpus_max")
-                if most and used.get((number, team["name"]), 0.0) > most + 1e-6:
-                    return number, team["name"]
-        return None
+            other = self.world.job_of(task)
+            if other.get("tenant") == job["tenant"]:
+                tenant += other["vcpus"]
+                team += other["vcpus"] * (other["crew"] == job["crew"])
+        if (most := body["limits"].get("cpus")) and tenant > most + 1e-6:
+            return job["tenant"]
+        most = next((own.get("cpus_max") for own in body["teams"] if own["name"] == job["crew"]), 0)
+        return (job["tenant"], job["crew"]) if most and team > most + 1e-6 else None
 
     def left_of(self, number):
         """Keys of a tenant's jobs that are still stored."""
