--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -278,6 +278,26 @@
     assert 0 < few == listed_at_takeover(5000)
 
 
+def requests_of_a_takeover(tenants):
+    """Requests to the state service while a controller is dropped, with so many idle tenants."""
+    world = World("gateways 1\nat 5 tenant busy team=crew\nat 8 submit tenant=busy legs=4 runS=200 count=9\n"
+                  "at 30 crash 0 60\nuntil 50")
+    for number in range(10, 10 + tenants):
+        record = records.Tenant(number, f"tenant-{number}", teams=[records.Team("team")]).to_record()
+        world.state.put(records.key_of(number), record)
+    counted = []
+    for at in (29.0, 50.0):
+        world.sim.call_at(at, lambda: counted.append(world.state.requests))
+    world.run()
+    assert not world.broken and len(world.running) >= 4
+    return counted[1] - counted[0]
+
+
+def test_a_takeover_asks_no_more_for_idle_tenants():
+    few = requests_of_a_takeover(10)
+    assert 0 < requests_of_a_takeover(900) <= 1.05 * few
+
+
 def test_a_placing_pass_costs_in_proportion_to_jobs_plus_room_not_their_product():
     plain = calls(dispatcher_of(50, 20)._place)
     jobs = calls(dispatcher_of(200, 20)._place)
