Reread: one NOTHING, victims by team from the accounts, what nobody used goes

Cause: the change kept three copies of a constant, sorted jobs by team where the accounts already do, computed the size of a removal's transaction twice, and left two constants that nothing uses.

Change: each of them once; two docstrings tell what is returned. Behaviour as before.

--- a/roadhead/gateway/answers.py
+++ b/roadhead/gateway/answers.py
@@ -11,7 +11,6 @@
 
 JSON, CBOR = "application/json", "application/cbor"
 PROBLEMS = {JSON: "application/problem+json", CBOR: "application/problem+cbor"}
-MOST_DEPTH = 100
 
 
 class Refused(Exception):
--- a/roadhead/jobs/teams.py
+++ b/roadhead/jobs/teams.py
@@ -4,7 +4,7 @@
 of the settings is a group of its own; the teams of a tenant form one (`tenants/teams.py`).
 """
 
-NOTHING = (0.0, 0.0, 0.0)
+from roadhead.homes.machine import NOTHING
 
 
 class Account:
--- a/roadhead/local/processes.py
+++ b/roadhead/local/processes.py
@@ -22,8 +22,6 @@
 from roadhead.runtime.net import READ, Net
 from roadhead.wire.http import Client, NoAnswer
 
-OUTPUT_MOST = 1 << 20  # bytes of a task's output that are kept
-
 
 def die_with_parent():
     """In a child before it runs: the kernel ends it with its parent, however that ends."""
--- a/roadhead/tenants/desk.py
+++ b/roadhead/tenants/desk.py
@@ -5,8 +5,7 @@
 
 import logging
 
-from roadhead.homes.machine import times
-from roadhead.jobs.teams import NOTHING
+from roadhead.homes.machine import NOTHING, times
 from roadhead.tenants import admission, ids
 from roadhead.tenants.keys import Secrets
 from roadhead.tenants.preemption import Preemption
@@ -165,7 +164,7 @@
         return self._waiting[group][1]
 
     def usage(self, number):
-        """What this controller knows of a tenant, and of nobody else: (body, status)."""
+        """What this controller knows of a tenant, and of nobody else."""
         node = self._node
         entry = self.table.entry(number)
         teams = {}
--- a/roadhead/tenants/preemption.py
+++ b/roadhead/tenants/preemption.py
@@ -10,13 +10,12 @@
 
 import logging
 
-from roadhead.homes.machine import fits, times
+from roadhead.homes.machine import NOTHING, fits, times
 from roadhead.wire import frames
 
 log = logging.getLogger("roadhead.preemption")
 
 ROWS_MOST = 64
-NOTHING = (0.0, 0.0, 0.0)
 
 
 class Preemption:
@@ -114,20 +113,17 @@
             self._free(tuple(need), count, spot, zone, types, victims)
 
     def _victims(self):
-        """[(team, loss, job, index, binding)]: tasks of teams that borrow, in the order in which
+        """[(team, job, index, binding)]: tasks of teams that borrow, in the order in which
         they are to be stopped."""
         accounts = self._book.accounts
         found = []
         now = self._loop.now()
         for group in accounts.groups():
-            teams = {}
-            for job in accounts.get(group).jobs:
-                teams.setdefault(job.spec.team, []).append(job)
-            for team, jobs in teams.items():
+            for team in accounts.get(group).teams:
                 ahead = self._sharing.ahead(team)
                 if ahead <= 0:
                     continue
-                for job in jobs:
+                for job in accounts.get(team).jobs:
                     for index, binding in job.bound.items():
                         key = (job.id, index, binding.attempt)
                         if binding.held and self._stopping.get(key, 0.0) <= now:
--- a/roadhead/tenants/removal.py
+++ b/roadhead/tenants/removal.py
@@ -34,6 +34,8 @@
         self._state = node.state
         self._table = table
         self._cancel_s = node.settings.deployment.workers.cancel_s
+        # Of a transaction; a cancellation takes two writes.
+        self._most = max(1, min(self._state.batch, int(self._state.limits.txn_ops)) // 2)
         self._wake = Signal()
         # Tenants that are to go, whoever carries it out.
         self._going = {number for number, entry in table.entries.items()
@@ -115,7 +117,7 @@
 
     async def _cancel(self, entry, items):
         """As a user's cancellation, many at once; what changed meanwhile is read again."""
-        items = items[: max(1, min(self._state.batch, int(self._state.limits.txn_ops)) // 2)]
+        items = items[: self._most]
         writes = []
         for key, record, _stamp in items:
             job_id = key[len(KEY):]
@@ -134,7 +136,7 @@
     async def _drop(self, entry, items):
         if not self._state.writes.spare(SPARE):
             return 0
-        items = items[: max(1, min(self._state.batch, int(self._state.limits.txn_ops)) // 2)]
+        items = items[: self._most]
         # Only while the tenant is being removed, by the record itself: never on hearsay.
         await self._state.multi(
             [(key_of(entry.tenant.number), entry.stamp), *((key, stamp) for key, _, stamp in items)],
--- a/roadhead/tenants/teams.py
+++ b/roadhead/tenants/teams.py
@@ -9,8 +9,7 @@
 import heapq
 from itertools import chain, islice
 
-from roadhead.homes.machine import times
-from roadhead.jobs.teams import NOTHING
+from roadhead.homes.machine import NOTHING, times
 from roadhead.tenants import ids
 from roadhead.tenants.records import ACTIVE, REMOVED, STOP, SUSPENDED
 
