--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -112,7 +112,7 @@
         if record["s"] in FINAL:
             self._node.book.remember(job_id, record)
             return answer(record, job_id)
-        self._node.seen(job_id, record)
+        self._node.takeover.seen(job_id, record)
         job = self._node.book.jobs.get(job_id)
         if job is None or job.state != "open":
             return answer(record, job_id)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -19,10 +19,13 @@
 from roadhead.jobs.teams import FixedTeams
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
+from roadhead.recovery.takeover import Takeover
 from roadhead.state.client import StateClient, Unavailable, Unsure
 from roadhead.state.reader import Reader
+from roadhead.summary import Summary
+from roadhead.switchboard import Switchboard
 from roadhead.telemetry import Counters, Troubles
-from roadhead.wire import frames, messages
+from roadhead.wire import frames
 
 log = logging.getLogger("roadhead.node")
 
@@ -59,10 +62,11 @@
             slots=1 if hosted is None else hosted.slots,
             on_tenant=None if hosted is None else hosted.table.take,
         )
+        self._switchboard = Switchboard(self.member, self.send, self.on_cancelled)
         self.peers = Peers(
             loop, net, settings, self._beat_s,
             me=lambda: self.member.incarnation, beat=self._beat,
-            on_frame=self._on_frame, on_up=self._on_up, on_down=self._on_down,
+            on_frame=self._switchboard.on_frame, on_up=self._on_up, on_down=self._on_down,
         )
         self._default_aim_s = 15 * workers.lease_s
         self.aims = {}
@@ -90,11 +94,12 @@
         )
         self.risk = Risk(self.aims, sorted({objective.klass for objective in deployment.objectives}))
         self._used = (0.0, 0.0)  # requests and writes a second, in the last beat
-        self._waiting_since = {}  # class -> since when tasks of it wait here
-        self.summaries = {}  # label -> (when, its SummaryNews)
+        self.takeover = Takeover(loop, self.state, self.member, self.teams, self.send, self._changed,
+                                 self._beat_s)
+        self._summary = Summary(loop, settings, self._beat_s, self.member, self.peers.links, self._state_ok,
+                                self.risk, self.troubles, self.counters, time_of_day)
         self._duties = []
         self._looking = set()
-        self._orphans = {}  # jobs accepted for a warden that has yet to be told -> their group
         self._reset()
 
     def _reset(self):
@@ -124,7 +129,7 @@
         self.book = Book(
             loop, self.member, recorder_of, self.send, self._changed, self.counters,
             self._time_of_day, workers.lease_s, self.risk.finished,
-            self.teams, self._on_orphan, self.shelf.add,
+            self.teams, self.takeover.on_accepted, self.shelf.add,
         )
         self.dispatcher = Dispatcher(
             loop, self.label, self.member, self.book, self.stages, self._random, self.send,
@@ -142,7 +147,10 @@
         if self.desk is not None:
             self.desk.share(self)
         self._looking.clear()
-        self._handlers = self._handler_table()
+        self.takeover.begin(self.book, self.shelf)
+        self._summary.begin(self.book, self.home, self.dispatcher, self.fleet)
+        self._switchboard.begin(self.home, self.book, self.dispatcher, self.fleet, self.takeover,
+                                self._summary, self.desk.handlers() if self.desk is not None else {})
         duties = [self.book.recorder.run, self.shelf.run, self._tick, *self.fleet.duties()]
         if self.desk is not None:
             duties += self.desk.begin(self)
@@ -189,7 +197,7 @@
 
     def send(self, label, frame):
         if label == self.label:
-            self._loop.call_soon(self._on_frame, label, self.member.incarnation, frame)
+            self._loop.call_soon(self._switchboard.on_frame, label, self.member.incarnation, frame)
             return True
         return self.peers.send(label, frame)
 
@@ -324,6 +332,9 @@
             break
         self._looking.discard(job)
 
+    def summary(self):
+        return self._summary.whole()
+
     # Terms
 
     def _on_lost(self):
@@ -343,90 +354,11 @@
         if self.desk is not None:
             self.desk.on_term()
         self.dispatcher.on_term()
-        news = frames.TermNews(self.member.revision, messages.encode(new.to_record()))
         for label in list(self.peers.links):
-            self.send(label, news)
+            self._switchboard.tell_term(label)
         self.book.sync_all()
         self.dispatcher.tell_again()
-        self._loop.spawn(self._inherit(new.number), "inherit")
-
-    async def _inherit(self, number):
-        """Takes over the open jobs of owners that the term no longer names, page by page.
-
-        Final records are only seen, and moved to the shelf in time, so that a takeover costs
-        what is open and memory holds a page. A record lies in its place until it is final, so
-        none that was there when the scan began is missed between two pages.
-        """
-        after = ""
-        while self.member.joined and self.member.term.number == number:
-            try:
-                items, more, _revision = await self.state.page(KEY, after)
-            except (Unavailable, Unsure):
-                await self._loop.sleep(self._beat_s)
-                continue
-            if not self.member.joined or self.member.term.number != number:
-                return
-            term = self.member.term
-            mine = []
-            for key, record, stamp in items:
-                job_id = key[len(KEY):]
-                if record["s"] in FINAL:
-                    self.book.remember(job_id, record)
-                    self.shelf.found(job_id, record, stamp)
-                elif not term.serves(*record["o"]) and self._heir(job_id, record) == self.label:
-                    mine.append((record, stamp))
-            if mine:
-                log.info("inheriting %d jobs", len(mine))
-                self.book.adopt(mine)
-            if more:
-                after = items[-1][0]
-                continue
-            self.book.scanned = number
-            self._changed()
-            return
-
-    def _on_orphan(self, job):
-        """A job of a limited team was accepted here: its warden shall take it over."""
-        self._orphans[job.id] = self.teams.group(job.spec.team)
-        self._tell_orphans()
-
-    def _tell_orphans(self):
-        """Links may not be up yet, as right after the start: tried again with every beat."""
-        unreached = set()
-        for job, group in list(self._orphans.items()):
-            warden = self.member.term.warden(group)
-            if warden is None or warden in unreached or not self.send(warden, frames.Orphan(job)):
-                unreached.add(warden)
-                continue
-            del self._orphans[job]
-
-    def _heir(self, job_id, record):
-        group = self.teams.group(record["spec"]["crew"])
-        return self.member.term.heir(job_id, record["o"][0], group)
-
-    def seen(self, job_id, record):
-        """A record was read for a user. If its owner is gone, its heir shall take it over.
-
-        The scan after a change of the term finds nearly all such jobs; a write of a dropped
-        owner can take effect after it.
-        """
-        term = self.member.term
-        if record["s"] not in FINAL and self.member.joined and not term.serves(*record["o"]):
-            self.send(self._heir(job_id, record), frames.Orphan(job_id))
-
-    async def _adopt_one(self, job_id):
-        if self.book.knows(job_id):
-            return
-        try:
-            record, stamp = await find(self.state, job_id)
-        except (Unavailable, Unsure):
-            return  # the next scan or poll finds it
-        if record is None or record["s"] in FINAL or not self.member.joined:
-            return
-        if not self.member.term.serves(*record["o"]) and self._heir(job_id, record) == self.label:
-            if record["o"][0]:  # else it was accepted for us, as the warden
-                log.info("taking over %s, found without an owner", job_id)
-            self.book.adopt([(record, stamp)])
+        self.takeover.scan()
 
     async def _try_workers(self):
         """Relieved of its machines, this controller is their home again once it reaches workers."""
@@ -441,7 +373,7 @@
         term = self.member.term
         if term is None:
             return
-        self.send(label, frames.TermNews(self.member.revision, messages.encode(term.to_record())))
+        self._switchboard.tell_term(label)
         self.book.sync(label)
         self.dispatcher.tell_again()
 
@@ -449,136 +381,7 @@
         self.dispatcher.home_down(label)
         self.home.rooms.peer_down(label)
 
-    def _on_frame(self, label, incarnation, frame):
-        kind = type(frame)
-        member = self.member
-        if kind is frames.TermNews:
-            if member.joined:
-                try:
-                    member.adopt(messages.decode_map(frame.record), frame.revision)
-                except (messages.Invalid, KeyError, TypeError) as error:
-                    log.error("term from %s: %r", label, error)
-            return
-        if not member.joined:
-            return
-        if kind is frames.CancelNews:
-            self.on_cancelled(frame.jobs)
-            return
-        if kind is frames.Beat:
-            if frame.term < member.term.number:
-                self.send(label, frames.TermNews(
-                    member.revision, messages.encode(member.term.to_record())
-                ))
-            return
-        if not member.term.serves(label, incarnation):
-            return  # an incarnation that the term does not name has no say
-        handler = self._handlers.get(kind)
-        if handler is not None:
-            handler(label, incarnation, frame)
-
-    def _handler_table(self):
-        """What is done with each kind of frame of a serving controller."""
-        home, book, dispatcher, fleet = self.home, self.book, self.dispatcher, self.fleet
-
-        def on_demand(label, _incarnation, frame):
-            fleet.demand[label] = frame.rows
-            home.rooms.on_demand(label, frame)
-            fleet.wake()
-
-        def on_refused(_label, _incarnation, frame):
-            book.on_refused(frame)
-            dispatcher.on_refused(frame)
-
-        def on_sync(label, incarnation, frame):
-            if frame.term == self.member.term.number:
-                home.on_sync(label, incarnation, frame)
-
-        def on_home_news(label, _incarnation, frame):
-            fleet.fleet[label] = frame.rows
-            home.rooms.parked[label] = sum(row[5] for row in frame.rows)
-
-        def on_summary(label, _incarnation, frame):
-            self.summaries[label] = (self._loop.now(), frame)
-
-        def on_orphan(_label, _incarnation, frame):
-            self._loop.spawn(self._adopt_one(frame.job), "adopt")
-
-        return {
-            frames.Demand: on_demand,
-            frames.Grant: lambda _label, _incarnation, frame: dispatcher.on_grant(frame),
-            frames.Return: lambda label, _incarnation, frame: home.rooms.on_return(label, frame),
-            frames.Revoke: lambda _label, _incarnation, frame: dispatcher.on_revoke(frame),
-            frames.Start: home.on_start,
-            frames.Refused: on_refused,
-            frames.TaskStates: lambda label, _incarnation, frame: book.on_tasks(label, frame),
-            frames.Free: lambda _label, _incarnation, frame: book.on_free(frame),
-            frames.Stop: lambda _label, _incarnation, frame: home.on_stop(frame),
-            frames.Forget: lambda _label, _incarnation, frame: home.on_forget(frame),
-            frames.Sync: on_sync,
-            frames.Synced: lambda label, _incarnation, frame: book.on_synced(label, frame),
-            frames.Orphan: on_orphan,
-            frames.JobFails: lambda _label, _incarnation, frame: home.on_job_fails(frame.job),
-            frames.HomeNews: on_home_news,
-            frames.SummaryNews: on_summary,
-            **(self.desk.handlers() if self.desk is not None else {}),
-        }
-
-    # Summary
-
-    def _summary(self):
-        """This controller's part of the summary."""
-        now = self._loop.now()
-        behind = []
-        if not self._state_ok():
-            behind.append(f"{self.label}: the state service does not answer")
-        failing_since = self.book.recorder.failing_since
-        if failing_since is not None and now - failing_since > self._beat_s:
-            behind.append(f"{self.label}: records not written for {now - failing_since:.0f} s")
-        if not self.home.clean():
-            behind.append(f"{self.label}: machines of an earlier term not all heard yet")
-        waiting = [job for job in self.book.jobs.values() if job.unsynced]
-        if waiting:
-            behind.append(f"{self.label}: {len(waiting)} jobs taken over, not started yet")
-        failing = sum(machine.draining and bool(machine.errors)
-                      for machine in self.home.machines.values())
-        rows = self.risk.rows(self.book.jobs.values(), self._time_of_day())
-        stalled = self._stalled_classes()
-        behind += stalled
-        troubles = [f"{self.label}: {line}"
-                    for line in (*self.troubles.lines(), *self.counters.events())]
-        return frames.SummaryNews(rows, failing, behind, troubles)
-
-    def _stalled_classes(self):
-        """Classes of which tasks wait here and none was started for a lease, and why."""
-        now = self._loop.now()
-        lease_s = self.settings.deployment.workers.lease_s
-        waiting = {}
-        for job in self.book.jobs.values():
-            if job.free and job.state == "open":
-                waiting.setdefault(job.spec.klass, []).append(job)
-        for klass in [klass for klass in self._waiting_since if klass not in waiting]:
-            del self._waiting_since[klass]
-        lines = []
-        for klass, jobs in sorted(waiting.items()):
-            since = max(self.book.started_at.get(klass, 0.0), self._waiting_since.setdefault(klass, now))
-            if now - since > lease_s:
-                why = self._why_stalled(jobs)
-                lines.append(f"{self.label}: {klass}: nothing started for {now - since:.0f} s: {why}")
-                log.info("stalled: %s, nothing started for %.0f s: %s", klass, now - since, why)
-        return lines
-
-    def _why_stalled(self, jobs):
-        homes = {label for job in jobs for label in job.unsynced}
-        if homes:
-            return f"taken over, {', '.join(sorted(homes))} can't yet say what runs"
-        if all(job.doubtful for job in jobs):
-            return "its jobs fail wherever they run"
-        if not any(self.dispatcher.may_start(job) for job in jobs):
-            return "the team's limit is reached"
-        refused = self.fleet.refused_kinds()
-        if refused:
-            return f"no free room; the cloud has no more of {', '.join(refused)}"
-        return "no free room; more urgent work comes first, or machines are on their way"
+    # Limits of the state service
 
     def _share_state(self):
         """Uses of the state service's limits what the other controllers leave."""
@@ -589,50 +392,13 @@
             for label in (member.label for member in self.settings.members)
         ])
 
-    def _look_for_trouble(self):
-        """What this controller is out of touch with; noted with its length when it ends."""
-        holds, term = self.troubles.holds, self.member.term
-        holds("state service does not answer", not self._state_ok())
-        holds("not a member", not self.member.joined)
-        holds("own lease has ended", self.member.joined and self.member.lapsed())
-        holds("most workers are not heard", self.home.deaf())
-        holds("relieved of its machines, as workers could not reach it",
-              term is not None and self.label in term.relieved)
-        for member in self.settings.members:
-            holds(f"{member.label} is not heard", member.label not in self.peers.links)
-
-    def summary(self):
-        """The parts of all controllers heard lately, put together."""
-        now = self._loop.now()
-        parts = {label: part for label, (at, part) in self.summaries.items()
-                 if now - at < 15 * self._beat_s}
-        parts[self.label] = self._summary()  # also while it is no member
-        classes = {}
-        for part in parts.values():
-            for klass, *counts in part.rows:
-                entry = classes.setdefault(klass, [0, 0, 0, 0])
-                for place, count in enumerate(counts):
-                    entry[place] += count
-        names = ("open", "done", "late", "atRisk")
-        unheard = sorted({self.label, *(m.label for m in self.settings.members)} - parts.keys())
-        return {
-            "classes": [{"class": klass, **dict(zip(names, counts, strict=True))}
-                        for klass, counts in sorted(classes.items())],
-            "machines": sum(row[3] for rows in self.fleet.fleet.values() for row in rows),
-            "failing": sum(part.failing for part in parts.values()),
-            "heard": sorted(parts),
-            "troubles": [line for _label, part in sorted(parts.items()) for line in part.troubles],
-            "behind": [line for part in parts.values() for line in part.behind]
-            + [f"{label}: not heard" for label in unheard],
-        }
-
     # Time
 
     async def _tick(self):
         every = 0
         while True:
             await self._loop.sleep(self._beat_s)
-            self._look_for_trouble()
+            self._summary.look_for_trouble(self.member.lapsed())
             if not self.member.joined:
                 continue
             released = self.home.tick(self.sure())
@@ -641,7 +407,7 @@
             self._share_state()
             self.fleet.return_idle()
             self.dispatcher.changed()
-            self._tell_orphans()
+            self.takeover.tell()
             every += 1
             if self.desk is not None:
                 self.desk.tick(every)
@@ -653,12 +419,12 @@
                 for label in self.member.term.members:
                     self.send(label, news)
             if every % 5 == 0:
-                summary = self._summary()
+                part = self._summary.part()
                 for label in self.member.term.members:
-                    self.send(label, summary)
+                    self.send(label, part)
             if every % 30 == 0 and self.book.has_limits and self.label in self.member.term.wardens:
                 # Word of a job accepted for the warden may have been lost.
-                self._loop.spawn(self._inherit(self.member.term.number), "scan")
+                self.takeover.scan()
             if every % 10 == 0:
                 self.workers.trim()
                 log.info(
--- /dev/null
+++ b/roadhead/recovery/takeover.py
@@ -0,0 +1,120 @@
+"""Jobs of owners that the term no longer names fall to their heirs.
+
+Three ways lead there: the scan after every change of the term, the word of a controller that
+accepted a job for its warden, and a poll that finds an open record whose owner does not serve.
+"""
+
+import logging
+
+from roadhead.jobs.job import FINAL, KEY
+from roadhead.jobs.records import find
+from roadhead.state.client import Unavailable, Unsure
+from roadhead.wire import frames
+
+log = logging.getLogger("roadhead.recovery")
+
+
+class Takeover:
+    """`changed()` is called once a scan is through: what waited for it may be placed."""
+
+    def __init__(self, loop, state, member, teams, send, changed, retry_s):
+        self._loop = loop
+        self._state = state
+        self._member = member
+        self._teams = teams
+        self._send = send
+        self._changed = changed
+        self._retry_s = retry_s
+        self._book = self._shelf = None
+        self._orphans = {}  # jobs accepted for a warden that has yet to be told -> their group
+
+    def begin(self, book, shelf):
+        """A new incarnation owns nothing yet; what it accepted for others is still to be told."""
+        self._book, self._shelf = book, shelf
+
+    def scan(self):
+        """Reads all open records under the term as it is now."""
+        self._loop.spawn(self._scan(self._member.term.number), "scan")
+
+    async def _scan(self, number):
+        """Takes over what falls to this controller, page by page.
+
+        Final records are only seen, and moved to the shelf in time, so that a takeover costs
+        what is open and memory holds a page. A record lies in its place until it is final, so
+        none that was there when the scan began is missed between two pages.
+        """
+        member, after = self._member, ""
+        while member.joined and member.term.number == number:
+            try:
+                items, more, _revision = await self._state.page(KEY, after)
+            except (Unavailable, Unsure):
+                await self._loop.sleep(self._retry_s)
+                continue
+            if not member.joined or member.term.number != number:
+                return
+            mine = []
+            for key, record, stamp in items:
+                job_id = key[len(KEY):]
+                if record["s"] in FINAL:
+                    self._book.remember(job_id, record)
+                    self._shelf.found(job_id, record, stamp)
+                elif not member.term.serves(*record["o"]) and self._heir(job_id, record) == member.label:
+                    mine.append((record, stamp))
+            if mine:
+                log.info("inheriting %d jobs", len(mine))
+                self._book.adopt(mine)
+            if more:
+                after = items[-1][0]
+                continue
+            self._book.scanned = number
+            self._changed()
+            return
+
+    def _heir(self, job_id, record):
+        group = self._teams.group(record["spec"]["crew"])
+        return self._member.term.heir(job_id, record["o"][0], group)
+
+    # Jobs found without an owner
+
+    def on_accepted(self, job):
+        """A job of a limited team was accepted here: its warden shall take it over."""
+        self._orphans[job.id] = self._teams.group(job.spec.team)
+        self.tell()
+
+    def tell(self):
+        """Links may not be up yet, as right after the start: tried again with every beat."""
+        unreached = set()
+        for job, group in list(self._orphans.items()):
+            warden = self._member.term.warden(group)
+            if warden is None or warden in unreached or not self._send(warden, frames.Orphan(job)):
+                unreached.add(warden)
+                continue
+            del self._orphans[job]
+
+    def seen(self, job_id, record):
+        """A record was read for a user. If its owner is gone, its heir shall take it over.
+
+        The scan after a change of the term finds nearly all such jobs; a write of a dropped
+        owner can take effect after it.
+        """
+        member = self._member
+        if record["s"] not in FINAL and member.joined and not member.term.serves(*record["o"]):
+            self._send(self._heir(job_id, record), frames.Orphan(job_id))
+
+    def on_orphan(self, job_id):
+        self._loop.spawn(self._adopt_one(job_id), "adopt")
+
+    async def _adopt_one(self, job_id):
+        if self._book.knows(job_id):
+            return
+        try:
+            record, stamp = await find(self._state, job_id)
+        except (Unavailable, Unsure):
+            return  # the next scan or poll finds it
+        member = self._member
+        if record is None or record["s"] in FINAL or not member.joined:
+            return
+        if not member.term.serves(*record["o"]) and self._heir(job_id, record) == member.label:
+            if record["o"][0]:  # else it was accepted for us, as the warden
+                log.info("taking over %s, found without an owner", job_id)
+            self._book.adopt([(record, stamp)])
--- /dev/null
+++ b/roadhead/summary.py
@@ -0,0 +1,131 @@
+"""The summary: what each controller says of its part, and all parts heard put together."""
+
+import logging
+
+from roadhead.wire import frames
+
+log = logging.getLogger("roadhead.summary")
+
+HEARD_BEATS = 15  # for which a controller's part counts
+
+
+class Summary:
+    """`links`: the controllers heard; `state_ok()`: whether the state service answers."""
+
+    def __init__(self, loop, settings, beat_s, member, links, state_ok, risk, troubles, counters,
+                 time_of_day):
+        self._loop = loop
+        self.label = settings.label
+        self._labels = [settings.label, *(other.label for other in settings.members)]
+        self._lease_s = settings.deployment.workers.lease_s
+        self._beat_s = beat_s
+        self._member = member
+        self._links = links
+        self._state_ok = state_ok
+        self._risk = risk
+        self._troubles = troubles
+        self._counters = counters
+        self._time_of_day = time_of_day
+        self._parts = {}  # label -> (when, its SummaryNews)
+        self._waiting_since = {}  # class -> since when tasks of it wait here
+        self._book = self._home = self._dispatcher = self._fleet = None
+
+    def begin(self, book, home, dispatcher, fleet):
+        """The parts of a new incarnation."""
+        self._book, self._home, self._dispatcher, self._fleet = book, home, dispatcher, fleet
+
+    def on_news(self, label, frame):
+        self._parts[label] = self._loop.now(), frame
+
+    def part(self):
+        """This controller's part of the summary."""
+        now = self._loop.now()
+        book, home = self._book, self._home
+        behind = []
+        if not self._state_ok():
+            behind.append(f"{self.label}: the state service does not answer")
+        failing_since = book.recorder.failing_since
+        if failing_since is not None and now - failing_since > self._beat_s:
+            behind.append(f"{self.label}: records not written for {now - failing_since:.0f} s")
+        if not home.clean():
+            behind.append(f"{self.label}: machines of an earlier term not all heard yet")
+        waiting = [job for job in book.jobs.values() if job.unsynced]
+        if waiting:
+            behind.append(f"{self.label}: {len(waiting)} jobs taken over, not started yet")
+        failing = sum(machine.draining and bool(machine.errors) for machine in home.machines.values())
+        rows = self._risk.rows(book.jobs.values(), self._time_of_day())
+        behind += self._stalled_classes()
+        troubles = [f"{self.label}: {line}"
+                    for line in (*self._troubles.lines(), *self._counters.events())]
+        return frames.SummaryNews(rows, failing, behind, troubles)
+
+    def _stalled_classes(self):
+        """Classes of which tasks wait here and none was started for a lease, and why."""
+        now = self._loop.now()
+        waiting = {}
+        for job in self._book.jobs.values():
+            if job.free and job.state == "open":
+                waiting.setdefault(job.spec.klass, []).append(job)
+        for klass in [klass for klass in self._waiting_since if klass not in waiting]:
+            del self._waiting_since[klass]
+        lines = []
+        for klass, jobs in sorted(waiting.items()):
+            since = max(self._book.started_at.get(klass, 0.0), self._waiting_since.setdefault(klass, now))
+            if now - since > self._lease_s:
+                why = self._why_stalled(jobs)
+                lines.append(f"{self.label}: {klass}: nothing started for {now - since:.0f} s: {why}")
+                log.info("stalled: %s, nothing started for %.0f s: %s", klass, now - since, why)
+        return lines
+
+    def _why_stalled(self, jobs):
+        homes = {label for job in jobs for label in job.unsynced}
+        if homes:
+            return f"taken over, {', '.join(sorted(homes))} can't yet say what runs"
+        if all(job.doubtful for job in jobs):
+            return "its jobs fail wherever they run"
+        teams = self._book.teams
+        if all(self._book.limited(job.spec.team) and teams.levels(job.spec.team) is None for job in jobs):
+            return "nothing of its tenant or team may start now"
+        if not any(self._dispatcher.may_start(job) for job in jobs):
+            return "the team's limit is reached"
+        refused = self._fleet.refused_kinds()
+        if refused:
+            return f"no free room; the cloud has no more of {', '.join(refused)}"
+        return "no free room; more urgent work comes first, or machines are on their way"
+
+    def look_for_trouble(self, lapsed):
+        """What this controller is out of touch with; noted with its length when it ends."""
+        holds, member = self._troubles.holds, self._member
+        holds("state service does not answer", not self._state_ok())
+        holds("not a member", not member.joined)
+        holds("own lease has ended", member.joined and lapsed)
+        holds("most workers are not heard", self._home.deaf())
+        holds("relieved of its machines, as workers could not reach it",
+              member.term is not None and self.label in member.term.relieved)
+        for label in self._labels[1:]:
+            holds(f"{label} is not heard", label not in self._links)
+
+    def whole(self):
+        """The parts of all controllers heard lately, put together."""
+        now = self._loop.now()
+        parts = {label: part for label, (at, part) in self._parts.items()
+                 if now - at < HEARD_BEATS * self._beat_s}
+        parts[self.label] = self.part()  # also while it is no member
+        classes = {}
+        for part in parts.values():
+            for klass, *counts in part.rows:
+                entry = classes.setdefault(klass, [0, 0, 0, 0])
+                for place, count in enumerate(counts):
+                    entry[place] += count
+        names = ("open", "done", "late", "atRisk")
+        unheard = sorted(set(self._labels) - parts.keys())
+        return {
+            "classes": [{"class": klass, **dict(zip(names, counts, strict=True))}
+                        for klass, counts in sorted(classes.items())],
+            "machines": sum(row[3] for rows in self._fleet.fleet.values() for row in rows),
+            "failing": sum(part.failing for part in parts.values()),
+            "heard": sorted(parts),
+            "troubles": [line for _label, part in sorted(parts.items()) for line in part.troubles],
+            "behind": [line for part in parts.values() for line in part.behind]
+            + [f"{label}: not heard" for label in unheard],
+        }
--- /dev/null
+++ b/roadhead/switchboard.py
@@ -0,0 +1,87 @@
+"""What comes from other controllers: which part of this one it concerns, and whether it may speak."""
+
+import logging
+
+from roadhead.wire import frames, messages
+
+log = logging.getLogger("roadhead.switchboard")
+
+
+class Switchboard:
+    """`on_cancelled(jobs)` hears of cancellations, `send(label, frame)` answers."""
+
+    def __init__(self, member, send, on_cancelled):
+        self._member = member
+        self._send = send
+        self._on_cancelled = on_cancelled
+        self._handlers = {}
+
+    def begin(self, home, book, dispatcher, fleet, takeover, summary, more):
+        """The parts of a new incarnation; `more`: handlers of further kinds of frames."""
+        member = self._member
+
+        def on_demand(label, _incarnation, frame):
+            fleet.demand[label] = frame.rows
+            home.rooms.on_demand(label, frame)
+            fleet.wake()
+
+        def on_refused(_label, _incarnation, frame):
+            book.on_refused(frame)
+            dispatcher.on_refused(frame)
+
+        def on_sync(label, incarnation, frame):
+            if frame.term == member.term.number:
+                home.on_sync(label, incarnation, frame)
+
+        def on_home_news(label, _incarnation, frame):
+            fleet.fleet[label] = frame.rows
+            home.rooms.parked[label] = sum(row[5] for row in frame.rows)
+
+        self._handlers = {
+            frames.Demand: on_demand,
+            frames.Grant: lambda _label, _incarnation, frame: dispatcher.on_grant(frame),
+            frames.Return: lambda label, _incarnation, frame: home.rooms.on_return(label, frame),
+            frames.Revoke: lambda _label, _incarnation, frame: dispatcher.on_revoke(frame),
+            frames.Start: home.on_start,
+            frames.Refused: on_refused,
+            frames.TaskStates: lambda label, _incarnation, frame: book.on_tasks(label, frame),
+            frames.Free: lambda _label, _incarnation, frame: book.on_free(frame),
+            frames.Stop: lambda _label, _incarnation, frame: home.on_stop(frame),
+            frames.Forget: lambda _label, _incarnation, frame: home.on_forget(frame),
+            frames.Sync: on_sync,
+            frames.Synced: lambda label, _incarnation, frame: book.on_synced(label, frame),
+            frames.Orphan: lambda _label, _incarnation, frame: takeover.on_orphan(frame.job),
+            frames.JobFails: lambda _label, _incarnation, frame: home.on_job_fails(frame.job),
+            frames.HomeNews: on_home_news,
+            frames.SummaryNews: lambda label, _incarnation, frame: summary.on_news(label, frame),
+            **more,
+        }
+
+    def tell_term(self, label):
+        member = self._member
+        self._send(label, frames.TermNews(member.revision, messages.encode(member.term.to_record())))
+
+    def on_frame(self, label, incarnation, frame):
+        kind = type(frame)
+        member = self._member
+        if kind is frames.TermNews:
+            if member.joined:
+                try:
+                    member.adopt(messages.decode_map(frame.record), frame.revision)
+                except (messages.Invalid, KeyError, TypeError) as error:
+                    log.error("term from %s: %r", label, error)
+            return
+        if not member.joined:
+            return
+        if kind is frames.CancelNews:
+            self._on_cancelled(frame.jobs)
+            return
+        if kind is frames.Beat:
+            if frame.term < member.term.number:
+                self.tell_term(label)
+            return
+        if not member.term.serves(label, incarnation):
+            return  # an incarnation that the term does not name has no say
+        handler = self._handlers.get(kind)
+        if handler is not None:
+            handler(label, incarnation, frame)
