Fault: a late retry of a job long over hired machines; only what is surely new is rented for

Cause: Book.create counted a submission as coming before its record was written.

While nobody can say, a quarter of the CPUs there are may be rented on users' word.

--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -21,6 +21,7 @@
 ROWS_MOST = 256  # of a Demand, so that a frame stays far below its bound
 AIMLESS = 10  # times the aim assumed by default: the slack of jobs of which nothing is expected
 BORROWED = 5  # added to the urgency of work beyond its team's guarantee, where teams share
+ON_WORD = 0.25  # of the CPUs that fall to this controller: rented at most on submissions nobody can check
 ROUNDS = 16  # of a placing pass, where teams share
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 
@@ -394,7 +395,7 @@
 
         The renter also hears of what is not startable yet: machines take long to come.
         """
-        coming = self._book.coming()
+        coming = self._book.coming(ON_WORD * self.capacity())
         if not waiting and not coming and not self._demand and self._demand is not None:
             return
         now = self._loop.now()
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -44,6 +44,7 @@
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
         self._new = {}  # id -> Job whose record is being written
+        self._fresh = {}  # those of them of which there surely was no record
         self._adopting = {}  # in order, as a set
         self.closing = set()  # slots of wardens about to be handed on: nothing of them comes to us
         self._adopted = []  # taken over in this turn, to be synced
@@ -51,7 +52,7 @@
         self._sync_number = 0
         self._attempts = 0
         self._unowned = []  # accepted while slots were closing
-        self.recorder = recorder_of(self._written, self._conflict, self._refused)
+        self.recorder = recorder_of(self._written, self._conflict, self._refused, self._is_new)
 
     @property
     def _me(self):
@@ -74,17 +75,35 @@
                 owner = NOBODY  # the warden takes it over
             job = self._new[spec.id] = Job(spec, owner, self._time_of_day())
             self.recorder.mark(job, URGENT)
-            self._changed()
         return pending
 
-    def coming(self):
-        """Jobs whose tasks will wait here shortly: being accepted, or being taken over."""
-        return [*self._new.values(), *self._adopting,
+    def coming(self, on_word):
+        """Jobs whose tasks will surely wait here shortly: found to be new and about to be accepted,
+        or being taken over. A submission alone is no reason to rent: it may be a retry of a job
+        that is long over. Only while nobody can say which it is, up to `on_word` CPUs count on
+        their users' word."""
+        word = []
+        for job in self._new.values() if self.recorder.unsure else ():
+            cpus = job.spec.cpus * len(job.free)
+            if job.id not in self._fresh and cpus <= on_word:
+                on_word -= cpus
+                word.append(job)
+        return [*self._fresh.values(), *word, *self._adopting,
                 *(job for job in self.jobs.values() if job.unsynced)]
 
-    def _written(self, job, recorded, state):
-        pending = self._creating.pop(job.id, None)
+    def _is_new(self, job):
+        if job is not None and job.id in self._new:
+            self._fresh[job.id] = job
+        self._changed()
+
+    def _settled(self, job):
+        """The outcome of its creation is known: the Future that waits for it, or None."""
         self._new.pop(job.id, None)
+        self._fresh.pop(job.id, None)
+        return self._creating.pop(job.id, None)
+
+    def _written(self, job, recorded, state):
+        pending = self._settled(job)
         if pending is not None:
             self._created(job)
             pending.set((True, None))
@@ -202,8 +221,7 @@
     def _conflict(self, job, record, stamp):
         """Somebody else wrote the record, or an unanswered write of ours went through."""
         mine = record is not None and record["s"] == "open" and tuple(record["o"]) == self._me
-        pending = self._creating.pop(job.id, None)
-        self._new.pop(job.id, None)
+        pending = self._settled(job)
         if pending is not None:
             self.recorder.unmark(job)
             if record is not None and record["s"] == "open" and (
@@ -323,8 +341,7 @@
 
     def _refused(self, job):
         """A creation that surely did not and will not come about: its user is to ask again."""
-        self._new.pop(job.id, None)
-        pending = self._creating.pop(job.id, None)
+        pending = self._settled(job)
         if pending is not None:
             pending.set((False, None))
 
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -17,6 +17,7 @@
 
 MAX_BYTES = 60000
 URGENT, SOON, LATER = range(3)
+CHECK_PARTS = 64  # of the time between writes of progress, after which a creation is looked into
 
 
 class NoGuards:
@@ -41,20 +42,26 @@
     `guards.changed(key, record, stamp)` is told what is there now once it does not hold, and
     says whether nothing of it may be created any more. Then `on_refused(job)` is called for jobs
     of which nothing was written. `guards.later(job)`: whether its creation comes after others'.
+    `on_new(job)`: its creation waits for its turn, and there is no record of it; None: nobody can
+    say of those that wait.
     """
 
-    def __init__(self, loop, state, progress_s, on_written, on_conflict, on_refused, member, guards):
+    def __init__(self, loop, state, progress_s, on_written, on_conflict, on_refused, on_new, member, guards):
         self._loop = loop
         self._state = state
         self._progress_s = progress_s
         self._on_written = on_written
         self._on_conflict = on_conflict
         self._on_refused = on_refused
+        self._on_new = on_new
         self._member = member
         self._guards = guards
         self._dirty = {}  # job -> urgency
         self._drops = []
         self._wake = Signal()
+        self._unchecked = Signal()
+        self._checked = set()  # creations that wait and were found to be new
+        self.unsure = False  # whether nobody can say at present which are
         self.failing_since = None
 
     def mark(self, job, urgency):
@@ -62,9 +69,12 @@
         if self._dirty.get(job, LATER + 1) > urgency:
             self._dirty[job] = urgency
         self._wake.set()
+        if not job.stamp:
+            self._unchecked.set()
 
     def unmark(self, job):
         self._dirty.pop(job, None)
+        self._checked.discard(job)
 
     def drop(self, key):
         """A key that is no longer needed."""
@@ -94,6 +104,48 @@
             self._loop.now() >= job.written_at + self._progress_s and self._state.writes.spare(0.5)
         )
 
+    async def check(self):
+        """Duty: of the creations that have to wait, which are new and which are late retries.
+
+        Users may submit a job again at any later time, and whoever has not seen its end can't
+        tell that from a new one. Many are compared in one request, which writes nothing.
+        """
+        while True:
+            await self._unchecked.wait()
+            await self._loop.sleep(self._progress_s / CHECK_PARTS)  # most are written by then
+            batch = [job for job in self._dirty if not job.stamp and job not in self._checked]
+            batch = batch[: 2 * int(self._state.limits.txn_ops)]
+            if not batch:
+                continue
+            try:
+                await self._state.unchanged(
+                    [(place + job.id, 0) for job in batch for place in (KEY, SHELF)])
+            except Conflict as error:
+                for job in batch:
+                    if not {KEY + job.id, SHELF + job.id}.isdisjoint(error.failed):
+                        await self._settle(job)
+            except (Unavailable, Unsure) as error:
+                log.debug("check of %d creations: %r", len(batch), error)
+                self.unsure = True
+                self._on_new(None)
+                await self._loop.sleep(self._progress_s / 16)
+            else:
+                self.unsure = False
+                for job in batch:
+                    if job in self._dirty:
+                        self._checked.add(job)
+                        self._on_new(job)
+            self._unchecked.set()
+
+    async def _settle(self, job):
+        """Somebody else wrote the job's record, or a write of ours whose answer was lost."""
+        try:
+            record, stamp = await find(self._state, job.id)
+        except (Unavailable, Unsure):
+            return  # its own write finds the same
+        if record is not None and job in self._dirty:
+            self._on_conflict(job, record, stamp)
+
     async def run(self):
         while True:
             batch = self._batch()
@@ -174,6 +226,7 @@
         for job, _urgency, recorded, count, state in written:
             job.stamp = revision
             job.written_at = now
+            self._checked.discard(job)
             job.saved_count = count
             self._on_written(job, recorded, state)
             if job.state == "open" and job.done.count > count and job not in self._dirty:
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -122,9 +122,9 @@
 
         self.shelf = Shelf(loop, self.state, self.member, self.counters)
 
-        def recorder_of(on_written, on_conflict, on_refused):
-            return Recorder(loop, self.state, workers.report_s * 2, on_written, on_conflict, on_refused,
-                            self.member, self.desk or NO_GUARDS)
+        def recorder_of(*told):
+            return Recorder(loop, self.state, workers.report_s * 2, *told, self.member,
+                            self.desk or NO_GUARDS)
 
         self.book = Book(
             loop, self.member, recorder_of, self.send, self._changed, self.counters,
@@ -151,7 +151,8 @@
         self._summary.begin(self.book, self.home, self.dispatcher, self.fleet)
         self._switchboard.begin(self.home, self.book, self.dispatcher, self.fleet, self.takeover,
                                 self._summary, self.desk.handlers() if self.desk is not None else {})
-        duties = [self.book.recorder.run, self.shelf.run, self._tick, *self.fleet.duties()]
+        recorder = self.book.recorder
+        duties = [recorder.run, recorder.check, self.shelf.run, self._tick, *self.fleet.duties()]
         if self.desk is not None:
             duties += self.desk.begin(self)
         self._duties = [loop.spawn(self._keep(duty), duty.__name__) for duty in duties]
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -135,7 +135,7 @@
     def limited(self, _team):
         return False
 
-    def coming(self):
+    def coming(self, _on_word):
         return []
 
     def bind(self, job, machine, zone):
