Any number of machines: a budget of sockets, orders in turn, the largest fleet from the settings

Cause: a worker holds a connection for its reports and one for orders; with four times the machines one survivor reached all of its sockets, then nobody got in: users, probes and reports alike. After a change of the term every machine was asked at once. An incarnation that ended left its connections to workers open. fleet.largest cut every fleet at 1,000 without a word.

Change: admission/sockets.py shares the limit out: state service and peers, users, workers. Beyond their part workers are answered with Connection: close and come again with the next report. Requests to workers wait their turn, those to silent machines in half of it; kept connections are bounded, least used first to go. The largest fleet is, unless set, what all controllers together have sockets for.

--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -11,40 +11,49 @@
 log = logging.getLogger("roadhead.api")
 
 CANCEL = "c/x/"
-OPEN_PATHS = ("/ready", "/v1/report")  # to the platform and the workers; the rest is the gateways'
+REPORT = "/v1/report"
+OPEN_PATHS = ("/ready", REPORT)  # to the platform and the workers; the rest is the gateways'
 UNSIGNED = (401, messages.error("not signed by a gateway"), None)
 USAGE = "/v1/tenants/"
 REFUSED = (503, messages.error("not able to say now"), 1)
 
 
 class Api:
-    def __init__(self, loop, node, max_streams, create_s, patience_s):
+    def __init__(self, loop, node, sockets, create_s, patience_s):
         self._loop = loop
         self._node = node
-        self._max_streams = max_streams
+        self._sockets = sockets
         self._create_s = create_s
         self._patience_s = patience_s
-        self._streams = 0
 
     def accept(self, stream):
-        if self._streams >= self._max_streams:
+        if not self._sockets.admit():
             stream.close()
             return
-        self._streams += 1
         self._loop.spawn(self._serve(stream), "http")
 
     async def _serve(self, stream):
+        worker = False
+
+        async def handle(request):
+            nonlocal worker
+            answer = await self._handle(request)
+            if not worker and request.target == REPORT:
+                worker = self._sockets.keep_worker()
+                request.close = request.close or not worker  # it comes again with its next report
+            return answer
+
         try:
-            await http.serve(self._loop, stream, self._handle, self._patience_s)
+            await http.serve(self._loop, stream, handle, self._patience_s)
         finally:
-            self._streams -= 1
+            self._sockets.gone(worker)
 
     async def _handle(self, request):
         path = request.target.partition("?")[0]
         desk = self._node.desk
         if desk is not None and path not in OPEN_PATHS and not desk.signed(request):
             return UNSIGNED
-        if path == "/v1/report":
+        if path == REPORT:
             if request.method != "POST":
                 return 405, b"", None
             return self._report(request.body)
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -25,6 +25,8 @@
         self._lag_s = deployment.cloud.list_lag_s
         self._lease_s = deployment.workers.lease_s
         self._tuning = tuning
+        # Beyond that the survivors of an end could not even hear each machine once a report interval.
+        self._largest = tuning.largest or deployment.nodes * deployment.quota.fd_limit
         self._aims = aims
         self._default_aim_s = default_aim_s
         self._random = random
@@ -263,7 +265,7 @@
         size = sum(machines.values()) + len(self._hired)
         wants = self._wants()
         orders = plan(wants, offers(self.types, self._zones), machines, busy, coming,
-                      refused, max(0, self._tuning.largest - size), 1 / self._tuning.drain_ratio)
+                      refused, max(0, self._largest - size), 1 / self._tuning.drain_ratio)
         for shape, count in orders:
             count = min(count, HIRE_MOST)
             self._names += 1
--- a/roadhead/homes/workers.py
+++ b/roadhead/homes/workers.py
@@ -9,14 +9,22 @@
 
 
 class Workers:
-    def __init__(self, loop, net, member, timeout_s, may_command):
+    """At most `sockets.orders_most` requests are under way at once, half of them to machines that
+    were not heard for `silent_s`: those that answer don't wait for those that don't.
+    """
+
+    def __init__(self, loop, net, member, timeout_s, may_command, silent_s, sockets):
         self._loop = loop
         self._net = net
         self._member = member
         self._timeout_s = timeout_s
         self._may_command = may_command
         self.home = None
-        self._clients = {}
+        self._silent_s = silent_s
+        self._sockets = sockets
+        self._clients = {}  # machine -> Client, the one used last at the end
+        self._queues = {}, {}  # machines to be asked, in order as a set: heard lately, silent
+        self._asking = [0, 0]  # requests under way to them
 
     def ask(self, machine):
         """Sends the machine what it has yet to carry out, or just shows it our token."""
@@ -24,9 +32,21 @@
             machine.wanting = True
             return
         machine.asking = True
-        self._loop.spawn(self._ask(machine), f"ask {machine.id}")
+        heard_at = machine.heard_at
+        silent = heard_at is None or self._loop.now() - heard_at > self._silent_s
+        self._queues[silent][machine] = True
+        self._next()
+
+    def _next(self):
+        most = self._sockets.orders_most
+        for silent, queue in enumerate(self._queues):
+            while queue and sum(self._asking) < most and (not silent or 2 * self._asking[1] < most):
+                machine = next(iter(queue))
+                del queue[machine]
+                self._asking[silent] += 1
+                self._loop.spawn(self._ask(machine, silent), f"ask {machine.id}")
 
-    async def _ask(self, machine):
+    async def _ask(self, machine, silent):
         home = self.home
         try:
             while True:
@@ -46,13 +66,21 @@
                     return
         finally:
             machine.asking = False
+            self._asking[silent] -= 1
+            self._next()
 
-    async def _once(self, machine):
-        client = self._clients.get(machine.id)
+    def _client(self, machine):
+        """The kept connection to a machine, or a new one in place of the one longest unused."""
+        client = self._clients.pop(machine.id, None)
         if client is None or client.address != machine.address:
-            client = self._clients[machine.id] = Client(
-                self._loop, self._net, machine.address, max_idle=1, max_body=1 << 20
-            )
+            client = Client(self._loop, self._net, machine.address, max_idle=1, max_body=1 << 20)
+        self._clients[machine.id] = client
+        if len(self._clients) > max(self._sockets.orders_kept, sum(self._asking)):
+            self.forget([next(iter(self._clients))])
+        return client
+
+    async def _once(self, machine):
+        client = self._client(machine)
         # The session is a guess for a machine never heard: a wrong one is answered with a
         # report (409), from which it is learned.
         for _ in range(2):
@@ -105,5 +133,11 @@
             if client is not None:
                 client.close()
 
+    def close(self):
+        """This incarnation is over: nothing that is queued is sent, no connection stays."""
+        for queue in self._queues:
+            queue.clear()
+        self.forget(list(self._clients))
+
     def trim(self):
         self.forget([name for name in self._clients if name not in self.home.machines])
--- a/roadhead/local/sim.py
+++ b/roadhead/local/sim.py
@@ -154,8 +154,13 @@
         self.listeners = {}  # address -> (host, on_stream)
         self.loops = {}  # host -> HostLoop
         self.cuts = {}  # frozenset(host, host) -> [mode, held]
+        self.limits = {}  # host -> sockets that it may have
         self._streams = []
 
+    def full(self, host):
+        limit = self.limits.get(host)
+        return limit is not None and sum(stream.host == host for stream in self._streams) >= limit
+
     def host(self, name, loop):
         self.loops[name] = loop
         return HostNet(self, name, loop)
@@ -228,12 +233,12 @@
             raise Timeout
         await self.loop.sleep(2 * network.latency)
         listener = network.listeners.get(address)
-        if listener is None:
+        network._streams = [s for s in network._streams if not s.closed]
+        if listener is None or network.full(self.name) or network.full(target):
             raise Closed("refused")
         mine = SimStream(network, self.name, target)
         theirs = SimStream(network, target, self.name)
         mine.peer, theirs.peer = theirs, mine
-        network._streams = [s for s in network._streams if not s.closed]
         network._streams += [mine, theirs]
         network.loops[target].call_soon(listener[1], theirs)
         return mine
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -17,7 +17,7 @@
     "controllers": 3, "seed": 1, "report_s": 2.0, "lease_s": 12.0, "cancel_s": 32.0,
     "list_lag_s": 3.0, "txn_ops": 16, "capacity": 8, "fetch_s": 1.0, "until": 200.0,
     "cpus_max": 0.0, "drift": 0.0005, "boot_s": 5.0, "gateways": 0, "slots": 24,
-    "preempt": 1,
+    "preempt": 1, "sockets": 0,
 }
 
 
@@ -112,6 +112,7 @@
                 "nodes": len(self.labels), "zones": list(self.zones),
                 "teams": [{"name": "crew", "cpus_max": self.options["cpus_max"]}],
                 "objectives": [{"kind": "finished", "class": "c", "within_s": 60.0, "share": 0.9}],
+                **({"quota": {"fd_limit": self.options["sockets"]}} if self.options["sockets"] else {}),
                 **self.settings,
             },
         }
@@ -121,6 +122,8 @@
         if number in self.nodes:
             return  # crashed twice, and back already
         host = f"10.0.0.{number + 1}"
+        if self.options["sockets"]:
+            self.network.limits[host] = self.options["sockets"]
         loop = self.host_loop(host)
         net = self.network.host(host, loop)
         node = Node(loop, net, self._settings_of(number), Tuning(),
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -4,11 +4,12 @@
 import random
 import time
 
+from roadhead.admission.sockets import Sockets
 from roadhead.api.server import Api
 from roadhead.cloud.client import CloudClient
 from roadhead.dispatch.dispatcher import Dispatcher
 from roadhead.fleet.fleet import Fleet
-from roadhead.homes.home import Home
+from roadhead.homes.home import SILENT_REPORTS, Home
 from roadhead.homes.machine import Needs
 from roadhead.homes.workers import Workers
 from roadhead.jobs.book import Book
@@ -83,12 +84,13 @@
                 waits.append(objective.within_s)
             elif objective.kind == "deadline":
                 times.append(objective.times)
+        self._sockets = Sockets(deployment.quota.fd_limit, self.counters.add)
         create_s = workers.lease_s / 3
         self._create_s = create_s
         self.teams = FixedTeams(deployment.teams) if hosted is None else hosted.teams
         self.api = Api(
             loop, self,
-            max_streams=int(0.75 * deployment.quota.fd_limit),
+            sockets=self._sockets,
             create_s=create_s,
             patience_s=workers.lease_s / 1.2,
         )
@@ -98,6 +100,7 @@
                                  self._beat_s)
         self._summary = Summary(loop, settings, self._beat_s, self.member, self.peers.links, self._state_ok,
                                 self.risk, self.troubles, self.counters, time_of_day)
+        self.workers = None
         self._duties = []
         self._looking = set()
         self._reset()
@@ -108,8 +111,11 @@
         for duty in self._duties:
             duty.cancel()
         workers = deployment.workers
-        self.workers = Workers(loop, self._net, self.member, timeout_s=workers.lease_s / 4,
-                               may_command=self.may_renew)
+        if self.workers is not None:
+            self.workers.close()
+        self.workers = Workers(
+            loop, self._net, self.member, timeout_s=workers.lease_s / 4, may_command=self.may_renew,
+            silent_s=SILENT_REPORTS * workers.report_s, sockets=self._sockets)
         types = self.fleet.types if hasattr(self, "fleet") else {}
         self.home = Home(
             loop, self.label, self.member, deployment,
--- a/roadhead/settings.py
+++ b/roadhead/settings.py
@@ -109,12 +109,13 @@
 
 class Fleet(Struct, forbid_unknown_fields=True):
     """`drain_ratio` of a class's time aim is what waiting work may take to drain;
-    a machine idle for `idle_ratio` boot times is returned."""
+    a machine idle for `idle_ratio` boot times is returned; `largest` machines at most, 0: as many
+    as all controllers have sockets."""
 
     drain_ratio: float = 0.4
     idle_ratio: float = 1.0
     stuck_ratio: float = 4.0
-    largest: int = 1000
+    largest: int = 0
 
 
 class Tuning(Struct, forbid_unknown_fields=True):
@@ -201,7 +202,7 @@
         table = getattr(tuning, part)
         for name in table.__struct_fields__:
             value = getattr(table, name)
-            if not 0 < value < float("inf"):
+            if not 0 < value < float("inf") and (name, value) != ("largest", 0):
                 faults.append(f"{part}.{name}: must be above 0, is {value}")
     if tuning.membership.lease_ratio > 1:
         faults.append("membership.lease_ratio: must be at most 1")
--- a/roadhead/telemetry.py
+++ b/roadhead/telemetry.py
@@ -64,6 +64,8 @@
     "machines_faulty": "machines that failed their tasks, given back",
     "jobs_faulty": "jobs that fail wherever they run",
     "task_errors": "tasks that failed",
+    "connections_refused": "connections refused: no sockets left for more",
+    "workers_sent_off": "reports after which the worker was asked to connect anew: sockets are short",
     "refused_busy": "submissions refused: more than can be written in time",
     "refused_unsure": "requests refused: the state service, or our place in the term, unsure",
     "duties_failed": "duties that failed (see the log)",
--- a/roadhead/wire/http.py
+++ b/roadhead/wire/http.py
@@ -280,6 +280,8 @@
                 stream.close()
 
     def close(self):
+        """Nothing is kept open any more, nor what requests under way still use."""
+        self._max_idle = 0
         for stream in self._idle:
             stream.close()
         self._idle.clear()
