Fault: after an end nothing inherited started while any machine booted; ready at once

Cause: a home that restarts waited for every machine known of before to report, or for lease_s + 4 s. The list that makes a home sure came up to an interval late. /ready waited for membership and flapped with it, and the balancer doubles its pause.

Change: a machine that the covering list shows as booting is not waited for (argument: design.md, safety 3; a break on purpose that takes machines up for booting is noticed by takeover-running). The covering list is asked for when due. A controller is ready unless others can do better.

--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -11,6 +11,7 @@
 
 HIRE_MOST = 50
 RELEASE_MOST = 100
+EARLY_S = 1e-3  # timers may fire that much early
 SOONER = 0.2  # of the time that an idle machine is kept, if there is plenty of room without it
 
 
@@ -71,7 +72,11 @@
                 continue
             if self._member.joined:
                 self._listed(listed, asked_at)
-            await self._loop.sleep(self._lag_s if not self._home.clean() else 2 * self._lag_s)
+            pause_s = self._lag_s if not self._home.clean() else 2 * self._lag_s
+            cover_at = self._home.cover_at()
+            if cover_at is not None and cover_at > self._loop.now():
+                pause_s = min(pause_s, cover_at - self._loop.now() + EARLY_S)
+            await self._loop.sleep(pause_s)
 
     def _listed(self, listed, asked_at):
         home = self._home
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -86,6 +86,10 @@
                 self.rooms.peer_down(label)
         self._syncs = [s for s in self._syncs if new.serves(s[0], s[1])]
 
+    def cover_at(self):
+        """When the list that covers should be asked for; None once one was taken in."""
+        return None if self._covered else self._cover_from
+
     def deaf(self):
         """Most machines heard here have fallen silent: dead all at once, or cut off."""
         limit = self._loop.now() - SILENT_REPORTS * self._workers.report_s
@@ -108,7 +112,8 @@
                 machine.confirmed == token or not machine.tasks
                 for machine in self.machines.values()
             )
-        # A machine rented after the old member's end, or lapse, can't have been heard by it.
+        # A machine rented, or still booting, after the old member's end, or lapse, can't have been
+        # heard by it.
         return all(
             machine.confirmed == token or machine.born_at > self._fenced_at
             for machine in self.machines.values()
@@ -143,6 +148,9 @@
                 # The list shows a moment of up to twice its lag before it was asked for.
                 machine.born_at = asked_at - 2 * self._lag_s * (1 + DRIFT) - item.age_s * (1 + DRIFT)
             machine.listed_at = asked_at
+            if item.status == "starting":
+                # It was not up at the moment that the list shows, so nobody had told it anything.
+                machine.born_at = max(machine.born_at, asked_at - 2 * self._lag_s * (1 + DRIFT))
             if machine.confirmed != self._member.token and item.status == "running":
                 self._ask(machine)
         if asked_at >= self._cover_from and not self._covered:
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -111,7 +111,7 @@
         self.heard_at = None
         self.renewed_at = now  # when a report was last answered
         self.listed_at = None
-        self.born_at = 0.0  # not before this it was rented
+        self.born_at = 0.0  # not before this it was rented, or up
         self.notice_at = None  # when the cloud takes it away
         self.tasks = {}
         self.by_name = {}  # (task's name, attempt) as reported -> Task
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -95,6 +95,7 @@
             patience_s=workers.lease_s / 1.2,
         )
         self.risk = Risk(self.aims, sorted({objective.klass for objective in deployment.objectives}))
+        self._began_at = loop.now()
         self._used = (0.0, 0.0)  # requests and writes a second, in the last beat
         self.takeover = Takeover(loop, self.state, self.member, self.teams, self.send, self._changed,
                                  self._beat_s)
@@ -266,12 +267,16 @@
         return now - heard < within_s
 
     def ready(self):
-        """Ready while the state service answers, or while it seems to answer nobody."""
-        if not self.member.joined or not self.home.types:
+        """Ready unless others can do better: the state service answers them and not us, or the
+        cloud has had time to name its machines and has not.
+
+        Joining takes less time than the balancer takes to trust a node again, and each further
+        removal doubles that: a `/ready` that waits, or flaps while a member joins anew, costs
+        more than the few submissions that are answered 503 meanwhile. Polls need no member.
+        """
+        if not self.home.types and self._loop.now() - self._began_at > self._deployment.cloud.list_lag_s:
             return False
-        if self._state_ok():
-            return True
-        return not any(link.state_ok for link in self.peers.links.values())
+        return self._state_ok() or not any(link.state_ok for link in self.peers.links.values())
 
     def impossible(self, spec):
         """Why no machine can ever run the job, or None."""
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -130,12 +130,27 @@
     patch.setattr(Reader, "__init__", init)
 
 
+def up_taken_for_booting(patch):
+    """3: machines that are up, too, count as never heard by the home of before."""
+    real = Home.covered
+
+    def covered(self, listed, asked_at):
+        failed = real(self, listed, asked_at)
+        for machine in self.machines.values():
+            machine.born_at = asked_at
+        self.settle()
+        return failed
+
+    patch.setattr(Home, "covered", covered)
+
+
 @pytest.mark.parametrize(("sabotage", "scenario"), [
     (created_without_a_look_at_the_shelf, "shelf"),
     (polls_the_shelf_first, "shelf-polled"),
     (never_fenced, "takeover-room"),
     (freed_when_silent, "hung-machine"),
     (started_unsynced, "takeover-running"),
+    (up_taken_for_booting, "takeover-running"),
     (renews_blindly, "cut-zone"),
     (told_before_durable, "crash-all-outage"),
     (shared_limit, "limit"),
