Gangs: a job's tasks that are of use only together start at once, under one attempt

Change: dispatch/gangs.py. All tasks start in one placing pass of their owner or none; room granted is kept until there is enough, for 2.5 leases at most, then the gang rests. Homes do not draw between demands that must gather room. One task missing: the others stop and all start anew under a new attempt. The stand-in workers let gangs gather and lose each other.

--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 import heapq
 import logging
 
+from roadhead.dispatch.gangs import Gathering, seats
 from roadhead.fleet.plan import DOUBTFUL
 from roadhead.homes.machine import fits, times
 from roadhead.wire import frames
@@ -100,6 +101,7 @@
         self.capacity = lambda: 0.0  # CPUs that fall to this controller
         # Where teams share by guarantee and weight: the order, and who gets room back.
         self.sharing = self.preemption = None
+        self._gathering = Gathering(loop, window_s, random, self.changed)
 
     def changed(self):
         if not self._placing:
@@ -262,6 +264,7 @@
         self._placing = False
         waiting = self.waiting()
         starts = {}  # machine -> {job: [(index, attempt)]}
+        self._gathering.begin()
         if self.idle:
             full = set()  # shapes for which the list has no room: it only shrinks in a pass
             self._place_all(waiting, starts, full)
@@ -283,15 +286,17 @@
         for group in self._groups(waiting):
             for with_image in (True, False):
                 for job in group:
-                    if job.free and job.room_shape not in full:
+                    if job.gang and job.startable():
+                        if with_image:
+                            self._place_gang(job, starts)
+                    elif job.free and job.room_shape not in full:
                         self._place_job(job, with_image, starts, full)
 
     def may_start(self, job):
         """Whether its team's limit leaves room for one more task."""
         if not self._book.limited(job.spec.team):
             return True
-        cpus, gpus = self._book.headroom(job.spec.team)
-        return job.spec.cpus <= cpus + 1e-6 and job.spec.gpus <= gpus + 1e-6
+        return times(job.need, self._book.headroom(job.spec.team)) >= (len(job.free) if job.gang else 1)
 
     def _groups(self, waiting):
         """Runs of the queue due at about the same time: there images decide who goes first."""
@@ -308,17 +313,38 @@
         if group:
             yield group
 
+    def _fitting(self, job):
+        """The listings that have room for a task of the job, those kept for gangs left out."""
+        now = self._loop.now()
+        return [
+            listing
+            for listing in self.idle.values()
+            if fits(job.need, listing.room) and listing.until > now
+            and listing.id not in self._gathering.kept and self._allowed(job, listing)
+        ]
+
+    def _place_gang(self, job, starts):
+        """Starts all of a gang's tasks, or keeps the room there is until there is enough."""
+        if not self.may_start(job) or (self.sharing is not None and job.part <= 0):
+            return
+        chosen, whole = seats(job, self._fitting(job), self._random)
+        if not whole:
+            self._gathering.keep(job, chosen)
+            return
+        self._gathering.started(job)
+        attempt = self._book.attempt()
+        for listing, count in chosen.items():
+            tasks = starts.setdefault(listing.id, {}).setdefault(job, [])
+            for _ in range(count):
+                listing.take(job.need)
+                tasks.append(self._book.bind(job, listing.id, listing.zone, attempt))
+
     def _place_job(self, job, with_image, starts, full):
         """What a task waits for its image counts as waiting: machines that have it come first."""
         need = job.need
         zoned = job.spec.one_zone or job.spec.spread
         image = job.spec.image
-        now = self._loop.now()
-        fitting = [
-            listing
-            for listing in self.idle.values()
-            if fits(need, listing.room) and listing.until > now and self._allowed(job, listing)
-        ]
+        fitting = self._fitting(job)
         if not fitting:
             self._count("empty_list")
             full.add(job.room_shape)
@@ -365,7 +391,7 @@
         shapes = {job.room_shape: job for job in waiting}
         for listing in list(self.idle.values()):
             jobs = starts.get(listing.id)
-            useless = not any(
+            useless = listing.id not in self._gathering.kept and not any(
                 fits(job.need, listing.room) and self._allowed(job, listing)
                 for job in shapes.values()
             )
@@ -439,7 +465,7 @@
         """(tasks, urgency, place in the queue) of what waits of a job: where teams share, what is
         within its team's guarantee, and the rest as far as its limit leaves room for it."""
         rank = DOUBTFUL if job.doubtful else job.rank
-        count = job.startable()
+        count = max(1, job.startable() - job.gathered)
         if self.sharing is None or not startable:
             return ((count, rank, job.place),)
         sure = min(job.sure, count)
@@ -450,7 +476,7 @@
     def _add_part(self, rows, job, startable, count, rank, place):
         # A group's tasks are of use only side by side: without a run time the renter
         # finds room for all of them at once.
-        work = 0.0 if job.spec.kind == "group" else count * job.spec.estimate_s
+        work = 0.0 if job.gang else count * job.spec.estimate_s
         slack = self.slack(job)
         shape = (rank, *job.shape[1:])
         row = rows.get((shape, startable))
--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -7,7 +7,7 @@
 from roadhead.wire import frames
 
 PART_MARGIN = 1.2  # what others have parked was told a while ago
-PLACE, CPUS, GPUS, MEMORY, COUNT, SPOT, ZONE, TYPES = range(8)
+PLACE, CPUS, GPUS, MEMORY, COUNT, SPOT, ZONE, TYPES, STRICT = range(9)
 HOLD_WINDOWS = 2.5  # for which room is kept back at the most
 HELD_MOST = 1 / 8  # of the machines, kept back at once for tasks larger than what is free
 
@@ -145,25 +145,27 @@
         room = machine.room()
         if room[0] <= 0 and room[2] <= 0:
             return
-        found = []  # (place in queue, label) of each controller's first row that fits
+        found = []  # (place in queue, label, strict) of each controller's first row that fits
         larger = None  # the earliest row that the machine could run, had it more room free
         for label, demand in self.demand.items():
             if not demand.left or machine.declined.get(label) == demand.serial:
                 continue
             for row in demand.rows:  # in queue order
                 if row_fits(row, machine, room):
-                    found.append((row[PLACE], label))
+                    found.append((row[PLACE], label, row[STRICT]))
                     break
                 if (larger is None or row[PLACE] < larger[PLACE]) and row_could_fit(row, machine):
                     larger = row
         if not found:
             self.held.pop(machine.id, None)
             return
-        first = min(found)[0]
+        first, foremost, strict = min(found)
         if larger is not None and larger[PLACE] < first and self._hold(machine, larger[COUNT]):
             return
         self.held.pop(machine.id, None)
-        eligible = [label for place, label in found if place <= first + self.window_s]
+        # What has to gather room (a gang) is not drawn for: two that share it would both go without.
+        eligible = [label for place, label, _strict in found
+                    if label == foremost or (not strict and place <= first + self.window_s)]
         empty = [label for label in eligible if self.demand[label].length == 0]
         label = self._random.choice(empty or eligible)
         self._count("grants")
@@ -200,13 +202,14 @@
     def on_demand(self, label, frame):
         rows = {}
         for row in frame.rows:
-            urgency, cpus, gpus, memory, count, spot, zone, types, *_renting, startable, place = row
+            urgency, cpus, gpus, memory, count, spot, zone, types, run_s, *_renting, startable, place = row
             if not startable:
                 continue
-            key = (urgency, cpus, gpus, memory, spot, zone, tuple(types))
+            strict = not run_s
+            key = (urgency, cpus, gpus, memory, spot, zone, tuple(types), strict)
             row = rows.get(key)
             if row is None:
-                rows[key] = [place, cpus, gpus, memory, count, spot, zone, types]
+                rows[key] = [place, cpus, gpus, memory, count, spot, zone, types, strict]
             else:
                 row[COUNT] += count
         self._serial += 1
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -324,17 +324,19 @@
                 job.unsynced.discard(label)
                 if not job.unsynced:
                     self.accounts.sure(job)
+                    if job.gang and job.free and job.bound:
+                        self._break_up(job)  # its owner ended while it started them
                     ready = True
         if ready:
             self._changed()
 
     # News of tasks
 
-    def bind(self, job, machine, zone):
-        """Takes a free task of the job for a start; (index, attempt)."""
+    def bind(self, job, machine, zone, attempt=None):
+        """Takes a free task of the job for a start; (index, attempt). Tasks of a gang share one."""
         index = job.free.pop()
         self.started_at[job.spec.klass] = self._loop.now()
-        attempt = self.attempt()
+        attempt = attempt or self.attempt()
         binding = job.bound[index] = Binding(machine, zone, attempt, "launching", self._loop.now())
         self.accounts.hold(job, binding)
         return index, attempt
@@ -380,11 +382,23 @@
         self.accounts.let_go(job, job.bound.pop(index))
         if job.state == "open" and index not in job.done:
             job.free.append(index)
+            if job.gang:
+                self._break_up(job)
             self._changed()
         elif job.state == "cancelled" and not job.bound:
             self._leave(job)
             self.recorder.drop(CANCEL + job.id)
 
+    def _break_up(self, job):
+        """One of a gang is missing: the others stop, and all start anew once they are surely gone.
+
+        None is started again under the attempt that its peers know: a late launch of it could
+        still come, and nobody could tell the two apart.
+        """
+        for index, binding in job.bound.items():
+            if binding.status not in ("exited", "saving"):
+                self.stop(job, index, binding)
+
     def on_free(self, frame):
         """The attempt is surely nowhere."""
         job = self.jobs.get(frame.job)
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -35,9 +35,10 @@
     it starts before (safety 3).
     """
 
-    __slots__ = ("accepted_at", "aims", "bound", "built", "done", "doubtful", "failed_on", "free", "id",
-                 "later", "not_before", "owner", "part", "pauses", "place", "rank", "room_shape",
-                 "saved_count", "shape", "spec", "stamp", "state", "sure", "unsynced", "written_at")
+    __slots__ = ("accepted_at", "aims", "bound", "built", "done", "doubtful", "failed_on", "free",
+                 "gathered", "gathering_since", "id", "later", "not_before", "owner", "part", "pauses",
+                 "place", "rank", "room_shape", "saved_count", "shape", "spec", "stamp", "state", "sure",
+                 "unsynced", "written_at")
 
     def __init__(self, spec, owner, accepted_at, stamp=0, done=(), inherited=False):
         self.id = spec.id
@@ -63,13 +64,15 @@
         # others, and how many may start before the next round.
         self.sure = self.part = 0
         self.later = 0.0
+        # Of a gang (dispatch/gangs.py): tasks for which room is kept, and since when.
+        self.gathered, self.gathering_since = 0, 0.0
         needs = (
             spec.cpus, spec.gpus, spec.memory, spec.spot, spec.zone or "", tuple(spec.types or ())
         )
         # Jobs of one room shape find room on the same machines; where a job's tasks depend on
         # one another's zones it is alone in its shape.
-        zoned = spec.one_zone or spec.spread
-        self.room_shape = (*needs, spec.team, spec.id if zoned else "")
+        alone = spec.one_zone or spec.spread or self.gang
+        self.room_shape = (*needs, spec.team, spec.id if alone else "")
         self.shape = (self.rank, *needs, spec.klass)
         self.built = None  # the description as stored, and its size as JSON
 
@@ -78,8 +81,16 @@
         spec = self.spec
         return spec.cpus, spec.gpus, spec.memory
 
+    @property
+    def gang(self):
+        """Whether its tasks are of use only together."""
+        return self.spec.kind == "group"
+
     def startable(self):
-        """How many of its tasks may be started: of a doubtful job a few at a time."""
+        """How many of its tasks may be started: of a doubtful job a few at a time, of a gang all or
+        none."""
+        if self.gang:
+            return len(self.free) if not self.bound else 0
         return len(self.free) if not self.doubtful else min(len(self.free), TRIES - len(self.bound))
 
     def failed(self, machine):
--- a/roadhead/local/standins.py
+++ b/roadhead/local/standins.py
@@ -431,9 +431,19 @@
             self.changed()
 
     def _start(self, item):
-        item.status = "running"
         self.world.on_machine(item.task, self)
         job = self.world.job_of(item.task)
+        if job["shape"] == "group":
+            item.status = "gathering"
+            item.timer = self.loop.call_later(self.world.gang_wait_s, self._exit, item, "incomplete")
+            self.world.gangs.setdefault((job["id"], item.attempt), Gang(job)).join(self, item)
+            self.changed()
+        else:
+            self.run(item)
+
+    def run(self, item):
+        item.status = "running"
+        job = self.world.job_of(item.task)
         run_s = job["runS"] * self.sim.random.uniform(0.9, 1.1)
         if item.task in self.world.completed:
             run_s = 0.0
@@ -471,8 +481,11 @@
     def _leave(self, item):
         if item.timer is not None:
             item.timer.cancel()
-        if item.status in ("running", "saving"):
+        if item.status in ("running", "saving", "gathering"):
             self.world.off_machine(item.task, self)
+            gang = self.world.gangs.get((item.task.rpartition("/")[0], item.attempt))
+            if gang is not None:
+                gang.leave(item)
 
     def _exit(self, item, cause):
         self._leave(item)
@@ -482,6 +495,34 @@
         self.changed()
 
 
+class Gang:
+    """Tasks started under one attempt: they run once all that are not done are there; one that
+    is lost takes the others with it."""
+
+    def __init__(self, job):
+        self.job = job
+        self.here = {}  # item -> its worker
+
+    def join(self, worker, item):
+        self.here[item] = worker
+        world = worker.world
+        tasks = {f"{self.job['id']}/{index}" for index in range(self.job["legs"])} - world.completed
+        if tasks <= {item.task for item in self.here}:
+            world.together.add(self.job["id"])
+            for item, worker in self.here.items():
+                item.timer.cancel()
+                worker.run(item)
+
+    def leave(self, item):
+        worker = self.here.pop(item, None)
+        if worker is not None and item.status != "gathering":
+            def lost():
+                if item.task not in worker.world.completed:
+                    for peer, host in list(self.here.items()):
+                        host._exit(peer, "incomplete")
+            worker.sim.call_later(worker.world.gang_peer_s, lost)
+
+
 class Storm:
     """Polls at a steady rate: of known jobs, and every fifth of one that nobody submitted."""
 
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -60,6 +60,9 @@
             "cloud": {"rps": 9.0, "list_lag_s": options["list_lag_s"]},
         }
         self.fetch_s = options["fetch_s"]
+        self.gang_wait_s, self.gang_peer_s = 3 * options["lease_s"], 0.7 * options["lease_s"]
+        self.gangs = {}  # (job, attempt) -> Gang
+        self.together = set()  # gangs that ran, all of them at once
         self.stuck_boots = 0
         self.no_rooms = 0
         self.killed = 0  # tasks, by their workers' leases
@@ -437,6 +440,9 @@
             elif words[0] == "killed":
                 if self.killed > int(words[2]):
                     faults.append(f"{self.killed} tasks were killed by their lease")
+            elif words[0] == "together":
+                faults += [f"the tasks of {job['id']} never ran together" for job in self.jobs.values()
+                           if job["shape"] == "group" and job["id"] not in self.together]
             elif words[0] == "no_rooms":
                 if self.no_rooms:
                     faults.append(f"{self.no_rooms} starts found no room")
--- a/roadhead/wire/messages.py
+++ b/roadhead/wire/messages.py
@@ -83,7 +83,7 @@
         """Raises Invalid for values that no job can have."""
         if not JOB_ID.match(self.id):
             raise Invalid("id")
-        # A group's tasks wait on their machines for one another; it is placed like a batch.
+        # A group's tasks are of use only together: on their machines they wait for one another.
         if self.kind not in ("batch", "daemon", "group"):
             raise Invalid("shape")
         if self.urgency not in URGENCIES:
