Fault: a controller alone with many writes a second shelved nothing; no term yet, nothing to place

Cause: the shelf moves a quarter of what a controller may write in a second, two writes a record; for one controller that is more than a transaction takes, so each move was refused and tried again for ever. And tenants learned of before the first term ended a placing pass in an error (logged, without effect).

Change: the batch of the state client is bounded by the transaction; recorder and removal drop their own bound. A pass without a term ends at once.

--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -262,6 +262,8 @@
     def _place(self):
         """One pass: places what it can, in queue order, and hands back what is of no use."""
         self._placing = False
+        if self._member.term is None:
+            return  # tenants may be there before the first term is
         waiting = self.waiting()
         starts = {}  # machine -> {job: [(index, attempt)]}
         self._gathering.begin()
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -166,8 +166,7 @@
         due.sort(key=lambda job: (self._dirty[job], not job.stamp and self._guards.later(job)))
         # No more than this controller's share of a second's writes: else the transactions of
         # several controllers meet, and the store refuses what had been waited for.
-        most = max(1, min(int(self._state.limits.txn_ops), self._state.batch))
-        return due[: max(1, min(most, int(self._state.writes.level())))]
+        return due[: max(1, min(self._state.batch, int(self._state.writes.level())))]
 
     async def _write(self, batch):
         conditions = []
--- a/roadhead/state/client.py
+++ b/roadhead/state/client.py
@@ -48,7 +48,9 @@
         rps, writes = limits.rps / nodes, limits.write_rps / nodes
         self.requests = Bucket(loop, USABLE * rps, rps)
         self.writes = Bucket(loop, USABLE * writes, writes)
-        self.batch = max(1, int(writes))  # of writes in a transaction, as long as it can be chosen
+        # Of writes in a transaction, as long as it can be chosen: where few controllers share much,
+        # what each may write in a second is more than a transaction takes.
+        self.batch = max(1, min(int(writes), int(limits.txn_ops)))
         self.ok_at = -1e9  # when the last request that got a proper answer was sent
 
     def share(self, others):
--- a/roadhead/tenants/removal.py
+++ b/roadhead/tenants/removal.py
@@ -35,7 +35,7 @@
         self._table = table
         self._cancel_s = node.settings.deployment.workers.cancel_s
         # Of a transaction; a cancellation takes two writes.
-        self._most = max(1, min(self._state.batch, int(self._state.limits.txn_ops)) // 2)
+        self._most = max(1, self._state.batch // 2)
         self._wake = Signal()
         # Tenants that are to go, whoever carries it out.
         self._going = {number for number, entry in table.entries.items()
