--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -126,6 +126,26 @@
     assert 0 < second <= first + 2
 
 
+def listed(machines):
+    return [messages.Listed(f"n-{number:06d}", "10.1.0.1:9000", "box", "a", True, "running", 60.0)
+            for number in range(machines)]
+
+
+def costs(machines):
+    """Calls of a report, a list, a beat, and a look whether all is known, at that many machines."""
+    home = home_of(machines, 0)
+    return (calls(home.take_report, report(0, 0, sequence=2)), calls(home.covered, listed(machines), 100.0),
+            calls(home.tick) + calls(home.news), calls(home.clean))
+
+
+def test_what_a_home_does_for_a_machine_costs_the_same_in_any_fleet():
+    """A report costs the same; a list, a beat, a look whether all is known at most in proportion."""
+    small, large = costs(500), costs(2000)
+    assert 0 < large[0] <= small[0] + 2
+    for few, many in zip(small[1:], large[1:], strict=True):
+        assert few > 0 and many <= 4.2 * few
+
+
 class Book:
     def __init__(self, jobs):
         self.jobs = {job.id: job for job in jobs}
