Services and gangs first take machines that stand empty; what is unsure ends with a write

And after an outage submissions went on counting on their users' word until the next comparison.

Change: plan() leaves out what empty machines take, unless the work has been stuck for half a lease. A write that went through, or a comparison that was answered, ends the unsure time.

--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -234,7 +234,7 @@
             if now - since > max(want.estimate_s, self._lease_s / 2):
                 # Nothing of it started for longer than a run should take: what is up is held
                 # by services or by tasks estimated far too low, and will not drain in time.
-                want.estimate_s = 0.0
+                want.estimate_s, want.stuck = 0.0, True
         self._moved = moved
         return list(wants.values())
 
@@ -256,12 +256,13 @@
         coming = {}
         for key, _since in self._hired.values():
             coming[key] = coming.get(key, 0) + 1
-        machines = {}
+        machines, idle = {}, {}
         busy = 0.0
         for rows in self.fleet.values():
-            for type_name, zone, spot, count, _idle, free_cpus, _gpus, _memory in rows:
+            for type_name, zone, spot, count, empty, free_cpus, _gpus, _memory in rows:
                 key = (type_name, zone, spot)
                 machines[key] = machines.get(key, 0) + count
+                idle[key] = idle.get(key, 0) + empty
                 if type_name in self.types:
                     busy += count - free_cpus / max(1e-6, self.types[type_name].cpus)
         for key, count in coming.items():
@@ -269,7 +270,7 @@
             machines[key] = max(0, machines.get(key, 0) - count)
         size = sum(machines.values()) + len(self._hired)
         wants = self._wants()
-        orders = plan(wants, offers(self.types, self._zones), machines, busy, coming,
+        orders = plan(wants, offers(self.types, self._zones), machines, idle, busy, coming,
                       refused, max(0, self._largest - size), 1 / self._tuning.drain_ratio)
         for shape, count in orders:
             count = min(count, HIRE_MOST)
--- a/roadhead/fleet/plan.py
+++ b/roadhead/fleet/plan.py
@@ -32,9 +32,9 @@
 
 
 class Want:
-    """Waiting tasks of one shape, summed over controllers."""
+    """Waiting tasks of one shape, summed over controllers. `stuck`: none of it started for long."""
 
-    __slots__ = ("count", "cpus", "estimate_s", "gpus", "memory", "rank", "spot", "types",
+    __slots__ = ("count", "cpus", "estimate_s", "gpus", "memory", "rank", "spot", "stuck", "types",
                  "wait_s", "zone")
 
     def __init__(self, rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, wait_s):
@@ -48,6 +48,7 @@
         self.types = types
         self.estimate_s = estimate_s
         self.wait_s = wait_s
+        self.stuck = False
 
     def slots(self, shape):
         """How many of these tasks a machine of this shape holds; 0 if it may not run them."""
@@ -68,17 +69,18 @@
         return most
 
 
-def plan(wants, shapes, machines, busy, coming, refused, largest, patience):
+def plan(wants, shapes, machines, idle, busy, coming, refused, largest, patience):
     """[(shape, count)] to rent, so that waiting work drains in time.
 
-    `machines`: {shape key: machines up}; `busy`: the part of them in use; `coming`: {shape
-    key: machines rented, not yet up}; `refused`: keys lately without capacity. A shape dearer
-    than the cheapest is rented only for work that would otherwise take `patience` times as
-    long as it should.
+    `machines`: {shape key: machines up}; `idle`: {shape key: those of them with nothing on them};
+    `busy`: the part of them in use; `coming`: {shape key: machines rented, not yet up}; `refused`:
+    keys lately without capacity. A shape dearer than the cheapest is rented only for work that would
+    otherwise take `patience` times as long as it should.
     """
     by_key = {shape.key: shape for shape in shapes}
     rented = {}
     spare = {key: float(count) for key, count in coming.items() if key in by_key}
+    unused = {key: float(count) for key, count in idle.items() if key in by_key}
     total = sum(machines.values())
     backlog = 0.0  # of what comes first, in seconds of a machine of the cheapest shape
     for want in sorted(wants, key=lambda want: (want.rank, want.wait_s)):
@@ -95,13 +97,7 @@
             continue  # it is tried on what there is
         cheapest, _key, per_machine = usable[0]
         # Machines on their way serve what comes first.
-        left = float(want.count)
-        for key in spare:
-            slots = want.slots(by_key[key])
-            if slots and left > 0:
-                used = min(spare[key], left / slots)
-                spare[key] -= used
-                left -= used * slots
+        left = _served(want, float(want.count), spare, by_key)
         backlog += want.count * want.estimate_s / per_machine
         up = sum(
             count * want.slots(by_key[key]) for key, count in machines.items() if key in by_key
@@ -118,7 +114,10 @@
                 continue
             wait_s = want.wait_s * (patience if price > 1.2 * cheapest else 1.0)
             short = left
-            if want.estimate_s > 0:
+            if not want.estimate_s and not want.stuck:
+                # It will not drain, but nothing need be rented for what empty machines take.
+                short = _served(want, left, unused, by_key)
+            elif want.estimate_s > 0:
                 needed = backlog * per_machine / max(1e-3, wait_s)
                 short = min(left, needed - arriving - up * max(0.0, 1 - running / wait_s))
             count = min(-int(-max(0.0, short - 1e-6) // slots), largest)
@@ -130,6 +129,17 @@
     return [(by_key[key], count) for key, count in rented.items()]
 
 
+def _served(want, left, pool, by_key):
+    """What is left of a want's tasks once the machines of a pool have taken some, which use them up."""
+    for key, count in pool.items():
+        slots = want.slots(by_key[key])
+        if slots and left > 0:
+            used = min(count, left / slots)
+            pool[key] -= used
+            left -= used * slots
+    return left
+
+
 def _by_turns(usable, rented):
     """Offers by price; those of about the same price take turns, since a zone may fail."""
     return sorted(usable, key=lambda offer: (round(offer[0] * 1e6), rented.get(offer[1], 0)))
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -121,6 +121,7 @@
                 await self._state.unchanged(
                     [(place + job.id, 0) for job in batch for place in (KEY, SHELF)])
             except Conflict as error:
+                self.unsure = False
                 for job in batch:
                     if not {KEY + job.id, SHELF + job.id}.isdisjoint(error.failed):
                         await self._settle(job)
@@ -154,7 +155,7 @@
                 continue
             try:
                 await self._write(batch)
-                self.failing_since = None
+                self.failing_since, self.unsure = None, False
             except (Unavailable, Unsure) as error:
                 log.debug("write of %d records: %r", len(batch), error)
                 if self.failing_since is None:
