--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -769,3 +769,19 @@
     call.wait(2)
     answer = call("tenants", method, path, body, call.tenancy.keys["kestrel"])
     assert answer[0] == status and answer[1]["status"] == status
+
+
+def test_the_summary_says_that_a_tenant_rests():
+    """Not that its limit is reached: whoever looks in the morning would raise the wrong thing."""
+    world = World("""
+gateways 1
+at 2 tenant one team=crew:cpus_max=4
+at 8 submit tenant=one id=a count=3 legs=8 runS=6
+at 14 suspend one finish
+until 45
+""")
+    world.run()
+    assert world.broken == []
+    behind = [line for node in world.nodes.values() for line in node.summary()["behind"]]
+    assert any("nothing of its tenant or team may start now" in line for line in behind), behind
+    assert not any("limit is reached" in line for line in behind)
