--- /dev/null
+++ b/roadhead/dispatch/queue.py
@@ -0,0 +1,145 @@
+"""The queue order: which of the jobs owned here comes first.
+
+Kept sorted for a while; what arrives meanwhile is put in its place, so that neither an arrival nor
+a placing pass costs what waits.
+"""
+
+import heapq
+from bisect import insort
+
+NO_AIMS = ((), (), ())
+HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
+TIERS = (0, 1, 2, 2)  # by urgency: the urgent come strictly first, the others by what is due
+TIER_DOUBTFUL = 3  # jobs that fail wherever they run come last
+TIER_STEP = 1e4  # windows between tiers
+RANK_STEP = 2.5  # windows by which each step of urgency comes earlier within a tier
+AIMLESS = 10  # times the aim assumed by default: the slack of jobs of which nothing is expected
+HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
+JOBS_A_GAP = 2000  # put in order at once; with more than that the order is kept longer
+
+
+class Queue:
+    """`gap_s`: how long an order is kept, `window_s`: what is due within it of one another is equally
+    urgent, `capacity()`: CPUs that fall to this controller. `aims`: class -> (seconds to be complete
+    within, times of its deadline, seconds to start within)."""
+
+    def __init__(self, loop, book, aims, default_aim_s, gap_s, window_s):
+        self._loop = loop
+        self._book = book
+        self._aims = aims
+        self._default_aim_s = default_aim_s
+        self._gap_s = gap_s
+        self._window_s = window_s
+        self._order = []  # open jobs, as of `_ordered_at`, and those that arrived since
+        self._ordered_at = -1e9
+        self._ordered = 0  # the book's version then
+        self.least = (0.0, 0.0)  # (cpus, memory): no task waiting takes less
+        self.time_of_day = None
+        self.capacity = lambda: 0.0
+        self.sharing = None  # where teams share by guarantee and weight: the order among them
+
+    def slack(self, job):
+        """Seconds until its tasks must start."""
+        return self._aim(job)[0]
+
+    def _aim(self, job):
+        """(seconds until its tasks must start for the first of its aims still in reach, seconds
+        from there to the next aim).
+
+        An aim that even a task started now would miss is lost: time is better spent on
+        others' aims, so the next one counts, and without one the job comes after those. A job
+        that never had an aim gets the room that would lie idle.
+        """
+        since = self.time_of_day() - job.accepted_at
+        aims = job.aims
+        if aims is None:
+            within, times, waits = self._aims.get(job.spec.klass, NO_AIMS)
+            due_s = job.spec.due_s
+            deadlines = [due_s * factor for factor in times or (1.0,)] if due_s is not None else []
+            run_s = job.spec.estimate_s
+            # (latest start, when it is taken for lost)
+            aims = job.aims = sorted([
+                *((aim - run_s, aim - HOPE * run_s) for aim in (*within, *deadlines)),
+                *((aim, aim) for aim in waits),
+            ])
+        for at, (latest, lost) in enumerate(aims):
+            if lost >= since:
+                later = aims[at + 1][0] - latest if at + 1 < len(aims) else self._default_aim_s
+                return latest - since, later
+        if not aims and job.spec.kind != "daemon":
+            return AIMLESS * self._default_aim_s - HOPELESS * since, self._default_aim_s
+        hopeless = max(self._default_aim_s, aims[-1][0] if aims else 0.0) - HOPELESS * since
+        return hopeless, self._default_aim_s
+
+    def _set_place(self, job):
+        """(slack, seconds to the next aim) of the job, which gets its place; the less, the earlier."""
+        slack, later = self._aim(job)
+        tier = TIER_DOUBTFUL if job.doubtful else TIERS[job.rank]
+        job.place = slack + (tier * TIER_STEP + job.rank * RANK_STEP) * self._window_s
+        return slack, later
+
+    def _put_in_order(self):
+        """Sets each job's place in the queue.
+
+        Urgency and slack decide, as long as all can be in time. When there is more work than
+        that, what must be late should be as few jobs as can be: in order of what is due, the
+        job that costs most is put back whenever the next would be late (Moore and Hodgson's
+        rule for one machine, here for the CPUs that fall to this controller). Aims are shares
+        of a class's jobs, so a job weighs the less the more its class has. Nothing is put
+        back for the sake of the less urgent.
+        """
+        capacity = max(1e-6, self.capacity())
+        jobs = []
+        for job in self._book.jobs.values() if self.sharing is None else self.sharing.candidates():
+            slack, later = self._set_place(job)
+            size = 0.0 if job.doubtful else job.spec.cpus * job.spec.estimate_s
+            jobs.append((job.place, slack, len(job.free) * size / capacity, later, job))
+        jobs.sort(key=lambda entry: entry[0])
+        ready_s = 0.0
+        kept = {}  # rank -> heap of (-cost, number)
+        for number, (_place, slack, needs_s, _later, job) in enumerate(jobs):
+            if not needs_s:
+                continue
+            ready_s += needs_s
+            cost = needs_s * self._book.seen.get(job.spec.klass, 1)
+            heapq.heappush(kept.setdefault(job.rank, []), (-cost, number))
+            while ready_s > slack:
+                heap = min((heap for rank, heap in kept.items() if rank >= job.rank and heap),
+                           default=None)
+                if heap is None:
+                    break
+                _cost, back = heapq.heappop(heap)
+                ready_s -= jobs[back][2]
+                jobs[back][4].place += jobs[back][3]  # to its next aim
+                if back == number:
+                    break
+        self._order = sorted((entry[4] for entry in jobs), key=lambda job: job.place)
+        self.least = (min((job.spec.cpus for job in self._order), default=0.0),
+                      min((job.spec.memory for job in self._order), default=0.0))
+        if self.sharing is not None:
+            self.sharing.arrange(list(self.waiting()))
+            self._order.sort(key=lambda job: job.place)
+
+    def refresh(self, anew=False):
+        """What is due grows alike for most jobs, so the order is kept for a while; `anew`: not now."""
+        now = self._loop.now()
+        arrived = self._book.arrived
+        kept_s = self._gap_s * max(1.0, len(self._order) / JOBS_A_GAP)
+        if (anew or self._ordered != self._book.version or now - self._ordered_at > kept_s
+                or (arrived and self.sharing is not None)):
+            self._put_in_order()
+            self._ordered, self._ordered_at = self._book.version, now
+        else:
+            for job in arrived:
+                self._set_place(job)
+                insort(self._order, job, key=lambda job: job.place)
+                self.least = min(self.least[0], job.spec.cpus), min(self.least[1], job.spec.memory)
+        arrived.clear()
+
+    def waiting(self):
+        """Jobs with startable tasks, in order."""
+        now = self._loop.now()
+        for job in self._order:
+            if (job.free.left and job.state == "open" and not job.unsynced and job.not_before <= now
+                    and job.startable() > 0):
+                yield job
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -40,11 +40,12 @@
         self.jobs = {}  # open jobs owned here, by id
         self.started_at = {}  # class -> when a task of it was last started
         self.seen = {}  # class -> number of its jobs that were ever owned here
-        self.version = 0  # changes when a job joins or leaves them
+        self._inherited = {}  # those of them of which not every home has told, in order as a set
+        self.arrived = []  # those that joined since the queue was last looked at
+        self.version = 0  # changes when the queue is to be put in order anew
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
         self._new = {}  # id -> Job whose record is being written
-        self._fresh = {}  # those of them of which there surely was no record
         self._adopting = {}  # in order, as a set
         self.closing = set()  # slots of wardens about to be handed on: nothing of them comes to us
         self._adopted = []  # taken over in this turn, to be synced
@@ -52,7 +53,7 @@
         self._sync_number = 0
         self._attempts = 0
         self._unowned = []  # accepted while slots were closing
-        self.recorder = recorder_of(self._written, self._conflict, self._refused, self._is_new)
+        self.recorder = recorder_of(self._written, self._conflict, self._refused, changed)
 
     @property
     def _me(self):
@@ -85,21 +86,14 @@
         word = []
         for job in self._new.values() if self.recorder.unsure else ():
             cpus = job.spec.cpus * len(job.free)
-            if job.id not in self._fresh and cpus <= on_word:
+            if job not in self.recorder.fresh and cpus <= on_word:
                 on_word -= cpus
                 word.append(job)
-        return [*self._fresh.values(), *word, *self._adopting,
-                *(job for job in self.jobs.values() if job.unsynced)]
-
-    def _is_new(self, job):
-        if job is not None and job.id in self._new:
-            self._fresh[job.id] = job
-        self._changed()
+        return [*self.recorder.fresh, *word, *self._adopting, *self._inherited]
 
     def _settled(self, job):
         """The outcome of its creation is known: the Future that waits for it, or None."""
         self._new.pop(job.id, None)
-        self._fresh.pop(job.id, None)
         return self._creating.pop(job.id, None)
 
     def _written(self, job, recorded, state):
@@ -187,6 +181,7 @@
 
     def _leave(self, job):
         """The job is no longer among those owned here."""
+        self._inherited.pop(job, None)
         if self.jobs.pop(job.id, None) is not None:
             self.accounts.leave(job)
             return True
@@ -198,7 +193,8 @@
         self.accounts.enter(job)
         if job.unsynced:
             self.accounts.unsure(job)
-        self.version += 1
+            self._inherited[job] = True
+        self.arrived.append(job)
         self.seen[job.spec.klass] = self.seen.get(job.spec.klass, 0) + 1
         self._changed()
 
@@ -323,6 +319,7 @@
             if label in job.unsynced:
                 job.unsynced.discard(label)
                 if not job.unsynced:
+                    self._inherited.pop(job, None)
                     self.accounts.sure(job)
                     if job.gang and job.free and job.bound:
                         self._break_up(job)  # its owner ended while it started them
--- a/roadhead/jobs/ranges.py
+++ b/roadhead/jobs/ranges.py
@@ -48,7 +48,7 @@
     takes two numbers of memory, not 100,000.
     """
 
-    __slots__ = ("_back", "_ends", "_starts", "_untouched")
+    __slots__ = ("_back", "_ends", "_starts", "left")
 
     def __init__(self, done, total):
         self._starts, self._ends = [], []
@@ -59,10 +59,10 @@
                 self._ends.append(start)
             at = end
         self._back = []
-        self._untouched = sum(self._ends) - sum(self._starts)
+        self.left = sum(self._ends) - sum(self._starts)  # how many there are, for those who ask often
 
     def __len__(self):
-        return self._untouched + len(self._back)
+        return self.left
 
     def _range(self, number):
         """Where the untouched range with the number is, or -1."""
@@ -75,29 +75,32 @@
     def pop(self):
         """Takes the next number. Raises IndexError if there is none."""
         if self._back:
+            self.left -= 1
             return self._back.pop()
         number = self._starts[0]
         self._starts[0] += 1
         if self._starts[0] == self._ends[0]:
             del self._starts[0], self._ends[0]
-        self._untouched -= 1
+        self.left -= 1
         return number
 
     def append(self, number):
         """A number taken before comes back."""
         self._back.append(number)
+        self.left += 1
 
     def remove(self, number):
         """Takes that very number. Raises ValueError if it is not in."""
         at = self._range(number)
         if at < 0:
             self._back.remove(number)
+            self.left -= 1
             return
         start, end = self._starts[at], self._ends[at]
         parts = [(first, last) for first, last in ((start, number), (number + 1, end)) if first < last]
         self._starts[at : at + 1] = [first for first, _last in parts]
         self._ends[at : at + 1] = [last for _first, last in parts]
-        self._untouched -= 1
+        self.left -= 1
 
     def clear(self):
-        self._starts, self._ends, self._back, self._untouched = [], [], [], 0
+        self._starts, self._ends, self._back, self.left = [], [], [], 0
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -5,6 +5,8 @@
 makes us read what is there.
 """
 
+import heapq
+import itertools
 import logging
 
 from roadhead.jobs.job import KEY, SHELF
@@ -42,8 +44,8 @@
     `guards.changed(key, record, stamp)` is told what is there now once it does not hold, and
     says whether nothing of it may be created any more. Then `on_refused(job)` is called for jobs
     of which nothing was written. `guards.later(job)`: whether its creation comes after others'.
-    `on_new(job)`: its creation waits for its turn, and there is no record of it; None: nobody can
-    say of those that wait.
+    `on_new()`: of creations that wait for their turn it was found that there is no record (`fresh`), or
+    that nobody can say (`unsure`).
     """
 
     def __init__(self, loop, state, progress_s, on_written, on_conflict, on_refused, on_new, member, guards):
@@ -57,24 +59,44 @@
         self._member = member
         self._guards = guards
         self._dirty = {}  # job -> urgency
+        self._waiting = ({}, {})  # the urgent of them and those due soon, in order as sets
+        self._later = []  # heap of (when due, number, job) of the others; may name a job that is not
+        self._numbers = itertools.count()
         self._drops = []
         self._wake = Signal()
         self._unchecked = Signal()
-        self._checked = set()  # creations that wait and were found to be new
+        self._to_check = {}  # creations that wait, in order as a set
+        self.fresh = {}  # those that were looked into and found to be new
         self.unsure = False  # whether nobody can say at present which are
         self.failing_since = None
 
     def mark(self, job, urgency):
         """The job's record is to be written."""
-        if self._dirty.get(job, LATER + 1) > urgency:
+        was = self._dirty.get(job, LATER + 1)
+        if was > urgency:
             self._dirty[job] = urgency
+            if was < LATER:
+                self._waiting[was].pop(job, None)
+            if urgency < LATER:
+                self._waiting[urgency][job] = True
+            else:
+                heapq.heappush(self._later, (self._due_at(job), next(self._numbers), job))
         self._wake.set()
-        if not job.stamp:
+        if not job.stamp and job not in self.fresh:
+            self._to_check[job] = True
             self._unchecked.set()
 
     def unmark(self, job):
-        self._dirty.pop(job, None)
-        self._checked.discard(job)
+        self._take(job)
+        self._to_check.pop(job, None)
+        self.fresh.pop(job, None)
+
+    def _take(self, job):
+        """The job is written, or need not be; returns how urgent that was."""
+        urgency = self._dirty.pop(job, LATER)
+        if urgency < LATER:
+            del self._waiting[urgency][job]
+        return urgency
 
     def drop(self, key):
         """A key that is no longer needed."""
@@ -95,14 +117,10 @@
                 self._on_refused(job)
 
     def backlog(self):
-        return sum(urgency == URGENT for urgency in self._dirty.values())
+        return len(self._waiting[URGENT])
 
-    def _due(self, job, urgency):
-        if urgency < LATER:
-            return True
-        return (
-            self._loop.now() >= job.written_at + self._progress_s and self._state.writes.spare(0.5)
-        )
+    def _due_at(self, job):
+        return job.written_at + self._progress_s
 
     async def check(self):
         """Duty: of the creations that have to wait, which are new and which are late retries.
@@ -113,8 +131,7 @@
         while True:
             await self._unchecked.wait()
             await self._loop.sleep(self._progress_s / CHECK_PARTS)  # most are written by then
-            batch = [job for job in self._dirty if not job.stamp and job not in self._checked]
-            batch = batch[: 2 * int(self._state.limits.txn_ops)]
+            batch = list(itertools.islice(self._to_check, 2 * int(self._state.limits.txn_ops)))
             if not batch:
                 continue
             try:
@@ -128,14 +145,14 @@
             except (Unavailable, Unsure) as error:
                 log.debug("check of %d creations: %r", len(batch), error)
                 self.unsure = True
-                self._on_new(None)
+                self._on_new()
                 await self._loop.sleep(self._progress_s / 16)
             else:
                 self.unsure = False
                 for job in batch:
-                    if job in self._dirty:
-                        self._checked.add(job)
-                        self._on_new(job)
+                    if self._to_check.pop(job, False):
+                        self.fresh[job] = True
+                self._on_new()
             self._unchecked.set()
 
     async def _settle(self, job):
@@ -163,11 +180,35 @@
                 await self._loop.sleep(0.25)
 
     def _batch(self):
-        due = [job for job, urgency in self._dirty.items() if self._due(job, urgency)]
-        due.sort(key=lambda job: (self._dirty[job], not job.stamp and self._guards.later(job)))
+        """The records to be written next. Costs what it takes, not what waits."""
         # No more than this controller's share of a second's writes: else the transactions of
         # several controllers meet, and the store refuses what had been waited for.
-        return due[: max(1, min(self._state.batch, int(self._state.writes.level())))]
+        most = max(1, min(self._state.batch, int(self._state.writes.level())))
+        first, after = [], []
+        for job in self._waiting[URGENT]:
+            if not job.stamp and self._guards.later(job):
+                after.append(job)
+                continue
+            first.append(job)
+            if len(first) == most:
+                return first
+        batch = [*first, *after, *itertools.islice(self._waiting[SOON], most)][:most]
+        if len(batch) < most and self._state.writes.spare(0.5):
+            batch += self._progress(most - len(batch))
+        return batch
+
+    def _progress(self, most):
+        """Up to `most` jobs of which no end is to be told, those due longest first."""
+        now = self._loop.now()
+        due = {}
+        while self._later and self._later[0][0] <= now and len(due) < most:
+            entry = heapq.heappop(self._later)
+            job = entry[2]
+            if self._dirty.get(job) == LATER and entry[0] == self._due_at(job):
+                due.setdefault(job, entry)
+        for entry in due.values():
+            heapq.heappush(self._later, entry)  # it stays due until it is written
+        return list(due)
 
     async def _write(self, batch):
         conditions = []
@@ -191,7 +232,8 @@
                 if guard is not None and guard not in conditions:
                     conditions.append(guard)
             writes.append({"put": KEY + job.id, "data": record})
-            written.append((job, self._dirty.pop(job), recorded, count, job.state))
+            self._to_check.pop(job, None)
+            written.append((job, self._take(job), recorded, count, job.state))
         if any(not stamp for _key, stamp in conditions):
             # A job is created only while the term names its owner: the scan that follows a
             # drop would miss a creation that takes effect later.
@@ -226,7 +268,7 @@
         for job, _urgency, recorded, count, state in written:
             job.stamp = revision
             job.written_at = now
-            self._checked.discard(job)
+            self.fresh.pop(job, None)
             job.saved_count = count
             self._on_written(job, recorded, state)
             if job.state == "open" and job.done.count > count and job not in self._dirty:
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -144,13 +144,13 @@
             default_aim_s=self._default_aim_s,
         )
         self.home.rooms.window_s = workers.lease_s
-        self.dispatcher.time_of_day = self._time_of_day
+        self.dispatcher.queue.time_of_day = self._time_of_day
         self.fleet = Fleet(
             loop, self.cloud, self.member, self.home, deployment, self._tuning.fleet, self.aims,
             self._default_aim_s, self._random, self.counters,
         )
         self.fleet.types = types
-        self.dispatcher.capacity = self.fleet.capacity
+        self.dispatcher.queue.capacity = self.fleet.capacity
         if self.desk is not None:
             self.desk.share(self)
         self._looking.clear()
--- a/roadhead/tenants/desk.py
+++ b/roadhead/tenants/desk.py
@@ -56,7 +56,7 @@
         self._preemption = Preemption(
             self._loop, node.member, node.book, sharing, node.send, node.counters, node.dispatcher.changed,
             patience_s=self._hosted.patience * workers.report_s, settle_s=workers.lease_s / 4)
-        node.dispatcher.sharing = sharing
+        node.dispatcher.queue.sharing = sharing
         if self._hosted.preempt:
             node.dispatcher.preemption = self._preemption
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -182,6 +182,7 @@
     def __init__(self, jobs):
         self.jobs = {job.id: job for job in jobs}
         self.version = 1
+        self.arrived = []
         self.seen = {}
 
     def limited(self, _team):
@@ -207,8 +208,8 @@
         sim, "here", Member(), Book([job(number) for number in range(jobs)]),
         {"c": ([60.0], [], [])}, random.Random(1), lambda _label, _frame: True, Counters(),
         gap_s=0.25, window_s=12.0, default_aim_s=180.0)
-    dispatcher.time_of_day = lambda: 10.0
-    dispatcher.capacity = lambda: 100.0
+    dispatcher.queue.time_of_day = lambda: 10.0
+    dispatcher.queue.capacity = lambda: 100.0
     for number in range(listings):
         dispatcher.on_grant(frames.Grant(
             f"n-{number:06d}", 1, 0, "box", "a", "here", True, 1.0, 0.0, 4.0, [], 10.0))
