shares: the machines parted among the controllers, a token for each share, moves while jobs run

Cause: any join, drop or relief renewed every token and rehashed every machine: each home heard all its machines again before anything inherited started, every grant and every claim was void, every open record read.

Change: the term holds a map of 64 shares (home, token). A change touches what it moves: fences, claims, grants, syncs and scans follow that. A joiner is given its part in steps, by a home that is sure; what is given away is handed over as a hint and asked for at once. A term without a map is served as before (a controller of the last landing beside new ones). A launch that no report has shown is told to an heir. A lease is not judged while its share may be leaving.

--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -109,7 +109,7 @@
         if machine is None:
             return 503, b"", None
         orders = node.home.commanding.answer_orders(machine)
-        return 200, messages.report_answer(node.member.token, orders), None
+        return 200, messages.report_answer(machine.token, orders), None
 
     # Users
 
--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -114,9 +114,14 @@
         for name in [n for n, listing in self.idle.items() if listing.home == label]:
             del self.idle[name]
 
-    def on_term(self):
-        """Grants are of the term that gave them."""
-        self.idle.clear()
+    def on_term(self, old, new):
+        """Grants hold as long as the machine's home and token do, and the home's incarnation."""
+        if old is None:
+            self.idle.clear()
+        for name, listing in list(self.idle.items()):
+            if (old.place(name) != new.place(name)
+                    or old.incarnation(listing.home) != new.incarnation(listing.home)):
+                del self.idle[name]
         self._teller.forget()
         self.changed()
 
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -4,8 +4,8 @@
 
 from roadhead.cloud.client import CloudTrouble, NoCapacity
 from roadhead.fleet.plan import Want, offers, plan
-from roadhead.membership.term import pick
 from roadhead.runtime.loop import Signal
+from roadhead.shares.hashing import pick
 
 log = logging.getLogger("roadhead.fleet")
 
@@ -74,7 +74,7 @@
                 self._listed(listed, asked_at)
             pause_s = self._lag_s if not self._home.sureness.clean() else 2 * self._lag_s
             cover_at = self._home.sureness.cover_at()
-            if cover_at is not None and cover_at > self._loop.now():
+            if cover_at is not None:
                 pause_s = min(pause_s, cover_at - self._loop.now() + EARLY_S)
             await self._loop.sleep(pause_s)
 
--- a/roadhead/homes/commanding.py
+++ b/roadhead/homes/commanding.py
@@ -18,6 +18,15 @@
         self._send = send
         self._ask = ask
         self._count = counters.add
+        self.floors = {}  # label -> number of the term since which all that it was a warden of is its own
+
+    def on_term(self, old, new):
+        """Starts that a controller sent before it lost a slot of wardens must not come after the word
+        that its heir was given here. Otherwise a start goes by its grant, whatever changed since."""
+        self.floors = {label: floor for label, floor in self.floors.items() if label in new.members}
+        for slot, label in enumerate(old.wardens):
+            if label is not None and (slot >= len(new.wardens) or new.wardens[slot] != label):
+                self.floors[label] = new.number
 
     def on_start(self, label, incarnation, frame):
         """Tasks of one job for one machine; with `last` the grant comes back after them."""
@@ -46,7 +55,7 @@
             return False
         if (
             machine is None
-            or frame.term != self._member.term.number
+            or frame.term < self.floors.get(label, 0)
             or machine.holder != label
             or machine.grant_serial != frame.serial
             or not self._rooms.offerable(machine)
@@ -102,7 +111,7 @@
                 if job not in jobs:
                     machine.tasks[key].owner = owner
                     news.states(machine, [machine.tasks[key]], True)
-            elif machine is not None and machine.confirmed == self._member.token:
+            elif machine is not None and machine.confirmed == machine.token:
                 self._send(label, frames.Free(name, *key, "not there"))
             else:
                 self._sureness.claim(name, key, owner)
@@ -145,7 +154,8 @@
         orders, _launches = machine.orders()
         return orders
 
-    def sending(self, launches):
+    @staticmethod
+    def sending(machine, launches):
         """Launches are about to be sent directly; returns those on their way for the first time.
 
         Until the answer comes they may arrive at any later time, even if a report has shown
@@ -153,7 +163,7 @@
         """
         fresh = [task for task in launches if not task.loose_token]
         for task in fresh:
-            task.loose_token = self._member.token
+            task.loose_token = machine.token
         return fresh
 
     @staticmethod
--- a/roadhead/homes/hearing.py
+++ b/roadhead/homes/hearing.py
@@ -35,7 +35,7 @@
             machine = known.take_on(report.machine, report.address, report.type, report.zone,
                                     report.spot, now)
             self._sureness.unheard(machine)
-        if report.token > self._member.token:
+        if report.token > machine.token:
             return None
         fresh = self.observe(machine, report)
         if fresh:
@@ -44,7 +44,7 @@
 
     def observe(self, machine, report):
         """Takes in a report or the body of a direct answer; False if it is an old one."""
-        if report.token > self._member.token:
+        if report.token > machine.token:
             return False
         at = (report.session, report.sequence)
         if at <= (machine.session, machine.sequence):
@@ -62,7 +62,7 @@
         machine.heard_at = now
         if report.notice_s is not None:
             machine.notice_at = now + report.notice_s
-        confirmed = report.token == self._member.token
+        confirmed = report.token == machine.token
         first = confirmed and machine.confirmed != report.token
         if first:
             machine.confirmed = report.token
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -8,9 +8,10 @@
 
 from roadhead.homes.commanding import Commanding
 from roadhead.homes.faults import Faults
+from roadhead.homes.handover import handover
 from roadhead.homes.hearing import Hearing
 from roadhead.homes.known import Known
-from roadhead.homes.machine import EXITED
+from roadhead.homes.machine import EXITED, Needs
 from roadhead.homes.news import News
 from roadhead.homes.rooms import Rooms
 from roadhead.homes.sureness import DRIFT, Sureness
@@ -35,7 +36,7 @@
         self._count = counters.add
         self.awake_at = 0.0  # since when this process has been looking without a stall
         lag_s = deployment.cloud.list_lag_s
-        self.known = known = Known(workers.lease_s, workers.cancel_s, lag_s)
+        self.known = known = Known(member, workers.lease_s, workers.cancel_s, lag_s)
         self.machines = known.machines
         self._news = News(member, known, send, counters)
         self.sureness = Sureness(loop, member, known, self._news, workers.lease_s, workers.cancel_s, lag_s)
@@ -48,26 +49,40 @@
 
     # Terms
 
-    def begin(self, replaced_only):
-        """A new incarnation starts. `replaced_only`: the members stayed the same labels."""
-        self.sureness.fence(replaced_only)
+    def begin(self, short):
+        """A new incarnation starts. `short`: it came in the place of the one before, without a gap in
+        which others were home to its machines."""
+        self.sureness.fence(self._member.term.held(self.label), short)
 
     def on_term(self, old, new):
-        """The term changed while this incarnation serves."""
-        if set(old.members) != set(new.members) or old.homes != new.homes:
-            for machine in [m for n, m in self.machines.items() if new.home(n) != self.label]:
-                self._let_go(machine)
-            self.sureness.fence(False)
-        if old.token(self.label) != new.token(self.label):
-            self.sureness.start_over()
-            for machine in self.machines.values():
+        """The term changed while this incarnation serves: what moved is let go of, or begun anew; what
+        stays goes on. Returns {label: [frames]} that tell the new homes what they need not find out."""
+        had, has = old.held(self.label), new.held(self.label)
+        lost = had.keys() - has.keys()
+        begun = [share for share, token in has.items() if had.get(share) != token]
+        given = {}
+        if lost or begun:
+            for machine in list(self.machines.values()):
+                home, token = new.place(machine.id)
+                if home != self.label:
+                    given.setdefault(home, []).append(machine)
+                elif token != machine.token:
+                    machine.share, machine.token = new.share(machine.id), token
+                    self.rooms.revoke(machine)
+                    if machine.heard_at is not None:
+                        self._ask(machine)
+            given = {label: handover(machines, self.known) for label, machines in given.items()}
+            for machine in [m for m in self.machines.values() if new.home(m.id) != self.label]:
                 self.rooms.revoke(machine)
-                if machine.heard_at is not None:
-                    self._ask(machine)
+                self._let_go(machine)
+            self.sureness.let_go(lost)
+            self.sureness.fence(begun, False)
         for label in list(self.rooms.demand):
             if old.incarnation(label) != new.incarnation(label):
                 self.rooms.peer_down(label)
+        self.commanding.on_term(old, new)
         self.sureness.on_term(new)
+        return given
 
     def deaf(self):
         """Most machines heard here have fallen silent: dead all at once, or cut off."""
@@ -81,6 +96,28 @@
                 silent += machine.heard_at < limit
         return heard >= DEAF_LEAST and 2 * silent > heard
 
+    def on_handover(self, frame):
+        """Machines that another home gave away: a hint only. They are asked under this home's token, and
+        nothing is known of them before they answer."""
+        known = self.known
+        for name, address, kind_name, zone, spot, draining, images in frame.rows:
+            if (self._member.term.home(name) != self.label or name in self.machines or name in known.gone
+                    or self._member.lapsed()):
+                continue
+            machine = known.take_on(name, address, kind_name, zone, spot, self._loop.now())
+            machine.draining = draining
+            machine.images = dict.fromkeys(images, 0.0)
+            self.sureness.unheard(machine)
+            self._ask(machine)
+
+    def on_handover_jobs(self, frame):
+        """Owners and needs of jobs with tasks on machines that are about to be handed over."""
+        known = self.known
+        for job, label, incarnation, cpus, gpus, memory, image, image_gb, save_s, saves in frame.rows:
+            if self._member.term.serves(label, incarnation):
+                known.owners.setdefault(job, (label, incarnation))
+            known.specs.setdefault(job, Needs((cpus, gpus, memory), image, image_gb, save_s, saves))
+
     # Machines
 
     def covered(self, listed, asked_at):
@@ -111,7 +148,7 @@
             if item.status == "starting":
                 # It was not up at the moment that the list shows, so nobody had told it anything.
                 machine.born_at = max(machine.born_at, shown_at)
-            if machine.confirmed != self._member.token and item.status == "running":
+            if machine.confirmed != machine.token and item.status == "running":
                 self._ask(machine)
         sureness.cover(asked_at)
         sureness.settle()
@@ -159,9 +196,9 @@
         `sure`: nobody else can have renewed them, so a lease not renewed here has run out.
         """
         now = self._loop.now()
-        token = self._member.token
         lease_s = self._workers.lease_s
         sureness = self.sureness
+        leaving = self._member.leaving
         release = []
         for machine in list(self.machines.values()):
             if machine.holder is not None and now >= machine.grant_lapse_at:
@@ -170,16 +207,17 @@
                 self.rooms.offer(machine)
             if machine.doubt_until and now >= machine.doubt_until and not machine.draining:
                 self.faults.judge(machine)
-            if machine.todo and any(task.forget and task.loose_token == token
+            if machine.todo and any(task.forget and task.loose_token == machine.token
                                     for task in machine.todo.values()):
                 # An unanswered launch could start the attempt again once it is forgotten;
                 # under a higher token the worker refuses it.
-                self._member.want_new_token()
-            ours = machine.confirmed == token
+                self._member.want_new_token(machine.share)
+            ours = machine.confirmed == machine.token
             end = machine.renewed_at + lease_s * (1 + 2 * DRIFT) + 0.2
             if not ours:
-                end = max(end, sureness.fence_at)
-            if sure and now > end and (machine.tasks or sureness.claimed(machine.id)):
+                end = max(end, sureness.fence_at(machine.share))
+            if (sure and now > end and machine.share not in leaving
+                    and (machine.tasks or sureness.claimed(machine.id))):
                 log.info("lease of %s has run out: last report answered %.1f s ago, %d tasks",
                          machine.id, now - machine.renewed_at, len(machine.tasks))
                 self._count("leases_out")
@@ -207,7 +245,7 @@
         return [
             machine
             for machine in self.machines.values()
-            if machine.confirmed == self._member.token
+            if machine.confirmed == machine.token
             and machine.holder is None
             and machine.empty()
             and now - max(machine.idle_since, machine.confirmed_at) > idle_s(machine)
@@ -224,6 +262,13 @@
                     spare += free
         return spare > PLENTY * held
 
+    def by_share(self):
+        """{share: machines there}."""
+        counts = {}
+        for machine in self.machines.values():
+            counts[machine.share] = counts.get(machine.share, 0) + 1
+        return counts
+
     def usage(self):
         """CPUs of the machines heard: (all, held by running tasks, by others, parked, granted)."""
         total = running = other = parked = granted = 0.0
--- a/roadhead/homes/known.py
+++ b/roadhead/homes/known.py
@@ -6,9 +6,12 @@
 
 
 class Known:
-    """`lease_s`, `cancel_s`, `lag_s` in seconds: how long names and jobs may still turn up."""
+    """`member` tells each machine's share and token.
 
-    def __init__(self, lease_s, cancel_s, lag_s):
+    `lease_s`, `cancel_s`, `lag_s` in seconds: how long names and jobs may still turn up."""
+
+    def __init__(self, member, lease_s, cancel_s, lag_s):
+        self._member = member
         self._lease_s = lease_s
         self._cancel_s = cancel_s
         self._lag_s = lag_s
@@ -24,8 +27,9 @@
         self.faulty = {}  # jobs that fail wherever they run, by what their owners say
 
     def take_on(self, name, address, kind_name, zone, spot, now):
+        term = self._member.term
         machine = Machine(name, address, kind_name, zone, spot, self.types.get(kind_name), now,
-                          self.where)
+                          self.where, term.share(name), term.place(name)[1])
         self.machines[name] = machine
         return machine
 
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -88,16 +88,18 @@
         "reported",
         "sequence",
         "session",
+        "share",
         "spot",
         "taken_on",
         "tasks",
         "todo",
+        "token",
         "type",
         "wanting",
         "zone",
     )
 
-    def __init__(self, name, address, kind_name, zone, spot, kind, now, where):
+    def __init__(self, name, address, kind_name, zone, spot, kind, now, where, share, token):
         self._where = where  # job -> {Task: its machine}, of all machines of the home
         self.id = name
         self.address = address
@@ -107,6 +109,8 @@
         self.spot = spot
         self.session = 0
         self.sequence = -1
+        self.share = share
+        self.token = token  # under which it is commanded
         self.confirmed = 0  # token under which it was last heard, if it is ours
         self.confirmed_at = 0.0
         self.heard_at = None
--- a/roadhead/homes/news.py
+++ b/roadhead/homes/news.py
@@ -29,11 +29,12 @@
             self.tell(self._owner(task), frames.Free(machine.id, *task.key, cause))
 
     def states(self, machine, tasks, again=False):
-        """What became of tasks, one frame an owner. `again`: also what was told before."""
+        """What became of tasks, one frame an owner. `again`: also what was told before, and launches
+        that no report has shown: whoever inherits the job has not heard of those."""
         rows = {}
         for task in tasks:
             state = (task.status, task.cause, task.owner)
-            if (state == task.told and not again) or task.status == LAUNCHING or task.forget:
+            if (not again and (state == task.told or task.status == LAUNCHING)) or task.forget:
                 continue
             task.told = state
             owner = self._owner(task)
--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -78,7 +78,7 @@
 
     def offerable(self, machine):
         return (
-            machine.confirmed == self._member.token
+            machine.confirmed == machine.token
             and not machine.draining
             and not machine.doubt_until
             and machine.notice_at is None
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/sureness.py
@@ -10,6 +10,25 @@
 ANSWER_S = 4.0  # a worker drops responses that took longer (PROTOCOL)
 
 
+class Fence:
+    """Of one share, since it is this home's under its token. Times are the loop's.
+
+    `at`: by then every lease that another home renewed has ended. `cover_from`: a machine list must
+    have been asked for after this. `unheard`: machines not heard under the token; `awaited`: those
+    of them that a sync waits for before the fence, which only become fewer. In order as sets.
+    """
+
+    __slots__ = ("at", "awaited", "cover_from", "covered", "since", "unheard")
+
+    def __init__(self, since, at, cover_from, machines):
+        self.since = since
+        self.at = at
+        self.cover_from = cover_from
+        self.covered = False
+        self.unheard = dict.fromkeys(machines, True)
+        self.awaited = dict(self.unheard)
+
+
 class Sureness:
     """`lease_s`, `cancel_s` of the workers and `lag_s` of the machine list, in seconds."""
 
@@ -23,46 +42,53 @@
         self._lag_s = lag_s
         self._claims = {}  # machine -> {(job, index, attempt): owner}
         self._syncs = []  # (label, incarnation, term, number)
-        self._cover_from = 0.0  # a list must have been asked for after this
-        self._covered = False
-        self._fenced_at = 0.0
-        self.fence_at = 0.0  # by then every lease that another home renewed has ended
-        # Machines not heard under the token, in order as sets: all of them, and those that a sync
-        # waits for before the fence. The second only shrinks while token and fence stay.
-        self._unheard = {}
-        self._awaited = {}
-
-    def fence(self, short):
-        """What was known before may be old. `short`: the members stayed the same labels."""
+        self._fences = {}  # share -> Fence, of the shares homed here
+        self._unsure = {}  # shares that may not be clean, in order as a set
+
+    def fence(self, shares, short):
+        """These shares are this home's from now on, or under a new token: what was known of them may be
+        old. `short`: nobody else was their home since this one's last incarnation."""
         now = self._loop.now()
-        self._fenced_at = now
-        self._cover_from = now + 2 * self._lag_s * (1 + DRIFT)
-        self._covered = False
         # A process that ended renews nothing; a member that was dropped but lives stops
         # renewing before cancel_s - lease_s is up (guide, safety 4). Then the lease itself.
         bound = self._lease_s if short else self._cancel_s
-        self.fence_at = now + (bound + ANSWER_S) * (1 + 2 * DRIFT) + 0.5
-        self.start_over()
-
-    def start_over(self):
-        """No machine was heard since the token, or the fence, is what it is."""
-        token = self._member.token
-        self._unheard = {name: True for name, machine in self._known.machines.items()
-                         if machine.confirmed != token}
-        self._awaited = dict(self._unheard)
+        at = now + (bound + ANSWER_S) * (1 + 2 * DRIFT) + 0.5
+        cover_from = now + 2 * self._lag_s * (1 + DRIFT)
+        machines = {share: [] for share in shares}
+        for machine in self._known.machines.values():
+            if machine.share in machines:
+                machines[machine.share].append(machine.id)
+        for share, names in machines.items():
+            self._fences[share] = Fence(now, at, cover_from, names)
+            self._unsure[share] = True
+
+    def let_go(self, shares):
+        """These shares have another home."""
+        for share in shares:
+            self._fences.pop(share, None)
+            self._unsure.pop(share, None)
+
+    def fence_at(self, share):
+        """By then every lease in the share that another home renewed has ended."""
+        return self._fences[share].at
 
     def unheard(self, machine):
         """The machine is new here, or its lease ran out."""
-        self._unheard[machine.id] = self._awaited[machine.id] = True
+        fence = self._fences[machine.share]
+        fence.unheard[machine.id] = fence.awaited[machine.id] = True
+        self._unsure[machine.share] = True
 
     def heard(self, machine):
         """The machine was heard under the token."""
-        self._unheard.pop(machine.id, None)
-        self._awaited.pop(machine.id, None)
+        fence = self._fences[machine.share]
+        fence.unheard.pop(machine.id, None)
+        fence.awaited.pop(machine.id, None)
 
     def cover_at(self):
-        """When the list that covers should be asked for; None once one was taken in."""
-        return None if self._covered else self._cover_from
+        """When the next list that covers something should be asked for; None if that is not ahead."""
+        now = self._loop.now()
+        return min((fence.cover_from for fence in self._fences.values()
+                    if not fence.covered and fence.cover_from > now), default=None)
 
     def shown_at(self, asked_at):
         """No earlier than this is the moment that a list shows, up to twice its lag before it was
@@ -71,25 +97,40 @@
 
     def cover(self, asked_at):
         """A machine list asked for at `asked_at` was taken in."""
-        if asked_at >= self._cover_from and not self._covered:
-            self._covered = True
-            log.info("covered: %d machines", len(self._known.machines))
+        covered = [share for share, fence in self._fences.items()
+                   if not fence.covered and asked_at >= fence.cover_from]
+        for share in covered:
+            self._fences[share].covered = True
+        if covered:
+            log.info("covered: %d shares, %d machines", len(covered), len(self._known.machines))
 
     def clean(self):
         """Every machine of this home was heard under its token or is gone (safety 3)."""
-        if not self._covered:
+        while self._unsure:
+            share = next(iter(self._unsure))
+            if not self._clean(self._fences[share]):
+                return False
+            del self._unsure[share]
+        return True
+
+    def settled(self):
+        """Nothing is unsure here, and no owner waits for that."""
+        return not self._syncs and self.clean()
+
+    def _clean(self, fence):
+        if not fence.covered:
             return False
         machines = self._known.machines
-        if self._loop.now() >= self.fence_at:
-            return not any(name in machines and machines[name].tasks for name in self._unheard)
+        if self._loop.now() >= fence.at:
+            return not any(name in machines and machines[name].tasks for name in fence.unheard)
         # A machine rented, or still booting, after the old member's end, or lapse, can't have been
         # heard by it.
-        while self._awaited:
-            name = next(iter(self._awaited))
+        while fence.awaited:
+            name = next(iter(fence.awaited))
             machine = machines.get(name)
-            if machine is not None and machine.born_at <= self._fenced_at:
+            if machine is not None and machine.born_at <= fence.since:
                 return False
-            del self._awaited[name]
+            del fence.awaited[name]
         return True
 
     # Claims of owners on tasks of machines not heard yet
@@ -111,20 +152,27 @@
         for key, owner in self.take_claims(name):
             self._news.tell(owner, frames.Free(name, *key, cause))
 
+    def _missing(self):
+        """(name, its Fence) of machines that owners claim tasks on and that are not known here."""
+        term = self._member.term
+        return [(name, fence) for name in self._claims if name not in self._known.machines
+                and (fence := self._fences.get(term.share(name))) is not None]
+
     def vanished(self, listed, asked_at):
         """Machines that owners claim tasks on, never heard here nor in this list, late enough.
 
         They ran before this home served the term, so a list that shows a later moment would
         name them if they were not gone; a release that the cloud answers makes it sure.
         """
-        if asked_at < self._cover_from:
-            return []
-        return [name for name in self._claims if name not in self._known.machines and name not in listed]
+        return [name for name, fence in self._missing()
+                if asked_at >= fence.cover_from and name not in listed]
 
     def past_fence(self):
         """Nobody but this home has renewed anything since: what was not heard has ended."""
-        if self._loop.now() > self.fence_at:
-            for name in [name for name in self._claims if name not in self._known.machines]:
+        now = self._loop.now()
+        leaving = self._member.leaving
+        for name, fence in self._missing():
+            if now > fence.at and self._member.term.share(name) not in leaving:
                 self.free_claims(name, "lease ended")
 
     # Syncs
--- a/roadhead/homes/workers.py
+++ b/roadhead/homes/workers.py
@@ -85,13 +85,13 @@
         # report (409), from which it is learned.
         for _ in range(2):
             orders, launches = machine.orders()
-            if machine.confirmed != self._member.token:
+            if machine.confirmed != machine.token:
                 orders, launches = [], []
             elif not orders:
                 return None
             session = machine.session or 1
-            body = messages.commands(self._member.token, session, orders)
-            fresh = self.home.commanding.sending(launches)
+            body = messages.commands(machine.token, session, orders)
+            fresh = self.home.commanding.sending(machine, launches)
             try:
                 status, data, _headers = await client.request(
                     "POST", "/commands", body, self._timeout_s
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -278,21 +278,42 @@
         jobs, self._adopted = self._adopted, []
         self.sync_all([job for job in jobs if self.jobs.get(job.id) is job])
 
-    def sync_all(self, jobs=None):
-        """Tells the homes what is owned here. `jobs` None: all, after a change of the term."""
-        labels = list(self._member.term.members)
-        for job in self.jobs.values() if jobs is None else jobs:
+    def sync_all(self, jobs):
+        """Tells every home of these jobs, and waits for what each knows of them."""
+        for job in jobs:
             if job.unsynced:
-                job.unsynced = set(labels)
-        for label in labels:
+                job.unsynced = set(self._member.term.members)
+        for label in self._member.term.members:
             self.sync(label, jobs)
 
-    def sync(self, label, jobs=None):
+    def sync_moved(self, old, new):
+        """The term changed. Of what is owned here every home is told the jobs of which not all is known
+        yet, and what is bound on machines that it is home to only now; a new incarnation is told all."""
+        whole = [label for label in new.members
+                 if old is None or old.incarnation(label) != new.incarnation(label)]
+        waiting = list(self._inherited)
+        for job in waiting:
+            job.unsynced = set(new.members)
+        moved = {}  # home -> jobs bound on machines that were not its own, or not under its token
+        if old is not None:
+            for job in self.jobs.values():
+                for binding in job.bound.values():
+                    home = new.home(binding.machine)
+                    if home not in whole and old.place(binding.machine) != new.place(binding.machine):
+                        moved.setdefault(home, {})[job] = True
+        for label in new.members:
+            if label in whole:
+                self.sync(label)
+            elif waiting or label in moved:
+                self.sync(label, list({**moved.get(label, {}), **self._inherited}), True)
+
+    def sync(self, label, jobs=None, complete=False):
+        """`jobs` None: all. `complete`: with all of which not all is known."""
         term = self._member.term
         if label not in term.members:
             return
-        whole = jobs is None
-        jobs = list(self.jobs.values()) if whole else jobs
+        complete = complete or jobs is None
+        jobs = list(self.jobs.values()) if jobs is None else jobs
         claims = [
             (binding.machine, job.id, index, binding.attempt)
             for job in jobs
@@ -300,7 +321,7 @@
             if term.home(binding.machine) == label
         ]
         self._sync_number += 1
-        if whole:
+        if complete:
             # It names all that those before named. None may be dropped otherwise: jobs whose
             # answer is not waited for would never start.
             self._syncs = {n: entry for n, entry in self._syncs.items() if entry[0] != label}
--- a/roadhead/jobs/records.py
+++ b/roadhead/jobs/records.py
@@ -8,8 +8,8 @@
 import logging
 
 from roadhead.jobs.job import FINAL, KEY, SHELF
-from roadhead.membership.term import pick
 from roadhead.runtime.loop import Signal
+from roadhead.shares.hashing import pick
 from roadhead.state.client import IDLE_PART, Conflict, Unavailable, Unsure
 
 log = logging.getLogger("roadhead.records")
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -35,9 +35,10 @@
         self._slots = slots  # of wardens, in a term that has fewer
         self._on_tenant = on_tenant  # (key, record, stamp) of a tenant's record, or None
         self.term = None
-        self.token = 0  # ours in that term
         self.revision = 0
         self.incarnation = 0
+        self.replaced = False  # whether the term named this label until this incarnation joined
+        self.leaving = frozenset()  # shares being given away: whether they still are ours is not known
         self._permit = None
         self.renewed_at = -1e9
         self.watched_at = -1e9  # send time of the newest watch or listing that was answered
@@ -45,7 +46,7 @@
         self._lost = Signal()
         self._absent = Signal()
         self._amend = Signal()
-        self._amendments = []  # (method of Term, label)
+        self._amendments = []  # (method of Term, its arguments)
         self._not_before = {}  # amendment -> when it may be wanted again
 
     @property
@@ -61,7 +62,7 @@
         if revision <= self.revision:
             return
         old, self.term, self.revision = self.term, Term.from_record(record), revision
-        self.token = self.term.token(self.label) if self.label in self.term.members else 0
+        self.leaving = frozenset()
         if not self.joined:
             return
         if not self.term.serves(self.label, self.incarnation):
@@ -72,6 +73,9 @@
             return
         log.info("term %d: %s", self.term.number, sorted(self.term.members))
         self._on_term(old, self.term)
+        if old is not None and old.shares is not None and self.term.shares is None:
+            # A controller of before wrote it. Workers know higher tokens than ours in it.
+            self._want("raise_token", self.label)
 
     async def run(self):
         """Joins, serves until dropped, and joins again as a new incarnation."""
@@ -96,12 +100,14 @@
         sent_at = self._loop.now()
         self._permit = await self._state.lease(self._lease_s)
         nonce = secrets.token_hex(6)
+        self.replaced = False
         while True:
             await self._read_all()
             term = self.term or Term()
             entry = term.members.get(self.label)
             if entry is not None and entry[2] == nonce:
                 break  # an earlier try went through although its answer was lost
+            self.replaced = entry is not None
             new = term.spread(self._slots).join(self.label, nonce)
             try:
                 await self._state.multi(
@@ -246,9 +252,16 @@
                     except (Unavailable, Unsure):
                         pass
 
-    def want_new_token(self):
+    def want_new_token(self, share):
         """Asks for a higher token, so that unanswered commands can't be executed any more."""
-        self._want("raise_token", self.label)
+        if self.term.shares is None:
+            self._want("raise_token", self.label)
+        else:
+            self._want("raise_share", share)
+
+    def share_out(self):
+        """All members can read a map of shares: there shall be one."""
+        self._want("share_out")
 
     def relieve(self, label):
         """Workers of a member that is otherwise well can't reach it: others shall be their homes."""
@@ -279,13 +292,35 @@
         self.adopt(new.to_record(), revision)
         return True
 
+    async def move(self, moves):
+        """Gives shares away ({share: label}): whether it is so is told by the next term.
+
+        Until that is known, this home judges no lease of their machines (`leaving`): another may have
+        renewed them. A transaction without an answer can take effect as long as the term is the one
+        that it names, and a conflict may be its doing: so either ends with the next term only.
+        """
+        new = self.term.move(moves, self.label)
+        if new is self.term:
+            return
+        sure, self.leaving = not self.leaving, self.leaving | moves.keys()
+        try:
+            revision = await self._state.multi(
+                [(TERM, self.revision)], [{"put": TERM, "data": new.to_record()}])
+        except Unavailable:
+            if sure:  # it was not executed, nor was any before it
+                self.leaving = frozenset()
+        except (Conflict, Unsure) as error:
+            log.debug("move of shares: %r", error)
+        else:
+            self.adopt(new.to_record(), revision)
+
     async def _amend_term(self):
         while True:
             await self._amend.wait()
             amendments, self._amendments = self._amendments, []
             new = self.term
-            for how, label in amendments:
-                new = getattr(new, how)(label)
+            for how, *which in amendments:
+                new = getattr(new, how)(*which)
             if new is self.term:
                 continue
             log.info("amending the term: %s", amendments)
--- a/roadhead/membership/term.py
+++ b/roadhead/membership/term.py
@@ -1,13 +1,21 @@
-"""The term record: who serves, and each one's token. Pure values and functions."""
+"""The term record: who serves, and who is home to which share of the machines. Pure values and functions."""
 
 from hashlib import blake2b
 
+from roadhead.shares.hashing import pick
+from roadhead.shares.map import Shares
+
+ALL = -1  # the one share that all machines of a home are in, where the term has no map of shares
+
 
 class Term:
     """`members` maps a label to (incarnation, token, nonce).
 
-    An incarnation is the token that its process took when it joined; tokens are never
-    given twice. A changed set of labels renews every token, since machines change homes.
+    An incarnation is the number that its process took when it joined; numbers are never
+    given twice, and tokens are such numbers. `shares` says which machines are whose: a change
+    renews the tokens of the shares that it moves, and no others. A term without that map was
+    written by a controller of before: there a machine's home is a rendezvous hash over the
+    members, whose token counts, and a changed set of labels renews every token.
     A warden owns the jobs of the teams with a limit that fall to one of its slots, by hash of their
     group; a slot changes hands only with its warden's incarnation, so that nothing else stands
     still for a takeover. There is one slot, or as many as a hosted service spreads its tenants over.
@@ -15,9 +23,9 @@
     could not reach them. One member at least is a home.
     """
 
-    __slots__ = ("_homes", "homes", "members", "next", "number", "relieved", "wardens")
+    __slots__ = ("_homes", "homes", "members", "next", "number", "relieved", "shares", "wardens")
 
-    def __init__(self, number=0, next_token=1, members=None, wardens=(None,), relieved=()):
+    def __init__(self, number=0, next_token=1, members=None, wardens=(None,), relieved=(), shares=None):
         self.number = number
         self.next = next_token
         self.members = members or {}
@@ -25,13 +33,16 @@
         homes = [label for label in self.members if label not in relieved]
         self.relieved = frozenset(self.members).intersection(relieved) if homes else frozenset()
         self.homes = frozenset(homes or self.members)
+        self.shares = shares
         self._homes = {}
 
     @classmethod
     def from_record(cls, record):
         members = {label: tuple(entry) for label, entry in record["members"].items()}
         wardens = record.get("wardens") or [record["warden"]]
-        return cls(record["number"], record["next"], members, wardens, record.get("relieved", ()))
+        shares = record.get("shares")
+        return cls(record["number"], record["next"], members, wardens, record.get("relieved", ()),
+                   Shares.from_record(shares) if shares else None)
 
     def to_record(self):
         return {
@@ -41,12 +52,28 @@
             **({"wardens": list(self.wardens)} if len(self.wardens) > 1 else {}),
             "relieved": sorted(self.relieved),
             "members": {label: list(entry) for label, entry in self.members.items()},
+            **({"shares": self.shares.to_record()} if self.shares is not None else {}),
         }
 
+    def _next(self, members, relieved, moves):
+        """The next term: `moves` ({share: label}) take a new token, and the shares of those that are
+        no home any more are spread."""
+        token = self.next
+        entries = dict(members)
+        new = Term(self.number + 1, token + 1, entries, self._heirs(entries), relieved)
+        if new.homes:
+            lost = set(self.shares.homes) - new.homes
+            new.shares = self.shares.give({**self.shares.spread(lost, new.homes), **moves}, token)
+        return new
+
     def _renewed(self, members, changed, relieved=None):
         """The next term with `members`; `changed` labels (or all) take a new token."""
         if relieved is None:
             relieved = self.relieved - changed
+        if self.shares is not None:
+            # Their machines have the same home under a new incarnation: it knows nothing of them.
+            return self._next(members, relieved, {
+                share: label for label in changed for share in self.shares.of(label)})
         if set(members) != set(self.members) or relieved != self.relieved:
             changed = set(members)
         token = self.next
@@ -73,12 +100,12 @@
         if len(self.wardens) >= slots:
             return self
         wardens = [*self.wardens, *[None] * (slots - len(self.wardens))]
-        return Term(self.number, self.next, self.members, wardens, self.relieved)
+        return Term(self.number, self.next, self.members, wardens, self.relieved, self.shares)
 
     def give(self, slots):
         """The next term, in which each slot of `slots` has the warden named there."""
         wardens = [slots.get(slot, label) for slot, label in enumerate(self.wardens)]
-        return Term(self.number + 1, self.next, self.members, wardens, self.relieved)
+        return Term(self.number + 1, self.next, self.members, wardens, self.relieved, self.shares)
 
     def warden(self, group):
         """The label of the warden of a group of teams with a limit."""
@@ -91,8 +118,14 @@
         return number % len(self.wardens)
 
     def join(self, label, nonce):
+        """The label's new incarnation serves. A label that is new is home to nothing at first, unless
+        it is alone; its part is given to it a step at a time (shares/balance.py)."""
         members = dict(self.members)
         members[label] = (self.next, self.next, nonce)
+        if not self.members:
+            new = self._renewed(members, {label})
+            new.shares = Shares.even([label], self.next)
+            return new
         return self._renewed(members, {label})
 
     def drop(self, labels):
@@ -100,8 +133,30 @@
         return self._renewed(members, set())
 
     def raise_token(self, label):
+        """Where there is no map: a higher token for all machines of a home."""
+        if self.shares is not None:
+            return self
         return self._renewed(dict(self.members), {label}, self.relieved)
 
+    def raise_share(self, share):
+        """A higher token for the machines of a share."""
+        if self.shares is None:
+            return self
+        return self._next(self.members, self.relieved, {share: self.shares.homes[share]})
+
+    def share_out(self):
+        """All machines in shares, spread evenly, from a term without a map of them."""
+        if self.shares is not None or not self.homes:
+            return self
+        return Term(self.number + 1, self.next + 1, self.members, self.wardens, self.relieved,
+                    Shares.even(self.homes, self.next))
+
+    def move(self, moves, giver):
+        """The next term, in which shares that are still the giver's have the homes named in `moves`."""
+        moves = {share: label for share, label in moves.items()
+                 if label in self.homes and self.shares.homes[share] == giver}
+        return self._next(self.members, self.relieved, moves) if moves else self
+
     def relieve(self, label):
         """The label's machines get other homes; this term if that can't be."""
         if not self.homes - {label} or label not in self.homes:
@@ -117,14 +172,18 @@
         entry = self.members.get(label)
         return entry[0] if entry else None
 
-    def token(self, label):
-        return self.members[label][1]
-
     def serves(self, label, incarnation):
         return self.incarnation(label) == incarnation
 
+    # Machines
+
+    def share(self, machine):
+        return self.shares.share(machine) if self.shares is not None else ALL
+
     def home(self, machine):
-        """The label of the machine's home: rendezvous hash over the members."""
+        """The label of the machine's home."""
+        if self.shares is not None:
+            return self.shares.homes[self.shares.share(machine)]
         home = self._homes.get(machine)
         if home is None:
             if len(self._homes) > 10000:
@@ -132,18 +191,26 @@
             home = self._homes[machine] = pick(self.homes, machine)
         return home
 
+    def place(self, machine):
+        """(home, token): who commands the machine, and by which right."""
+        if self.shares is not None:
+            share = self.shares.share(machine)
+            return self.shares.homes[share], self.shares.tokens[share]
+        home = self.home(machine)
+        return home, self.members[home][1]
+
+    def held(self, label):
+        """{share: token} of the shares that a label is home to."""
+        if self.shares is not None:
+            return self.shares.of(label)
+        return {ALL: self.members[label][1]} if label in self.homes else {}
+
+    def roster(self):
+        """Whoever owns jobs: as long as it stays the same, nobody inherits any."""
+        return ({label: entry[0] for label, entry in self.members.items()}, self.wardens)
+
     def heir(self, job, label, group):
         """Who takes over a job of a dropped incarnation of `label`; `group`: of a limited team."""
         if group is not None:
             return self.warden(group)
         return label if label in self.members else pick(self.members, job)
-
-
-def pick(labels, name):
-    """Rendezvous hash: the label that weighs most for `name`."""
-    data = name.encode()
-    return max(
-        labels,
-        key=lambda label: blake2b(data, digest_size=8, key=label.encode()[:64]).digest(),
-        default=None,
-    )
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -15,12 +15,13 @@
 from roadhead.jobs.book import Book
 from roadhead.jobs.job import FINAL, KEY, SHELF, shorten, spec_of
 from roadhead.jobs.recorder import NO_GUARDS, Recorder
-from roadhead.jobs.records import FORMAT, Shelf, find
+from roadhead.jobs.records import Shelf, find
 from roadhead.jobs.risk import Risk
 from roadhead.jobs.teams import FixedTeams
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
 from roadhead.recovery.takeover import Takeover
+from roadhead.shares.keeper import FORMAT, Keeper
 from roadhead.state.client import StateClient, Unavailable, Unsure
 from roadhead.state.reader import Reader
 from roadhead.summary import Summary
@@ -101,6 +102,8 @@
                                  self._beat_s)
         self._summary = Summary(loop, settings, self._beat_s, self.member, self.peers.links, self._state_ok,
                                 self.risk, self.troubles, self.counters, time_of_day)
+        self.keeper = Keeper(loop, self.label, self.member, tuning.membership.lease_ratio * workers.lease_s,
+                             lambda: self.peers.links, self.counters)
         self.workers = None
         self._duties = []
         self._looking = set()
@@ -357,21 +360,23 @@
         self._reset()
 
     def _on_term(self, old, new):
+        for label in list(self.peers.links):
+            self._switchboard.tell_term(label)
         if old is None:
-            # Our own join: the term before it is not kept, so compare with what it says.
-            self.home.begin(len(new.members) == len(self.settings.members) + 1)
+            self.home.begin(self.member.replaced)
             self.peers.reset()
         else:
-            self.home.on_term(old, new)
+            for label, told in self.home.on_term(old, new).items():
+                for frame in told:
+                    self.send(label, frame)
         self.book.on_term(old, new)
         if self.desk is not None:
             self.desk.on_term()
-        self.dispatcher.on_term()
-        for label in list(self.peers.links):
-            self._switchboard.tell_term(label)
-        self.book.sync_all()
+        self.dispatcher.on_term(old, new)
+        self.book.sync_moved(old, new)
         self.dispatcher.tell_again()
-        self.takeover.scan()
+        self.takeover.on_term(old, new)
+        self.keeper.on_term(old, new)
 
     async def _try_workers(self):
         """Relieved of its machines, this controller is their home again once it reaches workers."""
@@ -421,6 +426,7 @@
             self.fleet.return_idle()
             self.dispatcher.changed()
             self.takeover.tell()
+            self.keeper.tick(self.home)
             every += 1
             if self.desk is not None:
                 self.desk.tick(every)
--- a/roadhead/recovery/takeover.py
+++ b/roadhead/recovery/takeover.py
@@ -26,17 +26,27 @@
         self._changed = changed
         self._retry_s = retry_s
         self._book = self._shelf = None
+        self._roster = None  # of the term: who serves, and who the wardens are
         self._orphans = {}  # jobs accepted for a warden that has yet to be told -> their group
 
     def begin(self, book, shelf):
         """A new incarnation owns nothing yet; what it accepted for others is still to be told."""
         self._book, self._shelf = book, shelf
 
+    def on_term(self, old, new):
+        """Only if others own jobs than before is there anything to inherit."""
+        if old is not None and old.roster() == new.roster():
+            if self._book.scanned == old.number:
+                self._book.scanned = new.number
+            return
+        self._roster = new.roster()
+        self.scan()
+
     def scan(self):
         """Reads all open records under the term as it is now."""
-        self._loop.spawn(self._scan(self._member.term.number), "scan")
+        self._loop.spawn(self._scan(self._roster), "scan")
 
-    async def _scan(self, number):
+    async def _scan(self, roster):
         """Takes over what falls to this controller, page by page.
 
         Final records are only seen, and moved to the shelf in time, so that a takeover costs
@@ -44,13 +54,13 @@
         none that was there when the scan began is missed between two pages.
         """
         member, after = self._member, ""
-        while member.joined and member.term.number == number:
+        while member.joined and self._roster is roster:
             try:
                 items, more, _revision = await self._state.page(KEY, after)
             except (Unavailable, Unsure):
                 await self._loop.sleep(self._retry_s)
                 continue
-            if not member.joined or member.term.number != number:
+            if not member.joined or self._roster is not roster:
                 return
             mine = []
             for key, record, stamp in items:
@@ -66,7 +76,7 @@
             if more:
                 after = items[-1][0]
                 continue
-            self._book.scanned = number
+            self._book.scanned = member.term.number
             self._changed()
             return
 
--- /dev/null
+++ b/roadhead/shares/__init__.py
@@ -0,0 +1,1 @@
+"""The machines, parted into shares among the controllers."""
--- /dev/null
+++ b/roadhead/shares/keeper.py
@@ -0,0 +1,72 @@
+"""When a home gives shares away: a step with a beat, as long as all is well."""
+
+import logging
+
+from roadhead.shares.balance import step
+
+log = logging.getLogger("roadhead.shares")
+
+FORMAT = 3  # told with the membership: from 3 on a controller reads the map of shares
+KEPT_MOST = 20  # changes remembered for whoever asks
+
+
+class Keeper:
+    """`settle_s`: who joined is given nothing before. `links()`: {label: its link}."""
+
+    def __init__(self, loop, label, member, settle_s, links, counters):
+        self._loop = loop
+        self._label = label
+        self._member = member
+        self._settle_s = settle_s
+        self._links = links
+        self._count = counters.add
+        self._since = {}  # label -> (incarnation, when it was first seen in a term)
+        self._moves = {}  # of which it is not known yet whether they were made
+        self.changes = []  # (when, term, shares moved, from whom, to whom), the latest last
+
+    def on_term(self, old, new):
+        now = self._loop.now()
+        self._moves = {}
+        self._since = {
+            label: (entry[0], self._since[label][1]
+                    if label in self._since and self._since[label][0] == entry[0] else now)
+            for label, entry in new.members.items()
+        }
+        if old is None or old.shares is None or new.shares is None:
+            return
+        moved = {}
+        for share, (giver, taker) in enumerate(zip(old.shares.homes, new.shares.homes, strict=True)):
+            if giver != taker:
+                moved.setdefault((giver, taker), []).append(share)
+        for (giver, taker), shares in moved.items():
+            log.info("term %d: %d shares from %s to %s", new.number, len(shares), giver, taker)
+            self._count("shares_moved", len(shares))
+            self.changes.append((now, new.number, len(shares), giver, taker))
+        del self.changes[:-KEPT_MOST]
+
+    def tick(self, home):
+        """With each beat."""
+        member, term = self._member, self._member.term
+        if member.lapsed():
+            return
+        if term.shares is None:
+            if self._label == min(term.members) and member.all_of(FORMAT):
+                member.share_out()
+            return
+        if not self._moves and home.sureness.settled():
+            self._moves = step(term.shares, self._label, self._takers(term), home.by_share())
+        if self._moves:
+            # Asked for again, under the same revision, until the next term tells.
+            self._loop.spawn(self._move(self._moves), "move shares")
+
+    async def _move(self, moves):
+        await self._member.move(moves)
+        if not self._member.leaving:
+            self._moves = {}  # not made, and surely not to be
+
+    def _takers(self, term):
+        """Other homes that are heard, hear their workers, and have stayed for a while."""
+        now, links = self._loop.now(), self._links()
+        return [label for label in sorted(term.homes) if label != self._label and label in links
+                and not links[label].deaf and links[label].state_ok
+                and now - self._since[label][1] >= self._settle_s]
--- a/roadhead/switchboard.py
+++ b/roadhead/switchboard.py
@@ -52,6 +52,8 @@
             frames.Synced: lambda label, _incarnation, frame: book.on_synced(label, frame),
             frames.Orphan: lambda _label, _incarnation, frame: takeover.on_orphan(frame.job),
             frames.JobFails: lambda _label, _incarnation, frame: home.faults.on_job_fails(frame.job),
+            frames.Handover: lambda _label, _incarnation, frame: home.on_handover(frame),
+            frames.HandoverJobs: lambda _label, _incarnation, frame: home.on_handover_jobs(frame),
             frames.HomeNews: on_home_news,
             frames.SummaryNews: lambda label, _incarnation, frame: summary.on_news(label, frame),
             **more,
--- a/roadhead/tenants/removal.py
+++ b/roadhead/tenants/removal.py
@@ -14,8 +14,8 @@
 
 from roadhead.jobs.job import FINAL, KEY, SHELF, closing
 from roadhead.membership.member import CANCEL
-from roadhead.membership.term import pick
 from roadhead.runtime.loop import Signal
+from roadhead.shares.hashing import pick
 from roadhead.state.client import Conflict, Unavailable, Unsure
 from roadhead.tenants import ids
 from roadhead.tenants.records import REMOVING, key_of, transit
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -307,6 +307,22 @@
     row = "dddq?sT"  # cpus gpus memory count spot zone types
 
 
+class Handover(Frame):
+    """Machines that the sender was home to and the receiver is, by the term; `draining`: to be given up."""
+
+    kind, layout = 23, "R"
+    fields = ("rows",)
+    row = "ssss??T"  # machine address type zone spot draining images
+
+
+class HandoverJobs(Frame):
+    """Owners and needs of jobs with tasks on machines that follow in a `Handover`."""
+
+    kind, layout = 24, "R"
+    fields = ("rows",)
+    row = "ssqdddsdd?"  # job owner incarnation cpus gpus memory image image_gb save_s saves
+
+
 class HomeNews(Frame):
     """For the renter: machines homed at the sender, one row a machine type, zone and kind."""
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -33,9 +33,18 @@
     def home(self, _machine):
         return "here"
 
+    def share(self, _machine):
+        return 0
+
+    def place(self, _machine):
+        return "here", 7
+
+    def held(self, _label):
+        return {0: 7}
+
 
 class Member:
-    label, incarnation, joined, token, term = "here", 1, True, 7, Term()
+    label, incarnation, joined, term, leaving = "here", 1, True, Term(), frozenset()
 
     def lapsed(self):
         return False
@@ -80,6 +89,7 @@
     home = Home(Sim(1), "here", Member(), Deployment(), 10.0, random.Random(1),
                 lambda _label, _frame: True, lambda _machine: None, lambda _job: None, Counters())
     home.known.types = {"box": KIND}
+    home.begin(True)
     home.rooms.window_s = 12.0
     for number in range(machines):
         machine = home.known.take_on(f"n-{number:06d}", "10.1.0.1:9000", "box", "a", True, 0.0)
@@ -164,11 +174,10 @@
     """After a change of the term each machine that is heard could be the last that a sync waits for."""
     def again(machines):
         home = home_of(machines, 0)
-        home.sureness.fence(True)
-        home.covered(listed(machines), 100.0)
         for machine in home.machines.values():
             machine.confirmed = 0
-        home.sureness.start_over()
+        home.sureness.fence([0], True)
+        home.covered(listed(machines), 100.0)
         home.commanding.on_sync("there", 1, frames.Sync(1, 1, [], []))
         reports = [report(number, 0, sequence=2) for number in range(machines)]
         total = calls(lambda: [home.hearing.take_report(heard) for heard in reports])
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -11,8 +11,8 @@
 from roadhead.jobs.job import Job
 from roadhead.jobs.teams import Accounts
 from roadhead.local.world import World
-from roadhead.membership.term import Term
 from roadhead.node import Node
+from roadhead.shares.map import Shares
 from roadhead.state.reader import Reader
 from roadhead.wire import frames, messages
 
@@ -21,16 +21,9 @@
 
 
 def never_fenced(patch):
-    """1: tokens stay the same when the members change."""
-    real = Term._renewed
-
-    def renewed(self, members, changed):
-        new = real(self, members, changed)
-        for label, entry in new.members.items():
-            new.members[label] = (entry[0], 1, entry[2])
-        return new
-
-    patch.setattr(Term, "_renewed", renewed)
+    """1: shares that move, or whose home is a new incarnation, keep their tokens."""
+    real = Shares.give
+    patch.setattr(Shares, "give", lambda self, moves, _token: real(self, moves, self.tokens[0]))
 
 
 def freed_when_silent(patch):
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -687,6 +687,7 @@
 gateways 1
 slots 3
 capacity 6
+    seed 2
 at 2 tenant one team=crew:cpus_max=8
 at 2 tenant two team=crew:cpus_max=8
 at 30 submit tenant=one id=a count=30 every=2 legs=2 runS=4
