--- a/roadhead/homes/commanding.py
+++ b/roadhead/homes/commanding.py
@@ -51,7 +51,7 @@
             or not self._rooms.offerable(machine)
             or not fits(needs.room, machine.room())
             or frame.job in self._known.cancelled
-            or any(k[0] == frame.job and k[1] == index for k in machine.tasks)
+            or (frame.job, index) in machine.attempts
         ):
             self._count("starts_refused")
             self._send(label, frames.Refused(frame.machine, *key))
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -61,7 +61,7 @@
         "_cpus", "_gpus", "_memory", "_room", "_vague", "_where",
         "active",
         "address",
-        "asking", "born_at",
+        "asking", "attempts", "born_at",
         "by_name",
         "confirmed",
         "confirmed_at",
@@ -119,6 +119,7 @@
         self.born_at = 0.0  # not before this it was rented, or up
         self.notice_at = None  # when the cloud takes it away
         self.tasks = {}
+        self.attempts = {}  # (job, index) -> how many of them are here
         self.by_name = {}  # (task's name, attempt) as reported -> Task
         self.reported = None  # the newest confirmed list of tasks, None if it may not hold any more
         self.readings = 0
@@ -176,6 +177,8 @@
 
     def put(self, task):
         self.tasks[task.key] = task
+        name = task.job, task.index
+        self.attempts[name] = self.attempts.get(name, 0) + 1
         self._where.setdefault(task.job, {})[task] = self
         if task.status == LAUNCHING:
             self.todo[task.key] = task
@@ -186,6 +189,10 @@
         if self.tasks.pop(task.key, None) is None:
             return
         self._nowhere(task)
+        name = task.job, task.index
+        self.attempts[name] -= 1
+        if not self.attempts[name]:
+            del self.attempts[name]
         self.todo.pop(task.key, None)
         if task.name is not None:
             self.by_name.pop((task.name, task.attempt), None)
@@ -204,6 +211,7 @@
         for task in self.tasks.values():
             self._nowhere(task)
         self.tasks = {}
+        self.attempts = {}
 
     def progress(self, task, status):
         was, task.status = task.status, status
