takeover: what homes know is asked for while the record is written, once a page of records

Cause: an heir wrote each record first, a few a second, and only then asked the homes, in as many small syncs.

Change: what is inherited counts as owned at once and is synced with its page of records; nothing of it starts before both the write and the homes' answers (Job.adopting).

--- a/roadhead/dispatch/queue.py
+++ b/roadhead/dispatch/queue.py
@@ -140,6 +140,6 @@
         """Jobs with startable tasks, in order."""
         now = self._loop.now()
         for job in self._order:
-            if (job.free.left and job.state == "open" and not job.unsynced and job.not_before <= now
-                    and job.startable() > 0):
+            if (job.free.left and job.state == "open" and not job.unsynced and not job.adopting
+                    and job.not_before <= now and job.startable() > 0):
                 yield job
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -46,9 +46,8 @@
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
         self._new = {}  # id -> Job whose record is being written
-        self._adopting = {}  # in order, as a set
+        self._adopting = {}  # those of which no record names this owner yet, in order as a set
         self.closing = set()  # slots of wardens about to be handed on: nothing of them comes to us
-        self._adopted = []  # taken over in this turn, to be synced
         self._syncs = {}  # number -> (label, [jobs])
         self._sync_number = 0
         self._attempts = 0
@@ -89,7 +88,7 @@
             if job not in self.recorder.fresh and cpus <= on_word:
                 on_word -= cpus
                 word.append(job)
-        return [*self.recorder.fresh, *word, *self._adopting, *self._inherited]
+        return [*self.recorder.fresh, *word, *{**self._adopting, **self._inherited}]
 
     def _settled(self, job):
         """The outcome of its creation is known: the Future that waits for it, or None."""
@@ -102,12 +101,9 @@
             self._created(job)
             pending.set((True, None))
             return
-        if job in self._adopting:
-            self._begin(job)
-            if not self._adopted:
-                self._loop.call_soon(self._sync_adopted)
-            self._adopted.append(job)
-            return
+        if self._adopting.pop(job, False):
+            job.adopting = False
+            self._changed()
         if state in FINAL:
             self._over(job, {"s": state, "n": job.spec.tasks, "d": job.done.count})
             return
@@ -188,7 +184,6 @@
         return False
 
     def _begin(self, job):
-        self._adopting.pop(job, None)
         self.jobs[job.id] = job
         self.accounts.enter(job)
         if job.unsynced:
@@ -198,13 +193,13 @@
         self.seen[job.spec.klass] = self.seen.get(job.spec.klass, 0) + 1
         self._changed()
 
-    def _over(self, job, record):
-        """The job's end is durable."""
+    def _over(self, job, record, counted=False):
+        """The job's end is durable. `counted`: by whoever wrote it, for the summary."""
         self.remember(job.id, record)
         self._shelve(job.id, record, job.stamp)
         self.recorder.unmark(job)
         if record["s"] == "done":
-            if self._leave(job):
+            if self._leave(job) and not counted:
                 self._on_finished(job, self._time_of_day())
             self._forget(job.id, job.bound.items())
             job.bound.clear()
@@ -233,11 +228,11 @@
             self.recorder.unmark(job)
             return
         if record["s"] in FINAL:
-            self._drop_adopting(job)
+            inherited = self._drop_adopting(job)
             self.recorder.unmark(job)
             if record["s"] == "done":
                 job.stamp = stamp
-                self._over(job, record)
+                self._over(job, record, inherited)
             else:
                 self.cancelled(job.id, record)
             return
@@ -254,29 +249,34 @@
         self.version += 1
 
     def _drop_adopting(self, job):
-        if self._adopting.pop(job, False):
-            self.accounts.sure(job)
+        """It need not be taken over; whether it was being."""
+        if not self._adopting.pop(job, False):
+            return False
+        job.adopting = False
+        self.accounts.sure(job)
+        return True
 
     # Taking over
 
     def knows(self, job_id):
-        return job_id in self.jobs or any(job.id == job_id for job in self._adopting)
+        return job_id in self.jobs
 
     def adopt(self, items):
-        """Open records of dropped owners that fall to this controller."""
-        known = {job.id for job in self._adopting} | self.jobs.keys()
+        """Open records of dropped owners that fall to this controller.
+
+        Each takes a write that names the new owner, and nothing of it starts before; what the homes
+        know is asked for meanwhile, for all of them at once.
+        """
+        adopted = []
         for record, stamp in items:
             job = from_record(record, self._me, stamp)
-            if job.id not in known and self.owns(job.spec.team):
-                self._adopting[job] = True
-                if job.unsynced:
-                    self.accounts.unsure(job)
+            if job.id not in self.jobs and self.owns(job.spec.team):
+                job.adopting = self._adopting[job] = True
+                adopted.append(job)
+                self._begin(job)
                 self.recorder.mark(job, SOON)
-
-    def _sync_adopted(self):
-        """One sync for all that a transaction took over."""
-        jobs, self._adopted = self._adopted, []
-        self.sync_all([job for job in jobs if self.jobs.get(job.id) is job])
+        if adopted:
+            self.sync_all(adopted)
 
     def sync_all(self, jobs):
         """Tells every home of these jobs, and waits for what each knows of them."""
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -35,7 +35,7 @@
     it starts before (safety 3).
     """
 
-    __slots__ = ("accepted_at", "aims", "bound", "built", "done", "doubtful", "failed_on", "free",
+    __slots__ = ("accepted_at", "adopting", "aims", "bound", "built", "done", "doubtful", "failed_on", "free",
                  "gathered", "gathering_since", "id", "later", "not_before", "owner", "part", "pauses",
                  "place", "rank", "room_shape", "saved_count", "shape", "spec", "stamp", "state", "sure",
                  "unsynced", "written_at")
@@ -52,6 +52,7 @@
         self.bound = {}
         self.rank = RANK[spec.urgency]
         self.unsynced = {""} if inherited else set()
+        self.adopting = False  # no record names its new owner yet: nothing of it starts before
         self.failed_on = set()  # machines on which tasks failed since the last one done
         self.doubtful = False  # it seems to fail wherever it runs: only tried now and then
         self.pauses = 0
