--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -65,6 +65,10 @@
             if request.method != "GET":
                 return 405, b"", None
             return 200, messages.encode(self._node.summary()), None
+        if path == "/v1/shares":
+            if request.method != "GET":
+                return 405, b"", None
+            return 200, messages.encode(self._node.shares()), None
         if desk is not None and path.startswith(USAGE) and path[len(USAGE):].isdigit():
             return 200, desk.usage(int(path[len(USAGE):])), None
         try:
--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -55,6 +55,9 @@
     client("status", "show a job's state").add_argument("job", metavar="JOB")
     client("cancel", "cancel a job").add_argument("job", metavar="JOB")
     client("summary", "what is done, late and at risk; machines; duties behind")
+    client("shares", "which controller is home to how many machines, and what moved").add_argument(
+        "--json", action="store_true", help="as JSON"
+    )
     return parser
 
 
@@ -102,7 +105,7 @@
     elif args.verb == "cancel":
         request = ("POST", f"/v1/jobs/{args.job}/cancel", {})
     else:
-        request = ("GET", "/v1/summary")
+        request = ("GET", f"/v1/{args.verb}")
     try:
         status, answer = call(args.address, *request,
                               hosted=args.hosted or os.environ.get("ROADHEAD_HOSTED"))
@@ -117,6 +120,8 @@
         return 1
     if args.verb == "summary":
         print(render_summary(answer))
+    elif args.verb == "shares" and not args.json:
+        print(render_shares(answer))
     else:
         print(json.dumps(answer))
     return 0
@@ -135,6 +140,19 @@
     return "\n".join(lines)
 
 
+def render_shares(answer):
+    lines = [f"{'home':24} {'shares':>6} {'machines':>8}"]
+    for row in answer["homes"]:
+        shares = "-" if row["shares"] is None else row["shares"]
+        lines.append(f"{row['label']:24} {shares:>6} {row['machines']:8}")
+    lines.append(f"term {answer['term']}")
+    for change in answer["changes"]:
+        why = "given" if change["planned"] else "lost"
+        lines.append(f"{change['agoS']:.1f} s ago, term {change['term']}: {change['shares']} shares from "
+                     f"{change['from']} to {change['to']} ({why})")
+    return "\n".join(lines)
+
+
 def local(args):
     """A cluster on this machine."""
     import tempfile
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -100,10 +100,11 @@
         self._used = (0.0, 0.0)  # requests and writes a second, in the last beat
         self.takeover = Takeover(loop, self.state, self.member, self.teams, self.send, self._changed,
                                  self._beat_s)
-        self._summary = Summary(loop, settings, self._beat_s, self.member, self.peers.links, self._state_ok,
-                                self.risk, self.troubles, self.counters, time_of_day)
         self.keeper = Keeper(loop, self.label, self.member, tuning.membership.lease_ratio * workers.lease_s,
                              lambda: self.peers.links, self.counters)
+        self._summary = Summary(loop, settings, self._beat_s, self.member, self.peers.links, self._state_ok,
+                                self.risk, self.troubles, self.counters, time_of_day,
+                                lambda: self.keeper.changes)
         self.workers = None
         self._duties = []
         self._looking = set()
@@ -351,6 +352,9 @@
     def summary(self):
         return self._summary.whole()
 
+    def shares(self):
+        return self._summary.shares()
+
     # Terms
 
     def _on_lost(self):
--- a/roadhead/shares/keeper.py
+++ b/roadhead/shares/keeper.py
@@ -22,7 +22,8 @@
         self._count = counters.add
         self._since = {}  # label -> (incarnation, when it was first seen in a term)
         self._moving = False
-        self.changes = []  # (when, term, shares moved, from whom, to whom), the latest last
+        # (when, term, shares moved, from whom, to whom, whether the giver serves on), the latest last
+        self.changes = []
 
     def on_term(self, old, new):
         now = self._loop.now()
@@ -40,7 +41,8 @@
         for (giver, taker), shares in moved.items():
             log.info("term %d: %d shares from %s to %s", new.number, len(shares), giver, taker)
             self._count("shares_moved", len(shares))
-            self.changes.append((now, new.number, len(shares), giver, taker))
+            planned = new.incarnation(giver) is not None and giver in new.homes
+            self.changes.append((now, new.number, len(shares), giver, taker, planned))
         del self.changes[:-KEPT_MOST]
 
     def tick(self, home):
--- a/roadhead/summary.py
+++ b/roadhead/summary.py
@@ -10,10 +10,11 @@
 
 
 class Summary:
-    """`links`: the controllers heard; `state_ok()`: whether the state service answers."""
+    """`links`: the controllers heard; `state_ok()`: whether the state service answers; `changes()`: of
+    shares (shares/keeper.py)."""
 
     def __init__(self, loop, settings, beat_s, member, links, state_ok, risk, troubles, counters,
-                 time_of_day):
+                 time_of_day, changes):
         self._loop = loop
         self.label = settings.label
         self._labels = [settings.label, *(other.label for other in settings.members)]
@@ -26,6 +27,7 @@
         self._troubles = troubles
         self._counters = counters
         self._time_of_day = time_of_day
+        self._changes = changes
         self._parts = {}  # label -> (when, its SummaryNews)
         self._waiting_since = {}  # class -> since when tasks of it wait here
         self._book = self._home = self._dispatcher = self._fleet = None
@@ -105,6 +107,22 @@
         for label in self._labels[1:]:
             holds(f"{label} is not heard", label not in self._links)
 
+    def shares(self):
+        """Who is home to what, by the term known here, and the changes seen since this process began."""
+        now, term = self._loop.now(), self._member.term
+        homes = sorted(term.homes) if term is not None else ()
+        counts = term.shares.counts(homes) if term is not None and term.shares is not None else {}
+        return {
+            "term": term.number if term is not None else 0,
+            "homes": [{
+                "label": label, "shares": counts.get(label),
+                "machines": sum(row[3] for row in self._fleet.fleet.get(label, ())),
+            } for label in homes],
+            "changes": [{"agoS": round(now - at, 1), "term": number, "shares": shares, "from": giver,
+                         "to": taker, "planned": planned}
+                        for at, number, shares, giver, taker, planned in self._changes()],
+        }
+
     def whole(self):
         """The parts of all controllers heard lately, put together."""
         now = self._loop.now()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -103,6 +103,24 @@
         assert summary["behind"] == []
 
 
+def test_shares_from_any_controller(capsys):
+    """Who has what, what was lost with a controller, and what it was given back."""
+    world = World("capacity 9\nat 1 submit count=4 legs=9 runS=90\nat 30 crash 1 15\nuntil 90")
+    world.run()
+    answers = [node.shares() for node in world.nodes.values()]
+    for answer in answers:
+        assert [row["label"] for row in answer["homes"]] == ["ctl-0", "ctl-1", "ctl-2"]
+        assert sorted(row["shares"] for row in answer["homes"]) == [21, 21, 22]
+        assert sum(row["machines"] for row in answer["homes"]) == len(world.cloud.rented)
+    lost = [change for change in answers[0]["changes"] if not change["planned"]]
+    assert {change["from"] for change in lost} == {"ctl-1"}
+    assert sum(change["shares"] for change in lost) in (21, 22)
+    back = [change for change in answers[0]["changes"] if change["planned"] and change["to"] == "ctl-1"]
+    assert sum(change["shares"] for change in back[len(back) // 2 :]) > 0
+    text = cli.render_shares(answers[0])
+    assert "ctl-1" in text and "(lost)" in text and "(given)" in text
+
+
 def test_a_controller_starts_with_what_it_needs_and_no_more():
     """Nothing of hosting, local clusters or their libraries, without a hosted file."""
     code = ("import sys, run, roadhead.cli, roadhead.node, roadhead.settings; roadhead.cli._parser(False); "
