membership: an orderly end (SIGTERM) gives shares and jobs away before the process exits

Cause: a roll cost what kills cost: leases had to end before anyone took over.

Change: on SIGTERM a controller takes nothing on, moves its shares to the others, hands its machines over, drops itself from the term and exits, within half a workers' lease. Verb `leave` for scenarios.

--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -199,6 +199,7 @@
 
 def serve(settings, tuning, hosted):
     import gc
+    import signal
 
     from roadhead.node import Node
     from roadhead.runtime.loop import Loop
@@ -207,7 +208,10 @@
 
     set_up_logging(settings.label)
     loop = Loop()
-    Node(loop, Net(loop), settings, tuning, hosted=desk_of(loop, hosted)).start()
+    node = Node(loop, Net(loop), settings, tuning, hosted=desk_of(loop, hosted))
+    node.start()
+    # The loop looks at it with its next timer, a beat later at the most.
+    signal.signal(signal.SIGTERM, lambda *_: loop.call_soon(node.leave, loop.stop))
     gc.freeze()
     loop.run()
     return 0
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -281,6 +281,10 @@
                 self.user_loop.spawn(self.users[f"req-{int(number):06d}"].submit_again(), "resubmit")
         elif verb == "crash":
             self.crash(int(rest[0]), float(rest[1]) if len(rest) > 1 else 3.0)
+        elif verb == "leave":
+            number, back_after = int(rest[0]), float(rest[1]) if len(rest) > 1 else 3.0
+            if number in self.nodes:
+                self.nodes[number].leave(lambda: self.crash(number, back_after))
         elif verb == "storm":
             self.storms.append(Storm(self, float(rest[0]), float(rest[1])))
         elif verb == "stall":
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -46,6 +46,7 @@
         self._absent = Signal()
         self._amend = Signal()
         self._amendments = []  # (method of Term, its arguments)
+        self._ending = False  # this process gives all up and joins no more
         self._not_before = {}  # amendment -> when it may be wanted again
 
     @property
@@ -77,7 +78,7 @@
 
     async def run(self):
         """Joins, serves until dropped, and joins again as a new incarnation."""
-        while True:
+        while not self._ending:
             try:
                 await self._join()
             except (Unavailable, Unsure, Conflict, LeaseGone) as error:
@@ -307,6 +308,27 @@
         else:
             self.adopt(new.to_record(), revision)
 
+    async def leave(self):
+        """Gives up what this member holds, first its shares, so that it can hand them over, then its place:
+        its jobs fall to heirs at once. Returns once it is out, or if there is nobody to give it to."""
+        self._ending = True
+        while self.joined and (others := self.term.homes - {self.label}):
+            if self.term.shares is not None and (moves := self.term.shares.spread({self.label}, others)):
+                await self.move(moves)
+                if self.term.held(self.label):
+                    await self._loop.sleep(self._lease_s / 24)
+                    continue
+            new = self.term.drop({self.label})
+            log.info("leaving: term %d", new.number)
+            try:
+                revision = await self._state.multi(
+                    [(TERM, self.revision)], [{"put": TERM, "data": new.to_record()},
+                                              {"drop": MEMBER + self.label}])
+                self.adopt(new.to_record(), revision)
+            except (Unavailable, Conflict, Unsure) as error:
+                log.debug("leaving: %r", error)
+                await self._loop.sleep(self._lease_s / 24)
+
     async def _amend_term(self):
         while True:
             await self._amend.wait()
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -21,6 +21,7 @@
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
 from roadhead.recovery.takeover import Takeover
+from roadhead.runtime.loop import Timeout
 from roadhead.shares.keeper import FORMAT, Keeper
 from roadhead.state.client import StateClient, Unavailable, Unsure
 from roadhead.state.reader import Reader
@@ -105,6 +106,7 @@
         self._summary = Summary(loop, settings, self._beat_s, self.member, self.peers.links, self._state_ok,
                                 self.risk, self.troubles, self.counters, time_of_day,
                                 lambda: self.keeper.changes)
+        self._leaving = False
         self.workers = None
         self._duties = []
         self._looking = set()
@@ -202,6 +204,26 @@
         self.peers.start()
         self._loop.spawn(self.member.run(), "member")
 
+    def leave(self, done):
+        """An orderly end: no new work is taken on, what is held goes to others, then `done()` is called,
+        after half a workers' lease at the latest."""
+        if not self._leaving:
+            self._leaving = True
+            self._loop.spawn(self._leave(done), "leave")
+
+    async def _leave(self, done):
+        lease_s = self._deployment.workers.lease_s
+        log.info("ending in order")
+        until = self._loop.now() + lease_s / 8
+        while self.book.recorder.backlog() and self._loop.now() < until:
+            await self._loop.sleep(self._beat_s / 8)
+        try:
+            await self._loop.within(lease_s / 4, self._loop.spawn(self.member.leave(), "give up").done)
+        except Timeout:
+            log.warning("not all could be given away; the others take it when the lease ends")
+        await self._loop.sleep(self._beat_s / 4)  # what was handed over leaves the sockets
+        done()
+
     # What the parts ask of one another
 
     def _changed(self):
@@ -279,6 +301,8 @@
         more than the few submissions that are answered 503 meanwhile. Polls need no member.
         """
         since_s = self._loop.now() - self._began_at
+        if self._leaving:
+            return False
         if not self.home.known.types and since_s > self._deployment.cloud.list_lag_s:
             return False
         return self._state_ok() or not any(link.state_ok for link in self.peers.links.values())
@@ -306,6 +330,8 @@
     @property
     def most_creating(self):
         """Creations that can be written while their users wait; more are turned away at once."""
+        if self._leaving:
+            return -1
         return max(1, int(self._create_s * self.state.writes.rate))
 
     async def read(self, job_id):
