Rule mended: a home forgot whose the tasks were that it had yet to find

Cause: what is inherited is asked for while its records are written. A home drops owners of jobs without a task there once a lease, so also of jobs named by a sync that it had not answered; the record, read again when their tasks were found, still named the owner of before, and the heir was never told: it started them again.

Change: owners are kept of all jobs that unanswered syncs name.

--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -233,7 +233,7 @@
         if sure:
             sureness.past_fence()
         sureness.settle()
-        self.known.prune(now, sureness.claimed_jobs)
+        self.known.prune(now, sureness.awaited_jobs)
         return release
 
     def idle(self, idle_s):
--- a/roadhead/homes/known.py
+++ b/roadhead/homes/known.py
@@ -46,9 +46,9 @@
                 found.setdefault(machine, []).append(task)
         return found
 
-    def prune(self, now, claimed):
+    def prune(self, now, awaited):
         """Once a lease, lets go of what no task here rests on; a task found later has its record
-        read again. `claimed()`: jobs that owners claim to have tasks of here.
+        read again. `awaited()`: jobs of which tasks may be found here yet.
 
         A machine that is gone can be listed for twice the list's lag more, and its last
         report can be as late as a cut is long: then it is taken on again, silent and
@@ -58,7 +58,7 @@
         if now < self._prune_at:
             return
         self._prune_at = now + self._lease_s
-        live = self.where.keys() | claimed()
+        live = self.where.keys() | awaited()
         old = now - 4 * self._lease_s
         self.owners = {job: owner for job, owner in self.owners.items() if job in live}
         self.specs = {job: spec for job, spec in self.specs.items() if job in live}
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/sureness.py
@@ -41,7 +41,7 @@
         self._cancel_s = cancel_s
         self._lag_s = lag_s
         self._claims = {}  # machine -> {(job, index, attempt): owner}
-        self._syncs = []  # (label, incarnation, term, number)
+        self._syncs = []  # (label, incarnation, term, number, jobs)
         self._fences = {}  # share -> Fence, of the shares homed here
         self._unsure = {}  # shares that may not be clean, in order as a set
 
@@ -141,8 +141,11 @@
     def claimed(self, name):
         return name in self._claims
 
-    def claimed_jobs(self):
-        return {key[0] for claims in self._claims.values() for key in claims}
+    def awaited_jobs(self):
+        """Jobs of which tasks may be found here yet: owners claim some, or named them and wait. Their
+        records may name an owner of before still, so whose they are is known from those alone."""
+        jobs = {key[0] for claims in self._claims.values() for key in claims}
+        return jobs.union(*(sync[4] for sync in self._syncs))
 
     def take_claims(self, name):
         """[((job, index, attempt), owner)] claimed on the machine, which was heard now."""
@@ -183,7 +186,7 @@
 
     def sync(self, label, incarnation, frame):
         """An owner wants to be told once all is known here."""
-        self._syncs.append((label, incarnation, frame.term, frame.number))
+        self._syncs.append((label, incarnation, frame.term, frame.number, frame.jobs))
         self.settle()
 
     def settle(self):
@@ -191,5 +194,5 @@
         if not self._syncs or not self.clean():
             return
         syncs, self._syncs = self._syncs, []
-        for label, incarnation, term, number in syncs:
+        for label, incarnation, term, number, _jobs in syncs:
             self._news.tell((label, incarnation), frames.Synced(term, number))
