Nobody starved: the oldest of a class or team come first once too little of it is served

Change: of each class and team, once jobs older than twice the default aim wait and less than 0.55 is served, as many of the oldest as it lacks come first. The summary names the least served class.

--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -133,6 +133,9 @@
         lines.append(
             f"{row['class']:24} {row['open']:6} {row['done']:6} {row['late']:6} {row['atRisk']:8}"
         )
+    least = answer["leastServed"]
+    if least is not None:
+        lines.append(f"least served: {least['class']}, {least['share']:.0%} of its jobs are done")
     lines.append(f"machines: {answer['machines']}, failing: {answer['failing']}")
     lines.append("controllers heard: " + ", ".join(answer["heard"]))
     lines += [f"behind: {duty}" for duty in answer["behind"]] or ["no duty is behind"]
--- a/roadhead/dispatch/queue.py
+++ b/roadhead/dispatch/queue.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import math
 from bisect import insort
 
 NO_AIMS = ((), (), ())
@@ -15,6 +16,9 @@
 RANK_STEP = 2.5  # windows by which each step of urgency comes earlier within a tier
 AIMLESS = 10  # times the aim assumed by default: the slack of jobs of which nothing is expected
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
+STARVED_AIMS = 2  # times the aim assumed by default: older than that, a job counts as not served
+SERVED_LEAST = 0.55  # of a class's, or a team's, jobs: below that the oldest of them come first
+TIER_STARVED = -1
 JOBS_A_GAP = 2000  # put in order at once; with more than that the order is kept longer
 
 
@@ -94,6 +98,9 @@
             slack, later = self._set_place(job)
             size = 0.0 if job.doubtful else job.spec.cpus * job.spec.estimate_s
             jobs.append((job.place, slack, len(job.free) * size / capacity, later, job))
+        if self.sharing is None:
+            self._lift_starved()
+            jobs = [(entry[4].place, *entry[1:]) for entry in jobs]
         jobs.sort(key=lambda entry: entry[0])
         ready_s = 0.0
         kept = {}  # rank -> heap of (-cost, number)
@@ -120,6 +127,28 @@
             self.sharing.arrange(list(self.waiting()))
             self._order.sort(key=lambda job: job.place)
 
+    def _lift_starved(self):
+        """The exception to urgency: of each class, and each team, at least so much is served in the end.
+
+        Work of little urgency would get nothing for as long as what comes before it fills the machines.
+        Only jobs that waited for twice the time in which anything should be done count, and of those only
+        as many are lifted as the class lacks, the oldest.
+        """
+        since = self.time_of_day() - STARVED_AIMS * self._default_aim_s
+        old = {}
+        for job in self._book.jobs.values():
+            if job.accepted_at < since and job.state == "open" and not job.doubtful:
+                for key in ("class", job.spec.klass), ("team", job.spec.team):
+                    old.setdefault(key, []).append(job)
+        for key, waiting in old.items():
+            served = self._book.served.get(key, 0)
+            lacking = SERVED_LEAST * (served + len(waiting)) - served
+            if lacking <= 0:
+                continue
+            waiting.sort(key=lambda job: job.accepted_at)
+            for job in waiting[: math.ceil(lacking)]:
+                job.place = (TIER_STARVED * TIER_STEP) * self._window_s + job.accepted_at - since
+
     def refresh(self, anew=False):
         """What is due grows alike for most jobs, so the order is kept for a while; `anew`: not now."""
         now = self._loop.now()
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -42,6 +42,7 @@
         self.seen = {}  # class -> number of its jobs that were ever owned here
         self._inherited = {}  # those of them of which not every home has told, in order as a set
         self.arrived = []  # those that joined since the queue was last looked at
+        self.served = {}  # ("class" or "team", its name) -> jobs done here
         self.version = 0  # changes when the queue is to be put in order anew
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
@@ -201,6 +202,8 @@
         if record["s"] == "done":
             if self._leave(job) and not counted:
                 self._on_finished(job, self._time_of_day())
+                for key in ("class", job.spec.klass), ("team", job.spec.team):
+                    self.served[key] = self.served.get(key, 0) + 1
             self._forget(job.id, job.bound.items())
             job.bound.clear()
 
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -37,7 +37,7 @@
         self.term = None
         self.revision = 0
         self.incarnation = 0
-        self.replaced = False  # whether the term named this label until this incarnation joined
+        self.replaced = False  # whether this label was a home until this incarnation joined
         self._permit = None
         self.renewed_at = -1e9
         self.watched_at = -1e9  # send time of the newest watch or listing that was answered
@@ -106,7 +106,7 @@
             entry = term.members.get(self.label)
             if entry is not None and entry[2] == nonce:
                 break  # an earlier try went through although its answer was lost
-            self.replaced = entry is not None
+            self.replaced = entry is not None and self.label not in term.relieved
             new = term.spread(self._slots).join(self.label, nonce)
             try:
                 await self._state.multi(
--- a/roadhead/summary.py
+++ b/roadhead/summary.py
@@ -140,6 +140,10 @@
         return {
             "classes": [{"class": klass, **dict(zip(names, counts, strict=True))}
                         for klass, counts in sorted(classes.items())],
+            "leastServed": min(
+                ({"class": klass, "share": round(counts[1] / (counts[0] + counts[1]), 3)}
+                 for klass, counts in sorted(classes.items()) if counts[0] + counts[1]),
+                key=lambda entry: entry["share"], default=None),
             "machines": sum(row[3] for rows in self._fleet.fleet.values() for row in rows),
             "failing": sum(part.failing for part in parts.values()),
             "heard": sorted(parts),
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -21,7 +21,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 SUMMARY = {
     "classes": [{"class": "letters", "open": 3, "done": 7, "late": 1, "atRisk": 2}],
-    "machines": 4, "failing": 1, "heard": ["a", "b"], "behind": ["c: not heard"],
+    "leastServed": {"class": "letters", "share": 0.7}, "machines": 4, "failing": 1, "heard": ["a", "b"], "behind": ["c: not heard"],
     "troubles": ["a: stood still: once at 03:12:00, 6.0 s"],
 }
 
@@ -68,6 +68,7 @@
     assert json.loads(capsys.readouterr().out)["status"] == "pending"
     assert cli.main(["summary", server]) == 0
     out = capsys.readouterr().out
+    assert "least served: letters, 70% of its jobs are done" in out
     assert "letters" in out and "machines: 4, failing: 1" in out and "behind: c: not heard" in out
     assert "since start: a: stood still: once at 03:12:00, 6.0 s" in out
 
@@ -99,6 +100,7 @@
     for node in world.nodes.values():
         summary = node.summary()
         assert summary["classes"] == [{"class": "c", "open": 1, "done": 4, "late": 0, "atRisk": 1}]
+        assert summary["leastServed"] == {"class": "c", "share": 0.8}
         assert summary["heard"] == ["ctl-0", "ctl-1", "ctl-2"]
         assert summary["behind"] == []
 
