--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -63,11 +63,11 @@
         given = {}
         if lost or begun:
             for machine in list(self.machines.values()):
-                home, token = new.place(machine.id)
+                share, (home, token) = new.share(machine.id), new.place(machine.id)
                 if home != self.label:
                     given.setdefault(home, []).append(machine)
-                elif token != machine.token:
-                    machine.share, machine.token = new.share(machine.id), token
+                elif (share, token) != (machine.share, machine.token):
+                    machine.share, machine.token, machine.confirmed = share, token, 0
                     self.rooms.revoke(machine)
                     if machine.heard_at is not None:
                         self._ask(machine)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -21,7 +21,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 SUMMARY = {
     "classes": [{"class": "letters", "open": 3, "done": 7, "late": 1, "atRisk": 2}],
-    "leastServed": {"class": "letters", "share": 0.7}, "machines": 4, "failing": 1, "heard": ["a", "b"], "behind": ["c: not heard"],
+    "leastServed": {"class": "letters", "share": 0.7},
+    "machines": 4, "failing": 1, "heard": ["a", "b"], "behind": ["c: not heard"],
     "troubles": ["a: stood still: once at 03:12:00, 6.0 s"],
 }
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -177,8 +177,9 @@
         for machine in home.machines.values():
             machine.confirmed = 0
         home.sureness.fence([0], True)
-        home.covered(listed(machines), 100.0)
+        home.covered(listed(machines), 7.0)  # late enough, and they were up before
         home.commanding.on_sync("there", 1, frames.Sync(1, 1, [], []))
+        assert not home.sureness.clean()
         reports = [report(number, 0, sequence=2) for number in range(machines)]
         total = calls(lambda: [home.hearing.take_report(heard) for heard in reports])
         assert home.sureness.clean()
@@ -366,3 +367,14 @@
     both = calls(dispatcher_of(200, 80)._place)
     assert jobs <= 4.6 * plain
     assert both <= 4.6 * plain
+
+
+def test_a_placing_pass_costs_the_same_however_many_jobs_wait_behind_what_is_placed():
+    def one_more(jobs):
+        dispatcher = dispatcher_of(jobs, 1)
+        dispatcher._place()
+        dispatcher.on_grant(frames.Grant(
+            "n-000777", 2, 0, "box", "a", "here", True, 1.0, 0.0, 4.0, [], 10.0))
+        return calls(dispatcher._place)
+
+    assert 0 < one_more(500) <= one_more(50) + 20
