Reread: one way to write the term, machines that moved looked up once, a job's place set once

Five places put a term by the same transaction and adopted it; a change of the term asked twice for each machine's home; the queue built its list again for those lifted; rooms and commanding kept a member that they no longer ask.

Change: Member._write_term; Home.on_term lets go of what it hands over; Queue._lifted tells places before they are set; dead fields out. Behaviour is the same.

--- a/roadhead/dispatch/queue.py
+++ b/roadhead/dispatch/queue.py
@@ -93,14 +93,13 @@
         back for the sake of the less urgent.
         """
         capacity = max(1e-6, self.capacity())
+        lifted = self._lifted() if self.sharing is None else {}
         jobs = []
         for job in self._book.jobs.values() if self.sharing is None else self.sharing.candidates():
             slack, later = self._set_place(job)
+            job.place = lifted.get(job, job.place)
             size = 0.0 if job.doubtful else job.spec.cpus * job.spec.estimate_s
             jobs.append((job.place, slack, len(job.free) * size / capacity, later, job))
-        if self.sharing is None:
-            self._lift_starved()
-            jobs = [(entry[4].place, *entry[1:]) for entry in jobs]
         jobs.sort(key=lambda entry: entry[0])
         ready_s = 0.0
         kept = {}  # rank -> heap of (-cost, number)
@@ -127,15 +126,16 @@
             self.sharing.arrange(list(self.waiting()))
             self._order.sort(key=lambda job: job.place)
 
-    def _lift_starved(self):
-        """The exception to urgency: of each class, and each team, at least so much is served in the end.
+    def _lifted(self):
+        """{job: its place}: the exception to urgency, by which of each class, and each team, at least so
+        much is served in the end.
 
         Work of little urgency would get nothing for as long as what comes before it fills the machines.
         Only jobs that waited for twice the time in which anything should be done count, and of those only
         as many are lifted as the class lacks, the oldest.
         """
         since = self.time_of_day() - STARVED_AIMS * self._default_aim_s
-        old = {}
+        old, places = {}, {}
         for job in self._book.jobs.values():
             if job.accepted_at < since and job.state == "open" and not job.doubtful:
                 for key in ("class", job.spec.klass), ("team", job.spec.team):
@@ -147,7 +147,8 @@
                 continue
             waiting.sort(key=lambda job: job.accepted_at)
             for job in waiting[: math.ceil(lacking)]:
-                job.place = (TIER_STARVED * TIER_STEP) * self._window_s + job.accepted_at - since
+                places[job] = TIER_STARVED * TIER_STEP * self._window_s + job.accepted_at - since
+        return places
 
     def refresh(self, anew=False):
         """What is due grows alike for most jobs, so the order is kept for a while; `anew`: not now."""
--- a/roadhead/homes/commanding.py
+++ b/roadhead/homes/commanding.py
@@ -7,9 +7,8 @@
 class Commanding:
     """`ask(machine)` wants a direct request sent to a machine; `lapse_s`: of an unused grant."""
 
-    def __init__(self, loop, member, known, news, sureness, rooms, lapse_s, send, ask, counters):
+    def __init__(self, loop, known, news, sureness, rooms, lapse_s, send, ask, counters):
         self._loop = loop
-        self._member = member
         self._known = known
         self._news = news
         self._sureness = sureness
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from itertools import chain
 
 from roadhead.homes.commanding import Commanding
 from roadhead.homes.faults import Faults
@@ -40,12 +41,12 @@
         self.machines = known.machines
         self._news = News(member, known, send, counters)
         self.sureness = Sureness(loop, member, known, self._news, workers.lease_s, workers.cancel_s, lag_s)
-        self.rooms = Rooms(loop, label, member, self.machines, lapse_s, random, send, counters)
+        self.rooms = Rooms(loop, label, self.machines, lapse_s, random, send, counters)
         self.faults = Faults(loop, known, self.rooms, workers.report_s, self._drain, counters)
         self.hearing = Hearing(loop, member, known, self._news, self.sureness, self.rooms, self.faults,
                                self._drain, need_spec)
-        self.commanding = Commanding(loop, member, known, self._news, self.sureness, self.rooms, lapse_s,
-                                     send, ask, counters)
+        self.commanding = Commanding(loop, known, self._news, self.sureness, self.rooms, lapse_s, send, ask,
+                                     counters)
 
     # Terms
 
@@ -60,7 +61,7 @@
         had, has = old.held(self.label), new.held(self.label)
         lost = had.keys() - has.keys()
         begun = [share for share, token in has.items() if had.get(share) != token]
-        given = {}
+        given, told = {}, {}  # home -> [machines], and what it is told of them
         if lost or begun:
             for machine in list(self.machines.values()):
                 share, (home, token) = new.share(machine.id), new.place(machine.id)
@@ -71,8 +72,8 @@
                     self.rooms.revoke(machine)
                     if machine.heard_at is not None:
                         self._ask(machine)
-            given = {label: handover(machines, self.known) for label, machines in given.items()}
-            for machine in [m for m in self.machines.values() if new.home(m.id) != self.label]:
+            told = {label: handover(machines, self.known) for label, machines in given.items()}
+            for machine in chain.from_iterable(given.values()):
                 self.rooms.revoke(machine)
                 self._let_go(machine)
             self.sureness.let_go(lost)
@@ -81,7 +82,7 @@
             if old.incarnation(label) != new.incarnation(label):
                 self.rooms.peer_down(label)
         self.sureness.on_term(new)
-        return given
+        return told
 
     def deaf(self):
         """Most machines heard here have fallen silent: dead all at once, or cut off."""
--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -61,10 +61,9 @@
 
 
 class Rooms:
-    def __init__(self, loop, label, member, machines, lapse_s, random, send, counters):
+    def __init__(self, loop, label, machines, lapse_s, random, send, counters):
         self._loop = loop
         self.label = label
-        self._member = member
         self._machines = machines
         self._lapse_s = lapse_s
         self._random = random
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -238,11 +238,7 @@
                 log.info("dropping %s", sorted(absent))
                 new = self.term.drop(absent)
                 try:
-                    revision = await self._state.multi(
-                        [(TERM, self.revision), *((MEMBER + label, 0) for label in absent)],
-                        [{"put": TERM, "data": new.to_record()}],
-                    )
-                    self.adopt(new.to_record(), revision)
+                    await self._write_term(new, ((MEMBER + label, 0) for label in absent))
                 except (Unavailable, Unsure, Conflict) as error:
                     log.debug("drop: %r", error)
                     await self._loop.sleep(self._lease_s / 12)
@@ -277,18 +273,24 @@
             self._amendments.append(amendment)
             self._amend.set()
 
+    async def _write_term(self, new, conditions=(), writes=()):
+        """Puts the next term in the place of the one known, and adopts it. Raises what
+        `StateClient.multi` does."""
+        record = new.to_record()
+        revision = await self._state.multi(
+            [(TERM, self.revision), *conditions], [{"put": TERM, "data": record}, *writes])
+        self.adopt(record, revision)
+
     async def give(self, slots):
         """Hands slots of wardens on: True if it is so, False if not, None if that is not known."""
         new = self.term.give(slots)
         try:
-            revision = await self._state.multi(
-                [(TERM, self.revision)], [{"put": TERM, "data": new.to_record()}])
+            await self._write_term(new)
         except (Unavailable, Conflict):
             return False
         except Unsure:
             return None
         log.info("handed on slots of wardens: %s", slots)
-        self.adopt(new.to_record(), revision)
         return True
 
     async def move(self, moves):
@@ -301,12 +303,9 @@
         if new is self.term:
             return
         try:
-            revision = await self._state.multi(
-                [(TERM, self.revision)], [{"put": TERM, "data": new.to_record()}])
+            await self._write_term(new)
         except (Unavailable, Conflict, Unsure) as error:
             log.debug("move of shares: %r", error)
-        else:
-            self.adopt(new.to_record(), revision)
 
     async def leave(self):
         """Gives up what this member holds, first its shares, so that it can hand them over, then its place:
@@ -321,10 +320,7 @@
             new = self.term.drop({self.label})
             log.info("leaving: term %d", new.number)
             try:
-                revision = await self._state.multi(
-                    [(TERM, self.revision)], [{"put": TERM, "data": new.to_record()},
-                                              {"drop": MEMBER + self.label}])
-                self.adopt(new.to_record(), revision)
+                await self._write_term(new, writes=[{"drop": MEMBER + self.label}])
             except (Unavailable, Conflict, Unsure) as error:
                 log.debug("leaving: %r", error)
                 await self._loop.sleep(self._lease_s / 24)
@@ -340,10 +336,7 @@
                 continue
             log.info("amending the term: %s", amendments)
             try:
-                revision = await self._state.multi(
-                    [(TERM, self.revision)], [{"put": TERM, "data": new.to_record()}]
-                )
-                self.adopt(new.to_record(), revision)
+                await self._write_term(new)
             except (Unavailable, Unsure, Conflict) as error:
                 log.debug("amendment: %r", error)
                 for amendment in amendments:  # wanted again soon, if it still is
