Hearing is knowing: every link carries all cancellations; away members end heard-mode

Cause: a controller without a watch went on renewing as long as it heard the other members of its term. A confirmation was sent once, over the links up at that moment; nothing told a peer that was out of reach then. With the service refused to one, its links down for 6 s while another confirms, and an outage, cancelled tasks ran on without end. Change: each controller writes what it knows of cancellations to a link before its first beat there, and what it learns as it learns it; only beats count as hearing, less the silence a link may have; all configured controllers must be heard, as the term names them; after a gap longer than news is passed on for, hearing proves nothing. Whoever is no member tells no cancellation.

--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -125,13 +125,20 @@
 
     def _known(self, job_id):
         record = self._node.book.finals.get(job_id)
-        return None if record is None else answer(record, job_id)
+        return None if record is None else self._final(record, job_id)
+
+    def _final(self, record, job_id):
+        """The answer on a job that is over. Raises Unavailable if it can't be told now."""
+        # One cancelled with a job that it needs had no task yet.
+        if record["s"] == "cancelled" and "above" not in record:
+            self._node.cancelled([job_id])
+        return answer(record, job_id)
 
     def _state(self, record, job_id):
         """A job's state from its record just read, with the counts of its owner if that is us."""
         if record["s"] in FINAL:
             self._node.book.remember(job_id, record)
-            return answer(record, job_id)
+            return self._final(record, job_id)
         self._node.takeover.seen(job_id, record)
         job = self._node.book.jobs.get(job_id)
         if job is None or job.state != "open":
@@ -203,6 +210,8 @@
         node = self._node
         if not messages.JOB_ID.match(job_id):
             return 404, messages.error("no such job"), None
+        if not node.member.joined:
+            return REFUSED
         for _ in range(5):
             known = node.book.finals.get(job_id)
             if known is None:
@@ -211,9 +220,7 @@
                 return 404, messages.error("no such job"), None
             if known["s"] in FINAL:
                 node.book.remember(job_id, known)
-                if known["s"] == "cancelled":
-                    node.cancelled([job_id])
-                return 200, messages.job_status(job_id, known["s"]), None
+                return 200, self._final(known, job_id), None
             record = closing(known)
             try:
                 revision = await node.state.multi(
--- a/roadhead/homes/known.py
+++ b/roadhead/homes/known.py
@@ -1,6 +1,7 @@
 """What a home knows: its machines, where each job's tasks are, who owns them and what they need."""
 
 from roadhead.homes.machine import Machine
+from roadhead.membership.touch import KEPT
 
 CANCELLED_MOST = 5000  # jobs known to be over, before the older ones are let go of
 
@@ -64,7 +65,7 @@
         self.specs = {job: spec for job, spec in self.specs.items() if job in live}
         if len(self.cancelled) > CANCELLED_MOST:
             self.cancelled = {job: at for job, at in self.cancelled.items()
-                              if job in live or at > now - 2 * self._cancel_s}
+                              if job in live or at > now - KEPT * self._cancel_s}
         self.faulty = {job: at for job, at in self.faulty.items() if job in live or at > old}
         self.proven = {job: at for job, at in self.proven.items() if job in live or at > old}
         self.gone = {name: at for name, at in self.gone.items() if at > old - 20 * self._lag_s}
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -266,6 +266,8 @@
                 job.stamp = stamp
                 self._over(job, record, inherited)
             else:
+                if job.unsynced and job.id in self.jobs:
+                    self.accounts.unsure(job)  # what runs of it is still to be told
                 self.cancelled(job.id, record)
             return
         if mine:
@@ -351,7 +353,7 @@
     def end(self, job):
         """A job that waits is cancelled, as one that it needs is: true from now on, and written in time."""
         self._ending[job.id] = job
-        record = job.final(job.state)
+        record = {**job.final(job.state), "above": True}
         self.remember(job.id, record)
         self.line.told(job.id, record)
         self.recorder.mark(job, LATER)
@@ -426,6 +428,8 @@
                 if not job.unsynced:
                     self._inherited.pop(job, None)
                     self.accounts.sure(job)
+                    if job.state == "cancelled":
+                        self._end_cancelled(job)
                     if job.gang and job.free and job.bound:
                         self._break_up(job)  # its owner ended while it started them
                     ready = True
@@ -487,7 +491,13 @@
             if job.gang:
                 self._break_up(job)
             self._changed()
-        elif job.state == "cancelled" and not job.bound:
+        elif job.state == "cancelled":
+            self._end_cancelled(job)
+
+    def _end_cancelled(self, job):
+        """A cancelled job is let go of, and its mark, once none of its tasks can be anywhere: homes that
+        have not told yet may find some, whose homes read of it by that mark alone."""
+        if not job.bound and not job.unsynced:
             self._leave(job)
             self.recorder.drop(CANCEL + job.id)
 
@@ -536,7 +546,8 @@
             self._away(label, key, status)
             return
         if binding is None:
-            if index in job.done or job.state != "open":
+            stopping = job.state == "cancelled" and job.unsynced and status != "exited"
+            if index in job.done or (job.state != "open" and not stopping):
                 self._away(label, key, status)
                 return
             if status == "exited" and cause != "done":
@@ -642,13 +653,16 @@
 
     def cancelled(self, job_id, record=None):
         """The job is durably cancelled."""
-        waiting = self._ending.pop(job_id, None) or self.line.waits.jobs.get(job_id)
+        if job_id in self._ending:
+            return  # its end is being written; the conflict tells of this one
+        waiting = self.line.waits.jobs.get(job_id)
         if waiting is not None:
             self.line.waits.remove(waiting)
             waiting.state = "cancelled"
             self.recorder.unmark(waiting)
             self.remember(job_id, record or waiting.final(waiting.state))
-            self.recorder.drop(CANCEL + job_id)
+            if not waiting.foreign:  # else its owner of before may have let it go, and started some
+                self.recorder.drop(CANCEL + job_id)
             return
         job = self.jobs.get(job_id)
         if job is None or job.state == "cancelled":
@@ -667,6 +681,4 @@
             del job.bound[index]
         for index, binding in list(job.bound.items()):
             self._send_home(binding, frames.Stop(binding.machine, job_id, index, binding.attempt, 0.0))
-        if not job.bound:
-            self._leave(job)
-            self.recorder.drop(CANCEL + job_id)
+        self._end_cancelled(job)
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -231,6 +231,11 @@
     return {"s": "cancelled", "n": record["spec"]["legs"], "d": sum(done[1::2]) - sum(done[0::2])}
 
 
+def closing_above(record):
+    """The same of one that is cancelled with a job that it needs: by derivation, and without any task yet."""
+    return {**closing(record), "above": True}
+
+
 def answer(record, job_id):
     """The answer to a poll, from a record alone."""
     if record["s"] == "open":
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -106,7 +106,7 @@
 
     def drop(self, key):
         """A key that is no longer needed."""
-        if len(self._drops) < 1000:
+        if len(self._drops) < 1000 and key not in self._drops:
             self._drops.append(key)
 
     async def _refuse(self, jobs):
--- a/roadhead/local/standins.py
+++ b/roadhead/local/standins.py
@@ -69,7 +69,7 @@
         # permit -> [life, ends]; as after an outage, all have their full time
         self.leases = {permit: [life, self.sim.time + life] for permit, life in leases.items()}
         self.down = False
-        self.refused_hosts = set()
+        self.refused_until = {}  # host -> when it is served again
         self.requests = self.refused = self.oversized = 0
         self.listed = 0  # items of pages under j/
         self.levels = {name: (world.settings["state"][name], 0.0) for name in ("rps", "write_rps")}
@@ -104,6 +104,10 @@
         for waiter in waiters:
             waiter.set()
 
+    def refuse(self, host, seconds):
+        """503 for one controller, whose open watches wait as in an outage."""
+        self.refused_until[host] = max(self.sim.time + seconds, self.refused_until.get(host, 0.0))
+
     def outage(self, on):
         self.down = on
         if not on:
@@ -117,7 +121,7 @@
             self.refused += 1
             return 429, {"error": "too much"}
         await self.loop.sleep(0.004)
-        refused = lambda: self.down or host in self.refused_hosts  # noqa: E731
+        refused = lambda: self.down or self.sim.time < self.refused_until.get(host, 0.0)  # noqa: E731
         if refused():
             return 503, {"error": "trouble"}
         if path == "/store":
@@ -590,9 +594,11 @@
         self.told_cancelled_at = None
         self.asked_at = 0.0
 
-    async def _ask(self, method, path, body, timeout):
+    async def _ask(self, method, path, body, timeout, via=None):
         world = self.world
         fronts = [f for f in world.fronts_for(self.job) if f in world.network.listeners]
+        if via is not None:
+            fronts = [f for f in fronts if f == world.fronts[via]]
         if not fronts:
             return 0, None
         client = Client(world.user_loop, world.user_net, self.sim.random.choice(fronts), 0)
@@ -675,11 +681,15 @@
                 return
             await self.world.user_loop.sleep(1.0)
 
-    async def cancel(self):
+    async def poll(self, via=None):
+        """One question more, of the controller named."""
+        self._hear(*await self._ask("GET", f"/v1/jobs/{self.id}", None, 2.0, via))
+
+    async def cancel(self, via=None):
         self.asked_to_cancel = True
         begun = self.sim.time
         while self.sim.time - begun < 60:
-            status, answer = await self._ask("POST", f"/v1/jobs/{self.id}/cancel", None, 5.0)
+            status, answer = await self._ask("POST", f"/v1/jobs/{self.id}/cancel", None, 5.0, via)
             if status == 200:
                 self._hear(status, answer)
                 return
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -340,8 +340,7 @@
             self.state.outage(True)
             self.sim.call_later(float(rest[0]), self.state.outage, False)
         elif verb == "refuse":
-            self.state.refused_hosts.update(self._hosts(rest[0]))
-            self.sim.call_later(float(rest[1]), self.state.refused_hosts.clear)
+            self.state.refuse(self._hosts(rest[0])[0], float(rest[1]))
         elif verb == "cut":
             mode = rest[3] if len(rest) > 3 else "lose"
             for a in self._hosts(rest[0]):
@@ -349,10 +348,12 @@
                     if a != b:
                         self.network.cut(a, b, mode)
                         self.sim.call_later(float(rest[2]), self.network.heal, a, b)
-        elif verb == "cancel":
+        elif verb in ("cancel", "poll"):
+            # Through any controller, or through the one named: "cancel 1,2 1".
+            via = int(rest[1]) if len(rest) > 1 else None
             for number in rest[0].split(","):
                 user = self.users[f"req-{int(number):06d}"]
-                self.user_loop.spawn(user.cancel(), "cancel")
+                self.user_loop.spawn(getattr(user, verb)(via), verb)
         elif verb == "hang":
             up = sorted((w for w in self.cloud.rented.values() if w.up and not w.dead),
                         key=lambda w: (-len(w.tasks), w.name))
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -44,6 +44,7 @@
         self.renewed_at = -1e9
         self.watched_at = -1e9  # send time of the newest watch or listing that was answered
         self._present = {}  # label -> newest format of records that it knows
+        self._marks = {}  # key of a cancellation's mark -> since when it was seen here
         self._lost = Signal()
         self._absent = Signal()
         self._amend = Signal()
@@ -189,9 +190,10 @@
                 self._take_gate(value, stamp)
             elif self._on_tenant is not None and key.startswith(TENANT):
                 self._on_tenant(key, value, stamp)
-        cancelled = [key[len(CANCEL):] for key, _, _ in items if key.startswith(CANCEL)]
-        if cancelled:
-            self._on_cancel(cancelled)
+        marks = [key for key, _, _ in items if key.startswith(CANCEL)]
+        self._marks = {key: self._marks.get(key, sent_at) for key in marks}
+        if marks:
+            self._on_cancel([key[len(CANCEL):] for key in marks])
         self._seen = revision
         self.watched_at = max(self.watched_at, sent_at)
 
@@ -261,14 +263,29 @@
                     else:
                         self._present.pop(label, None)
                         self._absent.set()
-                elif key.startswith(CANCEL) and "put" in event:
-                    cancelled.append(key[len(CANCEL):])
+                elif key.startswith(CANCEL):
+                    if "put" in event:
+                        cancelled.append(key[len(CANCEL):])
+                        self._marks[key] = self._loop.now()
+                    else:
+                        self._marks.pop(key, None)
                 elif self._on_tenant is not None and key.startswith(TENANT) and "put" in event:
                     self._on_tenant(key, event["data"], event["stamp"])
             self._seen = max(self._seen, revision)
             if cancelled:
                 self._on_cancel(cancelled)
 
+    def stale_marks(self, age_s):
+        """Keys of cancellations' marks that have been there for so long that nobody needs them: whose
+        owner ended before it could drop them. One member names them, in the order in which they came."""
+        if self.label != min(self.term.members):
+            return
+        before = self._loop.now() - age_s
+        for key, since in self._marks.items():
+            if since > before:
+                return
+            yield key
+
     async def _drop_absent(self):
         """Drops members whose key is gone, in one transaction that checks that it is."""
         while True:
--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from roadhead.membership.touch import SILENT_BEATS
 from roadhead.runtime.loop import Cancelled, Timeout
 from roadhead.runtime.net import Closed
 from roadhead.wire.frames import BadFrame, Beat, Hello, Splitter
@@ -10,7 +11,8 @@
 
 
 class Link:
-    """`heard_at` tells silence; `spoke_at` is a time after which the other side surely spoke."""
+    """`heard_at` tells silence; `spoke_at` is when the last beat came: what the other side knew when it
+    sent that was on the link before it."""
 
     __slots__ = ("deaf", "heard_at", "incarnation", "spoke_at", "state_ok", "stream",
                  "used")
@@ -18,7 +20,8 @@
     def __init__(self, stream, incarnation, now):
         self.stream = stream
         self.incarnation = incarnation
-        self.heard_at = self.spoke_at = now
+        self.heard_at = now
+        self.spoke_at = -1e9
         self.state_ok = True
         self.deaf = False
         self.used = None  # (requests, writes) of the state service a second, once told
@@ -101,13 +104,14 @@
                             self._drop(label, old)
                         link = Link(stream, frame.incarnation, self._loop.now())
                         self.links[label] = link
-                        stream.write(self._beat().encode())
+                        # Before the first beat: who hears that relies on having been told all.
                         self._on_up(label)
+                        stream.write(self._beat().encode())
                         continue
                     link.heard_at = self._loop.now()
-                    if not self._loop.catching_up:
-                        link.spoke_at = link.heard_at
                     if type(frame) is Beat:
+                        if not self._loop.catching_up:
+                            link.spoke_at = link.heard_at
                         link.state_ok = frame.state_ok
                         link.deaf = frame.deaf
                         link.used = (frame.requests, frame.writes)
@@ -133,7 +137,7 @@
     async def _beats(self):
         while True:
             await self._loop.sleep(self._beat_s)
-            limit = self._loop.now() - 3.5 * self._beat_s
+            limit = self._loop.now() - SILENT_BEATS * self._beat_s
             for label, link in list(self.links.items()):
                 if link.heard_at < limit:
                     log.info("peer %s is silent", label)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -4,6 +4,7 @@
 import random
 import time
 from functools import partial
+from itertools import islice
 
 import msgspec
 
@@ -16,7 +17,7 @@
 from roadhead.homes.machine import Needs
 from roadhead.homes.workers import Workers
 from roadhead.jobs.book import Book
-from roadhead.jobs.job import FINAL, FORMAT, KEY, SHELF, before, closing, shorten, size_of, spec_of
+from roadhead.jobs.job import FINAL, FORMAT, KEY, SHELF, before, closing_above, shorten, size_of, spec_of
 from roadhead.jobs.recorder import NO_GUARDS, Recorder
 from roadhead.jobs.records import Shelf, complete, find
 from roadhead.jobs.risk import Risk
@@ -24,6 +25,7 @@
 from roadhead.membership.gate import Gate
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
+from roadhead.membership.touch import KEPT, SILENT_BEATS, Cancellations, Touch
 from roadhead.pipelines.ancestry import Ancestry
 from roadhead.pipelines.line import Line
 from roadhead.pipelines.parts import Parts
@@ -40,6 +42,8 @@
 log = logging.getLogger("roadhead.node")
 
 POLL_S = 2.0  # users wait that long for the answer to a poll (PROTOCOL)
+NEWS_MOST = 500  # jobs in a frame
+MARKS_MOST = 20  # of cancellations, that nobody dropped, dropped at a time
 
 
 class Node:
@@ -62,17 +66,19 @@
         self.ancestry = Ancestry(
             loop, self.state, lambda job: (record := self.book.finals.get(job)) and record["s"],
             lambda job, record: self.book.remember(job, record), partial(find, self.state),
-            partial(complete, self.state), before, closing, (KEY, SHELF))
+            partial(complete, self.state), before, closing_above, (KEY, SHELF))
         self.reader = Reader(loop, self.state, POLL_S / 2, (KEY, SHELF), partial(complete, self.state),
                              shorten, self.ancestry.derive)
         self.cloud = CloudClient(loop, net, settings.external.cloud, deployment.cloud, deployment.nodes)
         # A controller out of touch must stop renewing before this is up (safety 4).
-        self._blind_s = 0.8 * (workers.cancel_s - workers.lease_s)
+        blind_s = 0.8 * (workers.cancel_s - workers.lease_s)
+        self._touch = Touch(blind_s, KEPT * workers.cancel_s)
+        self.cancellations = Cancellations(KEPT * workers.cancel_s)
         self._beat_s = workers.lease_s / 12
         self.member = Member(
             loop, self.state, self.label,
             lease_s=max(0.1, min(600.0, tuning.membership.lease_ratio * workers.lease_s)),
-            watch_s=self._blind_s / 4,
+            watch_s=blind_s / 4,
             on_term=self._on_term, on_lost=self._on_lost, on_cancel=self.on_cancelled,
             gate=Gate(FORMAT, [self.label, *(member.label for member in settings.members)]),
             slots=1 if hosted is None else hosted.slots,
@@ -288,11 +294,10 @@
         """Whether workers' leases may be renewed.
 
         A controller that can learn neither from the state service nor from every other
-        member that a job was cancelled must let go of its machines in time (safety 4).
+        one that a job was cancelled must let go of its machines in time (safety 4).
         """
-        if self._loop.now() - self.member.watched_at < self._blind_s:
-            return True
-        return self._heard_all(self._blind_s)
+        self._touch.look(self.member.watched_at, self._heard_at())
+        return self._touch.fresh(self._loop.now())
 
     def sure(self):
         """Whether no other controller can have renewed the workers of machines homed here.
@@ -300,19 +305,25 @@
         A lapsed member may have been dropped, and its machines have other homes, without
         its knowing (a stall, a cut); not so if all others still speak to it.
         """
-        return not self.member.lapsed() or self._heard_all(self.settings.deployment.workers.lease_s / 4)
+        if not self.member.lapsed():
+            return True
+        heard_at = self._heard_at()
+        return heard_at is not None and self._loop.now() - heard_at < (
+            self._deployment.workers.lease_s / 4 + SILENT_BEATS * self._beat_s)
 
-    def _heard_all(self, within_s):
-        """Whether every other member of the term spoke within that time."""
-        now = heard = self._loop.now()
-        for label, (incarnation, *_rest) in self.member.term.members.items():
-            if label == self.label:
-                continue
-            link = self.peers.links.get(label)
-            if link is None or link.incarnation != incarnation:
-                return False
-            heard = min(heard, link.spoke_at)
-        return now - heard < within_s
+    def _heard_at(self):
+        """By then all other controllers had sent the last beat heard of them; None if one can't be heard.
+
+        All that are configured, not those of the term known here: one that it does not name may have
+        joined since without our knowing, and taken what is ours.
+        """
+        heard_at = self._loop.now()
+        for other in self.settings.members:
+            link = self.peers.links.get(other.label)
+            if link is None or link.incarnation != self.member.term.incarnation(other.label):
+                return None
+            heard_at = min(heard_at, link.spoke_at)
+        return heard_at - SILENT_BEATS * self._beat_s
 
     def ready(self):
         """Ready unless others can do better: the state service answers them and not us, or the
@@ -368,17 +379,31 @@
         return await self.reader.read(job_id)
 
     def cancelled(self, jobs):
-        """Jobs cancelled through this controller: every home hears of it."""
-        for label in list(self.peers.links):
-            self.send(label, frames.CancelNews(list(jobs)))
+        """Jobs that a user is about to be told to be cancelled: every home that can be reached has word of
+        it first, and those that can't will not hear from us before they have (membership/touch.py)."""
+        if not self.member.joined:
+            # Nobody counts on hearing from us, so somebody's tasks might run on without our telling.
+            raise Unavailable("no member: what is told here would not be known")
+        self._learn_cancelled(jobs)
         self.home.commanding.cancel(jobs)
 
     def on_cancelled(self, jobs):
+        """Jobs cancelled through another controller, by its word or by the record."""
+        self._learn_cancelled(jobs)
         self.home.commanding.cancel(jobs)
         for job in jobs:
             self.book.cancelled(job)
         self.book.line.on_cancelled(jobs)
 
+    def _learn_cancelled(self, jobs):
+        fresh = self.cancellations.learn(jobs, self._loop.now())
+        for label in list(self.peers.links) if fresh else ():
+            self._tell_cancelled(label, fresh)
+
+    def _tell_cancelled(self, label, jobs):
+        for at in range(0, len(jobs), NEWS_MOST):
+            self.send(label, frames.CancelNews(jobs[at : at + NEWS_MOST]))
+
     def _need_spec(self, job):
         if job not in self._looking:
             self._looking.add(job)
@@ -455,6 +480,7 @@
         if term is None:
             return
         self._switchboard.tell_term(label)
+        self._tell_cancelled(label, self.cancellations.all())
         self.book.sync(label)
         self.dispatcher.tell_again()
         self.book.line.look_again()
@@ -489,8 +515,10 @@
         while True:
             await self._loop.sleep(self._beat_s)
             self._summary.look_for_trouble(self.member.lapsed())
+            self.cancellations.prune(self._loop.now())
             if not self.member.joined:
                 continue
+            self.may_renew()  # hearing counts only as long as it does not break off
             released = self.home.tick(self.sure())
             if released:
                 self.fleet.release([machine.id for machine in released])
@@ -502,6 +530,10 @@
             self.book.line.tick()
             self.member.raise_gate()
             every += 1
+            if every % 30 == 0:
+                stale = self.member.stale_marks(KEPT * self._deployment.workers.cancel_s)
+                for mark in islice(stale, MARKS_MOST):
+                    self.book.recorder.drop(mark)
             if self.desk is not None:
                 self.desk.tick(every)
             if self.label in self.member.term.relieved and every % 6 == 0:
--- a/roadhead/pipelines/line.py
+++ b/roadhead/pipelines/line.py
@@ -119,7 +119,7 @@
             self.waits.remove(job)
             self._cancel(job)
         elif spec.id not in self._book.finals:
-            self._book.remember(spec.id, {"s": CANCELLED, "n": spec.tasks, "d": 0})
+            self._book.remember(spec.id, {"s": CANCELLED, "n": spec.tasks, "d": 0, "above": True})
 
     def on_cancelled(self, jobs):
         """These jobs are durably cancelled, by the word of another or by the watch."""
@@ -147,7 +147,9 @@
         for job_id, tasks, done, ended, cancelled in frame.rows:
             if job_id not in self._book.finals:
                 record = {"s": CANCELLED if cancelled else "done", "n": tasks, "d": done}
-                self._book.remember(job_id, {**record, "e": ended} if ended else record)
+                # Of cancellations only those with another job are told in this way.
+                more = {**({"e": ended} if ended else {}), **({"above": True} if cancelled else {})}
+                self._book.remember(job_id, {**record, **more})
 
     def _flush_soon(self):
         if not self._flushing:
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -338,11 +338,12 @@
     call.finish(call.tenancy.do("tenant", "kestrel", "team=crew"))
     call.wait(2)
     key = call.tenancy.keys["kestrel"]
-    call.world.state.refused_hosts.update(["10.3.0.1", "10.3.0.2"])
+    for host in ("10.3.0.1", "10.3.0.2"):
+        call.world.state.refuse(host, 1e9)
     assert call("tenants", "GET", "/v1/jobs/x", key=key)[0] == 404  # by the controllers, for a while
     call.wait(25)
     assert call("tenants", "GET", "/v1/jobs/x", key=key)[0] == 503
-    call.world.state.refused_hosts.clear()
+    call.world.state.refused_until.clear()
     call.wait(12)  # a watch opened meanwhile waits its time out
     assert call("tenants", "GET", "/v1/jobs/x", key=key)[0] == 404
 
