--- a/roadhead/local/standins.py
+++ b/roadhead/local/standins.py
@@ -24,6 +24,7 @@
         self.host = host
         self.lose = 0
         self.late = []  # (matches(method, path, body), delay): executed that much later
+        self.late_share = (0.0, 0.0)  # of transactions that come late, and until when
         self.net.listen(address, lambda stream: self.loop.spawn(self._serve(stream), host))
 
     async def _serve(self, stream):
@@ -36,6 +37,11 @@
                     self.late.remove((matches, delay))
                     self.loop.spawn(self._later(delay, request.method, path, args, body, stream))
                     await Future()
+            share, until = self.late_share
+            if path == "/multi" and self.sim.time < until and self.sim.random.random() < share:
+                delay = self.sim.random.uniform(2.0, 12.0)
+                self.loop.spawn(self._later(delay, request.method, path, args, body, stream))
+                await Future()
             host = getattr(stream, "peer_host", "")
             status, answer = await self.handle(request.method, path, args, body, host)
             if self.lose > 0 and request.method == "POST":
@@ -70,6 +76,7 @@
         self.leases = {permit: [life, self.sim.time + life] for permit, life in leases.items()}
         self.down = False
         self.refused_until = {}  # host -> when it is served again
+        self.slow_s = 0.0  # answers take up to so much longer
         self.requests = self.refused = self.oversized = 0
         self.listed = 0  # items of pages under j/
         self.levels = {name: (world.settings["state"][name], 0.0) for name in ("rps", "write_rps")}
@@ -120,7 +127,7 @@
         if not self._take("rps", 1):
             self.refused += 1
             return 429, {"error": "too much"}
-        await self.loop.sleep(0.004)
+        await self.loop.sleep(0.004 + self.slow_s * self.sim.random.random())
         refused = lambda: self.down or self.sim.time < self.refused_until.get(host, 0.0)  # noqa: E731
         if refused():
             return 503, {"error": "trouble"}
@@ -326,6 +333,7 @@
         self.sequence = 0
         self.token = 0
         self.notice_at = None
+        self.deaf_until = 0.0  # until then answers and commands to it are lost
         self.tasks = {}  # (task, attempt) -> OnMachine
         self.report_s = world.settings["workers"]["report_s"]
         self.lease_s = world.settings["workers"]["lease_s"]
@@ -359,9 +367,16 @@
             front = nodes[at % len(nodes)]
             client = clients.setdefault(front, Client(self.loop, self.net, front, 1))
             sent_at, session = self.loop.now(), self.session
+            body = cbor2.dumps(self.report())
+            share, until = self.world.late_reports
+            if self.sim.time < until and self.sim.random.random() < share:
+                self.loop.spawn(self._again(front, body), "late copy")
             try:
-                status, data, _ = await client.request(
-                    "POST", "/v1/report", cbor2.dumps(self.report()), 4.0)
+                status, data, _ = await client.request("POST", "/v1/report", body, 4.0)
+                if self.sim.time < self.deaf_until:
+                    status, data = 0, b""
+                    client.close()
+                    await self.loop.sleep(max(0.0, sent_at + 4.0 - self.loop.now()))
             except NoAnswer:
                 status, data = 0, b""
             if status == 200:
@@ -385,6 +400,14 @@
                 at += 1
                 await self.loop.sleep(1.0)
 
+    async def _again(self, front, body):
+        """A copy of a report arrives late, and nobody hears the answer to it."""
+        await self.loop.sleep(self.sim.random.uniform(2.0, 3 * self.lease_s))
+        try:
+            await Client(self.loop, self.net, front, 0).request("POST", "/v1/report", body, 4.0)
+        except NoAnswer:
+            pass
+
     async def _watch_lease(self):
         while True:
             await self.loop.sleep(0.1)
@@ -410,6 +433,8 @@
         }
 
     async def handle(self, method, path, args, body, host):
+        if self.sim.time < self.deaf_until:
+            await Future()
         if path == "/inspect":
             return 200, self.report()
         if body["brand"] < self.token or body["stint"] != self.session:
@@ -591,6 +616,7 @@
         self.told_at = 0.0
         self.gave_up = False
         self.asked_to_cancel = False
+        self.answered_at = 0.0  # the last question about an accepted job
         self.told_cancelled_at = None
         self.asked_at = 0.0
 
@@ -617,6 +643,7 @@
             world.break_rule("forgotten", self.id)
         if status not in (200, 201):
             return
+        self.answered_at = self.sim.time
         state = answer["status"]
         if self.told in ("done", "cancelled") and state != self.told:
             world.break_rule("went_back", f"{self.id}: {self.told} then {state}")
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -19,7 +19,9 @@
     "cpus_max": 0.0, "drift": 0.0005, "boot_s": 5.0, "gateways": 0, "slots": 24,
     "preempt": 1, "sockets": 0, "rps": 300.0, "write_rps": 60.0, "value_kb": 8.0,
     "next_write_rps": 0.0, "next_value_kb": 0.0, "next_txn_ops": 0,
+    "settled": 0.0,  # when all troubles are over, for the rule that a job stays known
 }
+UNANSWERED_S = 75.0  # once they are, without an answer for that long a job counts as forgotten
 
 
 class Failures(logging.Handler):
@@ -76,6 +78,8 @@
         self.started = {}  # task -> when it first did
         self.cancelled_at = {}
         self.refusals = {}
+        self.late_reports = (0.0, 0.0)  # share of which a copy comes again, and until when
+        self.longest_gone = 0.0  # after its user was told of a cancellation, a task was still there
         self.zones = ("north", "south")
         self.labels = [f"ctl-{number}" for number in range(options["controllers"])]
         self.fronts = [f"10.0.0.{number + 1}:8080" for number in range(options["controllers"])]
@@ -219,6 +223,8 @@
             await self.sim.sleep(0.5)
             for task in self.running:
                 told = self.cancelled_at.get(task.rpartition("/")[0])
+                if told is not None:
+                    self.longest_gone = max(self.longest_gone, self.sim.time - told)
                 if told is not None and self.sim.time > told + self.settings["workers"]["cancel_s"]:
                     self.break_rule("ran_cancelled", task)
                 if self.tenancy is not None:
@@ -227,6 +233,17 @@
                     if told is not None and self.sim.time > told + 2 * self.settings["workers"]["cancel_s"]:
                         self.break_rule("ran_cancelled", f"{task} of a tenant that is removed")
 
+            self._check_known()
+
+    def _check_known(self):
+        settled = self.options["settled"]
+        if not settled or self.sim.time < settled + UNANSWERED_S:
+            return
+        for user in self.users.values():
+            if user.accepted and user.told not in ("done", "cancelled") and (
+                    self.sim.time > max(settled, user.answered_at) + UNANSWERED_S):
+                self.break_rule("forgotten", f"{user.id}: no question answered since {user.answered_at:.1f}")
+
     # What a scenario can do
 
     @staticmethod
@@ -386,6 +403,17 @@
             self.cloud.late.append((lambda m, path, _b: (m, path) == ("POST", "/hosts"), float(rest[0])))
         elif verb == "late-write":
             self.state.late.append((lambda _m, path, _b: path == "/multi", float(rest[0])))
+        elif verb == "late-writes":
+            self.state.late_share = float(rest[0]), self.sim.time + float(rest[1])
+        elif verb == "late-reports":
+            self.late_reports = float(rest[0]), self.sim.time + float(rest[1])
+        elif verb == "deaf":
+            up = [worker for worker in self.cloud.rented.values() if worker.up and not worker.dead]
+            for worker in self.sim.random.sample(up, round(float(rest[0]) * len(up))):
+                worker.deaf_until = self.sim.time + float(rest[1])
+        elif verb == "slow-state":
+            self.state.slow_s = float(rest[0])
+            self.sim.call_later(float(rest[1]), setattr, self.state, "slow_s", 0.0)
         elif verb == "cloud-outage":
             self.cloud.down = True
             self.sim.call_later(float(rest[0]), setattr, self.cloud, "down", False)
@@ -492,6 +520,9 @@
             elif words[0] == "together":
                 faults += [f"the tasks of {job['id']} never ran together" for job in self.jobs.values()
                            if job["shape"] == "group" and job["id"] not in self.together]
+            elif words[0] == "cancelled_gone":
+                if self.longest_gone > float(words[2]):
+                    faults.append(f"tasks of a cancelled job were there for {self.longest_gone:.1f} s")
             elif words[0] == "no_rooms":
                 if self.no_rooms:
                     faults.append(f"{self.no_rooms} starts found no room")
--- a/tests/hunt.py
+++ b/tests/hunt.py
@@ -1,7 +1,7 @@
-"""Hunts broken rules: days of virtual time drawn by chance, with everything failing, of a hosted service
-or of pipelines.
+"""Hunts broken rules: days of virtual time drawn by chance, with everything failing, of a hosted service,
+of pipelines, or of two to four troubles that meet.
 
-    python3 tests/hunt.py [--pipelines] [--days N] [--seed FIRST] [--jobs N] [--show SEED]
+    python3 tests/hunt.py [--pipelines | --meetings] [--days N] [--seed FIRST] [--jobs N] [--show SEED]
 
 Prints the days on which a rule broke, a callback failed, or work that was accepted did not end.
 `--show` prints a day's scenario, to be put under tests/scenarios/ with what it found.
@@ -95,15 +95,67 @@
     return "\n".join(lines)
 
 
+LEASE_S, CANCEL_S = 12, 32  # the stand-ins' (world.py, DEFAULTS)
+MEETINGS_END_S = 230
+
+
+def drawn_meetings(seed):
+    """The text of a day on which troubles overlap on purpose, with cancellations, polls and jobs that need
+    others throughout; tasks short and several times `cancel_s` long."""
+    rng = random.Random(seed)
+    count = rng.choice((3, 3, 5))
+    lines = [f"seed {seed}", f"controllers {count}", "until 800", f"settled {MEETINGS_END_S}",
+             f"capacity {rng.choice((4, 6, 10))}", f"cpus_max {rng.choice((0, 0, 0, 8))}", "at 5 storm 3 330"]
+    jobs = rng.randrange(14, 30)
+    times = sorted(rng.uniform(1, 170) for _ in range(jobs))
+    for number, at in enumerate(times, 1):
+        named = sorted(rng.sample(range(1, number), min(number - 1, rng.choice((0, 0, 0, 1, 2)))))
+        lines.append(
+            f"at {at:.2f} submit legs={rng.choice((1, 2, 3, 3, 6, 12))} "
+            f"runS={rng.choice((3, 15, 40, 100, 160))} urgency={rng.choice(('high', 'standard', 'low'))} "
+            f"musterS={rng.choice((0, 0, 10))} stowS={rng.choice((0, 2))}"
+            + (f" upstream={','.join(map(str, named))}" if named else ""))
+    spans = [quarter * bound / 4 for bound in (LEASE_S, CANCEL_S) for quarter in range(1, 6)]
+    for begin in (rng.uniform(25, 50), rng.uniform(110, 135)):
+        node = rng.randrange(count)
+        other = (node + rng.randrange(1, count)) % count
+        for _ in range(rng.randrange(2, 5)):
+            at, length = begin + rng.choice(spans) / 2, rng.choice(spans)
+            length = min(length, MEETINGS_END_S - 20 - at)
+            lines += [f"at {at:.2f} {text}" for text in rng.choice((
+                [f"refuse {node} {length}"], [f"refuse {node} {length}", f"cut {node} peers {length / 2}"],
+                [f"outage {length}"], [f"outage {length}"], [f"slow-state 3 {length}"],
+                [f"cut {node} {other} {length} {rng.choice(('lose', 'hold'))}"],
+                [f"cut {node} peers {length} {rng.choice(('lose', 'hold'))}"],
+                [f"cut {node} state {length} hold", f"cut {node} peers {length} hold"],
+                [f"cut {node} workers {length} hold"], [f"cut {node} even-workers {length} hold"],
+                [f"crash {node} {rng.choice((0.1, 0.5, 3, length))}"],
+                [f"crash {number} {rng.choice((0.1, 3, length))}" for number in range(count)],
+                [f"leave {node} 0.2"], [f"leave {node} 0.2", f"leave {other} 0.2"],
+                [f"stall {node} {length}"], [f"late-writes {rng.choice((0.1, 0.5))} {length}"],
+                [f"late-reports 0.5 {length}"], [f"deaf {rng.choice((0.3, 1))} {length}"],
+                [f"late-launch {length}"], [f"hang 0 {length}"], ["die 2"],
+            ))]
+        for _ in range(rng.randrange(2, 7)):
+            number = rng.randrange(1, jobs + 1)
+            at = max(times[number - 1] + 1, begin + rng.uniform(0, 20))
+            lines.append(f"at {at:.2f} cancel {number}")
+    return "\n".join(lines)
+
+
 def played(seed):
     """(seed, faults) of a day."""
     world = World(drawn(seed)).run()
     return seed, world.check()
 
 
-def played_pipelines(seed):
+def played_meetings(seed):
+    return played_pipelines(seed, drawn_meetings)
+
+
+def played_pipelines(seed, draw=drawn_pipelines):
     """(seed, faults) of a day: whatever was accepted ends, as cancelled only with one of its ancestors."""
-    world = World(drawn_pipelines(seed)).run()
+    world = World(draw(seed)).run()
     faults = world.check() + [f"{job} is {user.told}" for job, user in world.users.items()
                               if user.accepted and user.told not in ("done", "cancelled")]
     for job, user in world.users.items():
@@ -121,11 +173,13 @@
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--show", type=int)
     parser.add_argument("--pipelines", action="store_true")
+    parser.add_argument("--meetings", action="store_true")
     args = parser.parse_args()
+    draw, play = ((drawn_meetings, played_meetings) if args.meetings else
+                  (drawn_pipelines, played_pipelines) if args.pipelines else (drawn, played))
     if args.show is not None:
-        print((drawn_pipelines if args.pipelines else drawn)(args.show))
+        print(draw(args.show))
         return
-    play = played_pipelines if args.pipelines else played
     broken = 0
     with multiprocessing.Pool(args.jobs) as pool:
         for seed, faults in pool.imap_unordered(play, range(args.seed, args.seed + args.days)):
