Leases are judged by a term known to be in force then; local processes have late copies too

Cause: a home judged a worker's lease as soon as its own lease stood, or all members had spoken within a quarter of a lease. Its shares may have been taken by an amendment, or by a drop it has not heard of yet, while its watch hangs: another may have renewed that worker. Change: a lease that ended since the term was last known to be in force (newest watch answered, or all configured controllers heard) is judged after a read of the term; without the state service, once all others' beats are younger than its end. Home.tick takes that time.

--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -36,6 +36,7 @@
         self._ask = ask
         self._count = counters.add
         self.awake_at = 0.0  # since when this process has been looking without a stall
+        self.undecided = False
         lag_s = deployment.cloud.list_lag_s
         self.known = known = Known(member, workers.lease_s, workers.cancel_s, lag_s)
         self.machines = known.machines
@@ -190,14 +191,14 @@
                     machine.stop(task, max(0.0, left))
             self._ask(machine)
 
-    def tick(self, sure=True):
+    def tick(self, sure_at):
         """Once in a while: leases that ran out, grants that lapsed. Returns machines to release.
 
-        `sure`: nobody else can have renewed them, so a lease not renewed here has run out.
+        `sure_at`: as for `judge_leases`.
         """
         now = self._loop.now()
         lease_s = self._workers.lease_s
-        sureness = self.sureness
+        self.judge_leases(sure_at)
         release = []
         for machine in list(self.machines.values()):
             if machine.holder is not None and now >= machine.grant_lapse_at:
@@ -212,31 +213,47 @@
                 # under a higher token the worker refuses it.
                 self._member.want_new_token(machine.share)
             ours = machine.confirmed == machine.token
-            end = machine.renewed_at + lease_s * (1 + 2 * DRIFT) + 0.2
-            if not ours:
-                end = max(end, sureness.fence_at(machine.share))
-            if sure and now > end and (machine.tasks or sureness.claimed(machine.id)):
-                log.info("lease of %s has run out: last report answered %.1f s ago, %d tasks",
-                         machine.id, now - machine.renewed_at, len(machine.tasks))
-                self._count("leases_out")
-                self.rooms.revoke(machine)
-                for task in list(machine.tasks.values()):
-                    self._news.freed(machine, task, "lease ended")
-                sureness.free_claims(machine.id, "lease ended")
-                machine.confirmed = 0
-                sureness.unheard(machine)
             heard_at = machine.heard_at if machine.heard_at is not None else now
             silent = now - max(heard_at, self.awake_at)
             taken = machine.notice_at is not None and now > machine.notice_at + 1
             drained = machine.draining and machine.notice_at is None and ours and machine.empty()
             if drained or silent > 4 * lease_s or (taken and silent > 2 * self._workers.report_s):
                 release.append(machine)
-        if sure:
-            sureness.past_fence()
-        sureness.settle()
-        self.known.prune(now, sureness.awaited_jobs)
+        self.known.prune(now, self.sureness.awaited_jobs)
         return release
 
+    def judge_leases(self, sure_at):
+        """Frees what was on machines whose lease has run out, and what is claimed on those never heard.
+
+        `sure_at`: until then nobody else was home to them by the term in force, so that a lease not
+        renewed here, and over by then, is over. `undecided` says whether there are others that ended since.
+        """
+        now = self._loop.now()
+        sureness = self.sureness
+        undecided = False
+        for machine in list(self.machines.values()):
+            if not machine.tasks and not sureness.claimed(machine.id):
+                continue
+            end = machine.renewed_at + self._workers.lease_s * (1 + 2 * DRIFT) + 0.2
+            if machine.confirmed != machine.token:
+                end = max(end, sureness.fence_at(machine.share))
+            if now <= end:
+                continue
+            if sure_at <= end:
+                undecided = True
+                continue
+            log.info("lease of %s has run out: last report answered %.1f s ago, %d tasks",
+                     machine.id, now - machine.renewed_at, len(machine.tasks))
+            self._count("leases_out")
+            self.rooms.revoke(machine)
+            for task in list(machine.tasks.values()):
+                self._news.freed(machine, task, "lease ended")
+            sureness.free_claims(machine.id, "lease ended")
+            machine.confirmed = 0
+            sureness.unheard(machine)
+        self.undecided = sureness.past_fence(sure_at) or undecided
+        sureness.settle()
+
     def idle(self, idle_s):
         """Machines with nothing on them and no use for that long."""
         now = self._loop.now()
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/sureness.py
@@ -170,12 +170,16 @@
         return [name for name, fence in self._missing()
                 if asked_at >= fence.cover_from and name not in listed]
 
-    def past_fence(self):
-        """Nobody but this home has renewed anything since: what was not heard has ended."""
+    def past_fence(self, sure_at):
+        """Nobody but this home has renewed anything since: what was not heard has ended. Whether there is
+        more that can't be said as of `sure_at` (Home.judge_leases)."""
         now = self._loop.now()
+        undecided = False
         for name, fence in self._missing():
-            if now > fence.at:
+            if sure_at > fence.at:
                 self.free_claims(name, "lease ended")
+            undecided = undecided or now > fence.at >= sure_at
+        return undecided
 
     # Syncs
 
--- a/roadhead/local/processes.py
+++ b/roadhead/local/processes.py
@@ -52,6 +52,7 @@
         self.sim = Clock(self.loop)
         self.network = self
         self.fetch_s, self.stuck_boots, self.no_rooms, self.killed = 0.05, 0, 0, 0
+        self.late_reports = (0.0, 0.0)
         self.completed, self.gangs = set(), {}
 
     def host_loop(self, _host):
--- a/roadhead/local/standins.py
+++ b/roadhead/local/standins.py
@@ -127,7 +127,7 @@
         if not self._take("rps", 1):
             self.refused += 1
             return 429, {"error": "too much"}
-        await self.loop.sleep(0.004 + self.slow_s * self.sim.random.random())
+        await self.loop.sleep(0.004 + (self.slow_s and self.sim.random.uniform(0.0, self.slow_s)))
         refused = lambda: self.down or self.sim.time < self.refused_until.get(host, 0.0)  # noqa: E731
         if refused():
             return 503, {"error": "trouble"}
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -43,6 +43,7 @@
         self._permit = None
         self.renewed_at = -1e9
         self.watched_at = -1e9  # send time of the newest watch or listing that was answered
+        self.term_at = -1e9  # until then the term known here was surely the one in force
         self._present = {}  # label -> newest format of records that it knows
         self._marks = {}  # key of a cancellation's mark -> since when it was seen here
         self._lost = Signal()
@@ -195,7 +196,19 @@
         if marks:
             self._on_cancel([key[len(CANCEL):] for key in marks])
         self._seen = revision
+        self._watched(sent_at)
+
+    def _watched(self, sent_at):
         self.watched_at = max(self.watched_at, sent_at)
+        self.term_at = max(self.term_at, sent_at)
+
+    async def confirm(self):
+        """Reads the term, and adopts it if it is newer. Raises Unavailable or Unsure."""
+        sent_at = self._loop.now()
+        record, revision = await self._state.get(TERM)
+        if record is not None:
+            self.adopt(record, revision)
+        self.term_at = max(self.term_at, sent_at)
 
     async def _renew(self):
         while True:
@@ -248,7 +261,6 @@
                 log.debug("watch: %r", error)
                 await self._loop.sleep(self._lease_s / 24)
                 continue
-            self.watched_at = max(self.watched_at, sent_at)
             cancelled = []
             for event in events:
                 key = event.get("put") or event.get("drop")
@@ -272,6 +284,7 @@
                 elif self._on_tenant is not None and key.startswith(TENANT) and "put" in event:
                     self._on_tenant(key, event["data"], event["stamp"])
             self._seen = max(self._seen, revision)
+            self._watched(sent_at)
             if cancelled:
                 self._on_cancel(cancelled)
 
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -126,7 +126,7 @@
         self._summary = Summary(loop, settings, self._beat_s, self.member, self.peers.links, self._state_ok,
                                 self.risk, self.troubles, self.counters, time_of_day,
                                 lambda: self.keeper.changes)
-        self._leaving = False
+        self._leaving = self._judging = False
         self.workers = None
         self._duties = []
         self._looking = set()
@@ -299,17 +299,22 @@
         self._touch.look(self.member.watched_at, self._heard_at())
         return self._touch.fresh(self._loop.now())
 
-    def sure(self):
-        """Whether no other controller can have renewed the workers of machines homed here.
-
-        A lapsed member may have been dropped, and its machines have other homes, without
-        its knowing (a stall, a cut); not so if all others still speak to it.
-        """
-        if not self.member.lapsed():
-            return True
+    def sure_at(self):
+        """Until then no other controller can have renewed the workers of machines homed here: the term
+        known here was the one in force, by the state service or by all who could have changed it."""
         heard_at = self._heard_at()
-        return heard_at is not None and self._loop.now() - heard_at < (
-            self._deployment.workers.lease_s / 4 + SILENT_BEATS * self._beat_s)
+        return self.member.term_at if heard_at is None else max(self.member.term_at, heard_at)
+
+    async def _judge(self):
+        """A worker's lease has run out since the term was last seen to be in force: is it still?"""
+        home = self.home
+        try:
+            await self.member.confirm()
+        except (Unavailable, Unsure) as error:
+            log.debug("term in force: %r", error)
+        if home is self.home and self.member.joined:
+            home.judge_leases(self.sure_at())
+        self._judging = False
 
     def _heard_at(self):
         """By then all other controllers had sent the last beat heard of them; None if one can't be heard.
@@ -519,7 +524,10 @@
             if not self.member.joined:
                 continue
             self.may_renew()  # hearing counts only as long as it does not break off
-            released = self.home.tick(self.sure())
+            released = self.home.tick(self.sure_at())
+            if self.home.undecided and not self._judging:
+                self._judging = True
+                self._loop.spawn(self._judge(), "judge leases")
             if released:
                 self.fleet.release([machine.id for machine in released])
             self._share_state()
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -147,7 +147,7 @@
     home = home_of(machines, 0)
     return (calls(home.hearing.take_report, report(0, 0, sequence=2)),
             calls(home.covered, listed(machines), 100.0),
-            calls(home.tick) + calls(home.news), calls(home.sureness.clean))
+            calls(home.tick, 0.0) + calls(home.news), calls(home.sureness.clean))
 
 
 def test_what_a_home_does_for_a_machine_costs_the_same_in_any_fleet():
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -31,13 +31,13 @@
     """2: tasks of a machine that was silent for a while are taken for gone."""
     real = Home.tick
 
-    def tick(self, sure=True):
+    def tick(self, sure_at):
         now = self._loop.now()
         for machine in list(self.machines.values()):
             if now - (machine.heard_at or now) > 0.4 * self._workers.lease_s:
                 for task in machine.tasks.values():
                     self._news.tell(task.owner, frames.Free(machine.id, *task.key, "silent"))
-        return real(self, sure)
+        return real(self, sure_at)
 
     patch.setattr(Home, "tick", tick)
 
@@ -106,7 +106,7 @@
 
 def frees_when_lapsed(patch):
     """2: a controller that may have been dropped judges leases that others may have renewed."""
-    patch.setattr(Node, "sure", lambda self: True)
+    patch.setattr(Node, "sure_at", lambda self: self._loop.now())
 
 
 def created_without_a_look_at_the_shelf(patch):
