--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -1,4 +1,8 @@
-"""Links between controllers: one connection a pair, dialled by the smaller label."""
+"""Links between controllers: one connection a pair, dialled by the smaller label.
+
+A controller that is no member, but has read the state service since it started, is linked too: its beats tell
+that it serves nobody (membership/touch.py).
+"""
 
 import logging
 
@@ -28,21 +32,26 @@
 
 
 class Peers:
-    """`on_frame(label, incarnation, frame)`, `on_up(label)`, `on_down(label)`."""
+    """`on_frame(label, incarnation, frame)`, `on_up(label)`, `on_down(label)`.
+
+    `links` are those of members, `outside` those of controllers that are none; `speaks()`: whether this one
+    may have links at all."""
 
-    def __init__(self, loop, net, settings, beat_s, me, beat, on_frame, on_up, on_down):
+    def __init__(self, loop, net, settings, beat_s, me, speaks, beat, on_frame, on_up, on_down):
         self._loop = loop
         self._net = net
         self.label = settings.label
         self._addresses = {member.label: member.endpoint for member in settings.members}
         self._listen_on = settings.internal_addr
         self._beat_s = beat_s
-        self._me = me  # () -> own incarnation, 0 before joining
+        self._me = me  # () -> own incarnation, 0 if it is no member
+        self._speaks = speaks
         self._beat = beat  # () -> Beat
         self._on_frame = on_frame
         self._on_up = on_up
         self._on_down = on_down
         self.links = {}
+        self.outside = {}
         self._accepted = 0
 
     def start(self):
@@ -68,7 +77,7 @@
 
     async def _dial(self, label):
         while True:
-            if self._me():
+            if self._speaks():
                 try:
                     stream = await self._net.connect(self._addresses[label], 2 * self._beat_s)
                     await self._talk(stream, label)
@@ -82,7 +91,7 @@
         link = label = None
         timer = self._loop.call_later(4 * self._beat_s, stream.close)
         try:
-            if not self._me():
+            if not self._speaks():
                 return
             mine = self._me()
             stream.write(Hello(self.label, mine).encode())
@@ -99,11 +108,9 @@
                         if (expected or label) != label or mine != self._me():
                             return
                         timer.cancel()
-                        old = self.links.get(label)
-                        if old is not None:
-                            self._drop(label, old)
+                        self._drop(label, self.links.get(label) or self.outside.get(label))
                         link = Link(stream, frame.incarnation, self._loop.now())
-                        self.links[label] = link
+                        (self.links if link.incarnation else self.outside)[label] = link
                         # Before the first beat: who hears that relies on having been told all.
                         self._on_up(label)
                         stream.write(self._beat().encode())
@@ -116,7 +123,7 @@
                         link.deaf = frame.deaf
                         link.used = (frame.requests, frame.writes)
                     self._on_frame(label, link.incarnation, frame)
-                    if self.links.get(label) is not link:
+                    if not self._is_up(label, link):
                         return
         except BadFrame as error:
             log.info("peer %s: %s", label or "unknown", error)
@@ -125,12 +132,18 @@
         finally:
             timer.cancel()
             stream.close()
-            if link is not None and self.links.get(label) is link:
-                self._drop(label, link)
+            self._drop(label, link)
+
+    def _is_up(self, label, link):
+        return link is not None and link in (self.links.get(label), self.outside.get(label))
 
     def _drop(self, label, link):
+        if not self._is_up(label, link):
+            return
         link.stream.close()
-        if self.links.get(label) is link:
+        if self.outside.get(label) is link:
+            del self.outside[label]
+        else:
             del self.links[label]
             self._on_down(label)
 
@@ -138,18 +151,19 @@
         while True:
             await self._loop.sleep(self._beat_s)
             limit = self._loop.now() - SILENT_BEATS * self._beat_s
-            for label, link in list(self.links.items()):
+            for label, link in [*self.links.items(), *self.outside.items()]:
                 if link.heard_at < limit:
                     log.info("peer %s is silent", label)
                     self._drop(label, link)
                 else:
-                    self.send(label, self._beat())
+                    self._write(label, link, self._beat())
 
     def send(self, label, frame):
         """True if the frame was handed to the link; False if there is none."""
         link = self.links.get(label)
-        if link is None:
-            return False
+        return link is not None and self._write(label, link, frame)
+
+    def _write(self, label, link, frame):
         try:
             link.stream.write(frame.encode())
         except Closed:
@@ -159,10 +173,10 @@
 
     def excuse(self):
         """After a stall: nobody was silent in time in which we were not looking."""
-        for link in self.links.values():
+        for link in (*self.links.values(), *self.outside.values()):
             link.heard_at = self._loop.now()
 
     def reset(self):
         """Ends every link, since this process's incarnation changed."""
-        for label, link in list(self.links.items()):
+        for label, link in [*self.links.items(), *self.outside.items()]:
             self._drop(label, link)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -88,7 +88,7 @@
         self._switchboard = Switchboard(self.member, self.send, self.on_cancelled, self.state.lower)
         self.peers = Peers(
             loop, net, settings, self._beat_s,
-            me=lambda: self.member.incarnation, beat=self._beat,
+            me=lambda: self.member.incarnation, speaks=self._speaks, beat=self._beat,
             on_frame=self._switchboard.on_frame, on_up=self._on_up, on_down=self._on_down,
         )
         self._default_aim_s = 15 * workers.lease_s
@@ -117,7 +117,7 @@
             patience_s=workers.lease_s / 1.2,
         )
         self.risk = Risk(self.aims, sorted({objective.klass for objective in deployment.objectives}))
-        self._began_at = loop.now()
+        self._began_at = self._outside_since = loop.now()
         self._used = (0.0, 0.0)  # requests and writes a second, in the last beat
         self.takeover = Takeover(loop, self.state, self.member, self.teams, self.send, self._changed,
                                  self._beat_s)
@@ -316,16 +316,27 @@
             home.judge_leases(self.sure_at())
         self._judging = False
 
+    def _speaks(self):
+        """Whether others may hear this controller: a member, or one that surely is none for a while yet, and
+        knows what those before it under its label have told."""
+        if self.member.joined:
+            return True
+        since_s = self._loop.now() - self._outside_since
+        return self.member.watched_at >= self._began_at and since_s > 2 * self._beat_s
+
     def _heard_at(self):
         """By then all other controllers had sent the last beat heard of them; None if one can't be heard.
 
         All that are configured, not those of the term known here: one that it does not name may have
-        joined since without our knowing, and taken what is ours.
+        joined since without our knowing, and taken what is ours. Of such a one it must be heard that it is
+        no member.
         """
         heard_at = self._loop.now()
         for other in self.settings.members:
             link = self.peers.links.get(other.label)
             if link is None or link.incarnation != self.member.term.incarnation(other.label):
+                link = self.peers.outside.get(other.label)
+            if link is None:
                 return None
             heard_at = min(heard_at, link.spoke_at)
         return heard_at - SILENT_BEATS * self._beat_s
@@ -445,6 +456,7 @@
 
     def _on_lost(self):
         log.info("starting over as a new incarnation")
+        self._outside_since = self._loop.now()
         self.troubles.note("dropped by the others, and back as a new incarnation")
         self.peers.reset()
         self._reset()
@@ -481,11 +493,10 @@
     # Links and frames
 
     def _on_up(self, label):
-        term = self.member.term
-        if term is None:
+        self._tell_cancelled(label, self.cancellations.all())
+        if not self.member.joined or label not in self.peers.links:
             return
         self._switchboard.tell_term(label)
-        self._tell_cancelled(label, self.cancellations.all())
         self.book.sync(label)
         self.dispatcher.tell_again()
         self.book.line.look_again()
--- a/roadhead/switchboard.py
+++ b/roadhead/switchboard.py
@@ -72,7 +72,7 @@
         kind = type(frame)
         member = self._member
         if kind is frames.TermNews:
-            if member.joined:
+            if member.joined and incarnation:
                 try:
                     member.adopt(messages.decode_map(frame.record), frame.revision)
                 except (messages.Invalid, KeyError, TypeError) as error:
@@ -84,7 +84,7 @@
             self._on_cancelled(frame.jobs)
             return
         if kind is frames.Beat:
-            if frame.term < member.term.number:
+            if incarnation and frame.term < member.term.number:
                 self.tell_term(label)
             return
         if not member.term.serves(label, incarnation):
