Meetings: first one enumerated, drawn ones sampled, guards taken out are noticed

Cause: a scenario plays one order of troubles; the guards need a break on purpose each. Ids that can't be a job's are dropped from news of cancellations.

--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -38,6 +38,7 @@
 from roadhead.switchboard import Switchboard
 from roadhead.telemetry import Counters, Troubles
 from roadhead.wire import frames
+from roadhead.wire.messages import JOB_ID
 
 log = logging.getLogger("roadhead.node")
 
@@ -405,6 +406,7 @@
 
     def on_cancelled(self, jobs):
         """Jobs cancelled through another controller, by its word or by the record."""
+        jobs = [job for job in jobs if JOB_ID.match(job)]
         self._learn_cancelled(jobs)
         self.home.commanding.cancel(jobs)
         for job in jobs:
--- a/tests/hunt.py
+++ b/tests/hunt.py
@@ -2,6 +2,9 @@
 of pipelines, or of two to four troubles that meet.
 
     python3 tests/hunt.py [--pipelines | --meetings] [--days N] [--seed FIRST] [--jobs N] [--show SEED]
+    python3 tests/hunt.py --first-meeting [--jobs N]
+
+The last plays every order and spacing of the first meeting (docs/meetings.md) and prints a table.
 
 Prints the days on which a rule broke, a callback failed, or work that was accepted did not end.
 `--show` prints a day's scenario, to be put under tests/scenarios/ with what it found.
@@ -143,6 +146,49 @@
     return "\n".join(lines)
 
 
+def first_meetings():
+    """Yields ((link lost, for, confirmed, confirmer, outage) of the first meeting, its text): the service
+    refuses one controller from second 40 on; seconds by which its links to the others are lost after that,
+    and for how long; when another confirms; whether that one ends right then, and is back; when the
+    service goes down for all."""
+    quarter = LEASE_S / 4
+    for lost in (-quarter, 0.3, quarter, LEASE_S):
+        for length in (quarter, 2 * quarter, LEASE_S, CANCEL_S):
+            for confirmed in (0.1, length / 2, length + 0.2):
+                for back in (None, 0.1, LEASE_S / 4, CANCEL_S):
+                    for down in (0.2, quarter, LEASE_S):
+                        at = max(40.1, 40 + lost + confirmed)
+                        lines = ["at 1 submit count=6 legs=3 runS=160 expectS=160", "at 40 refuse 0 150",
+                                 f"at {40 + lost} cut 0 1 {length}", f"at {40 + lost} cut 0 2 {length}",
+                                 f"at {at} cancel 1,2,3,4 1", f"at {at + down} outage {2.5 * CANCEL_S}",
+                                 "until 190"]
+                        if back is not None:
+                            lines.append(f"at {at + 0.15} crash 1 {back}")
+                        yield (lost, length, confirmed, back, down), "\n".join(lines)
+
+
+def played_first(case):
+    """(the case, rules broken, seconds for which a cancelled task was there, tasks killed)."""
+    which, text = case
+    world = World(text).run()
+    return which, len(world.broken), world.longest_gone, world.killed
+
+
+def table_of_first(jobs):
+    """Plays all of them, and prints by confirmer and outage what came of it."""
+    rows = {}
+    with multiprocessing.Pool(jobs) as pool:
+        for which, broken, gone, killed in pool.imap_unordered(played_first, first_meetings()):
+            row = rows.setdefault((str(which[3]), which[4]), [0, 0, 0.0, 0])
+            row[0] += 1
+            row[1] += bool(broken)
+            row[2] = max(row[2], gone)
+            row[3] += killed
+    print("confirmer back after | service down after | played | broken | longest gone, of cancel_s | killed")
+    for (back, down), (count, broken, gone, killed) in sorted(rows.items()):
+        print(f"{back:>20} | {down:18} | {count:6} | {broken:6} | {gone / CANCEL_S:26.2f} | {killed}")
+
+
 def played(seed):
     """(seed, faults) of a day."""
     world = World(drawn(seed)).run()
@@ -174,7 +220,11 @@
     parser.add_argument("--show", type=int)
     parser.add_argument("--pipelines", action="store_true")
     parser.add_argument("--meetings", action="store_true")
+    parser.add_argument("--first-meeting", action="store_true")
     args = parser.parse_args()
+    if args.first_meeting:
+        table_of_first(args.jobs)
+        return
     draw, play = ((drawn_meetings, played_meetings) if args.meetings else
                   (drawn_pipelines, played_pipelines) if args.pipelines else (drawn, played))
     if args.show is not None:
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,77 @@
+"""Two troubles at once: what a controller knows when it hears others, and samples of drawn meetings."""
+
+from itertools import islice
+
+import hunt
+import pytest
+
+from roadhead.local.world import World
+from roadhead.membership.touch import Cancellations, Touch
+
+LATER = 1e9
+
+
+@pytest.mark.parametrize("number", range(12))
+def test_the_first_meeting_in_a_sample_of_its_orders(number):
+    """Safety 4, one order and spacing in 47; `tests/hunt.py --first-meeting` plays all."""
+    case = next(islice(hunt.first_meetings(), 47 * number + 3, None))
+    which, broken, _gone, _killed = hunt.played_first(case)
+    assert broken == 0, which
+
+
+@pytest.mark.parametrize("seed", range(2000, 2006))
+def test_meetings_drawn_by_chance(seed):
+    assert World(hunt.drawn_meetings(seed)).run().broken == []
+
+
+def test_hearing_counts_only_as_long_as_it_does_not_break_off():
+    """Cancellations are passed on for `keep_s`: who was out of touch for longer has missed some for ever."""
+    touch = Touch(blind_s=16, keep_s=256)
+    touch.look(watched_at=100, heard_at=None)
+    assert touch.fresh(115) and not touch.fresh(117)
+    touch.look(100, heard_at=150)  # all of the last 50 s was told by then
+    assert touch.fresh(160)
+    touch.look(100, heard_at=150 + 127)
+    assert touch.fresh(280)
+    touch.look(100, heard_at=277 + 129)
+    assert not touch.fresh(407)
+    touch.look(watched_at=420, heard_at=420)  # only the state service knows
+    assert touch.fresh(421)
+
+
+def test_news_of_cancellations_is_told_once_and_kept_for_a_bounded_time():
+    known = Cancellations(keep_s=100)
+    assert known.learn(["a", "b", "a"], 0) == ["a", "b"]
+    assert known.learn(["b", "c"], 50) == ["c"]
+    known.prune(101)
+    assert known.all() == ["c"] and known.learn(["a"], 101) == ["a"]
+    known.prune(LATER)
+    assert len(known) == 0
+
+
+def test_who_is_no_member_tells_no_cancellation():
+    """Nobody waits to hear from it, so that somebody's tasks might run on without its telling."""
+    world = World("at 1 submit legs=2 runS=100\nat 20 cancel 1 1\nuntil 30").run()
+    node, user = world.nodes[0], world.users["req-000001"]
+    assert user.told == "cancelled"
+    statuses = []
+
+    async def ask():
+        statuses.append((await user._ask("GET", f"/v1/jobs/{user.id}", None, 2.0, 0))[0])
+        statuses.append((await user._ask("POST", f"/v1/jobs/{user.id}/cancel", None, 2.0, 0))[0])
+
+    for incarnation in (node.member.incarnation, 0):
+        node.member.incarnation = incarnation
+        world.user_loop.spawn(ask(), "ask")
+        world.sim.run_until(world.sim.time + 2)
+    assert statuses == [200, 200, 503, 503]
+
+
+def test_bad_news_of_cancellations_is_ignored_or_harmless():
+    """Unknown, impossible, doubled: nothing fails, and only what can be a job's id is passed on."""
+    world = World("at 1 submit legs=2 runS=30\nuntil 15").run()
+    node = world.nodes[0]
+    node.on_cancelled(["", "x" * 5000, "req-1x", "c/x/", "req-000077", "req-000077"])
+    assert node.cancellations.all() == ["req-000077"]
+    world.sim.run_until(60)
+    assert world.broken == [] and world.failures.texts == [] and world.users["req-000001"].told == "done"
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -12,6 +12,7 @@
 from roadhead.jobs.job import Job
 from roadhead.jobs.teams import Accounts
 from roadhead.local.world import World
+from roadhead.membership.touch import Cancellations
 from roadhead.node import Node
 from roadhead.shares.map import Shares
 from roadhead.state.reader import Reader
@@ -167,7 +168,32 @@
     patch.setattr(Sureness, "fence", fence)
 
 
+def links_tell_only_what_is_new(patch):
+    """4: a link that comes up brings no word of what was cancelled while it was down."""
+    patch.setattr(Cancellations, "all", lambda self: [])
+
+
+def members_alone_are_heard(patch):
+    """4: whoever the term known here does not name is not asked for."""
+    real = Node._heard_at
+
+    def heard_at(self):
+        named = [other for other in self.settings.members if other.label in self.member.term.members]
+        with pytest.MonkeyPatch.context() as within:
+            within.setattr(self.settings, "members", named)
+            return real(self)
+
+    patch.setattr(Node, "_heard_at", heard_at)
+
+
+def non_members_are_silent(patch):
+    """4: a dropped controller that can't join again says nothing, so that the others are out of touch."""
+    patch.setattr(Node, "_speaks", lambda self: self.member.joined)
+
+
 @pytest.mark.parametrize(("sabotage", "scenario"), [
+    (links_tell_only_what_is_new, "meeting-refused-then-down"),
+    (members_alone_are_heard, "meeting-alone"),
     (handed_over_taken_for_heard, "cut-in-two"),
     (moved_without_a_fence, "stall-takeover"),
     (created_without_a_look_at_the_shelf, "shelf"),
@@ -196,3 +222,11 @@
             assert World(f"{text}\nseed {seed}\n").run().broken == []
             return
     raise AssertionError(f"not noticed: {sabotage.__doc__}")
+
+
+def test_silence_of_who_is_no_member_is_noticed():
+    """No rule breaks, but the others let go of their machines: the scenario's bound on that notices."""
+    text = (SCENARIOS / "meeting-dropped-then-down.txt").read_text()
+    with pytest.MonkeyPatch.context() as patch:
+        non_members_are_silent(patch)
+        assert any("killed by their lease" in fault for fault in World(text).run().check())
