Limits: an heir counts what was cancelled before it read the records, and may still run

Cause: a limited team's warden ends, its running job is cancelled before the heir's scan, on machines that hear nobody: the record is final, so nobody owns the job, and a new job of the team got the whole limit beside the tasks that still ran (quota). Change: an heir of a slot whose warden ended reads the cancellations' marks after its scan, and has no head room before cancel_s after the newest of them; a slot given away had nothing left.

--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -37,6 +37,8 @@
         self._on_orphan = on_orphan
         self._shelve = shelve  # (job id, final record, its stamp)
         self.scanned = 0  # number of the term for which all records were read
+        self._left = set()  # slots whose warden of before ended: it may have left cancelled tasks running
+        self._gone_at = {}  # slot -> by then those are gone
         self.jobs = {}  # open jobs owned here, by id
         self.started_at = {}  # class -> when a task of it was last started
         self.seen = {}  # class -> number of its jobs that were ever owned here
@@ -168,6 +170,24 @@
             slot: self.warden_since.get(slot, new.number) if slot in held else new.number
             for slot, warden in enumerate(new.wardens) if warden == label
         }
+        for slot in self.warden_since.keys() - held:
+            before = old.wardens[slot] if old is not None and slot < len(old.wardens) else None
+            # One that gave it away had nothing of it any more.
+            if before is None or old.incarnation(before) != new.incarnation(before):
+                self._left.add(slot)
+        self._left &= self.warden_since.keys()
+
+    def inherits_limits(self):
+        """Whether a slot of wardens came from one that ended, and its records were not all read since."""
+        return self.has_limits and bool(self._left)
+
+    def all_read(self, number, gone_at):
+        """All records were read under that term. `gone_at`: by then all tasks of jobs found cancelled are
+        gone, None if there were none."""
+        for slot in self._left:
+            self._gone_at[slot] = -1e9 if gone_at is None else gone_at
+        self._left.clear()
+        self.scanned = number
 
     def headroom(self, team):
         """How many (cpus, gpus) the tasks of a limited team may still take.
@@ -178,11 +198,14 @@
         """
         term = self._member.term
         group = self.teams.group(team)
-        since = self.warden_since.get(term.slot(group))
+        slot = term.slot(group)
+        since = self.warden_since.get(slot)
         account = self.accounts.get(group)
         levels = self.teams.levels(team)
         if since is None or self.scanned < since or levels is None or (account and account.unsure):
             return NO_ROOM
+        if self._loop.now() < self._gone_at.get(slot, -1e9):
+            return NO_ROOM
         left = [AMPLE, AMPLE]
         for name, limits in levels:
             account = self.accounts.get(name)
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -288,6 +288,13 @@
             if cancelled:
                 self._on_cancel(cancelled)
 
+    async def newest_mark(self):
+        """When the last cancellation became known here of a job that may have tasks yet, None without any;
+        of all that were durable when this was called. Raises Unavailable or Unsure."""
+        items, _revision = await self._state.list(CANCEL)
+        now = self._loop.now()
+        return max((self._marks.get(key, now) for key, _value, _stamp in items), default=None)
+
     def stale_marks(self, age_s):
         """Keys of cancellations' marks that have been there for so long that nobody needs them: whose
         owner ended before it could drop them. One member names them, in the order in which they came."""
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -121,7 +121,7 @@
         self._began_at = self._outside_since = loop.now()
         self._used = (0.0, 0.0)  # requests and writes a second, in the last beat
         self.takeover = Takeover(loop, self.state, self.member, self.teams, self.send, self._changed,
-                                 self._beat_s)
+                                 self._beat_s, workers.cancel_s)
         self.keeper = Keeper(loop, self.label, self.member, tuning.membership.lease_ratio * workers.lease_s,
                              lambda: self.peers.links, self.counters)
         self._summary = Summary(loop, settings, self._beat_s, self.member, self.peers.links, self._state_ok,
--- a/roadhead/recovery/takeover.py
+++ b/roadhead/recovery/takeover.py
@@ -8,6 +8,7 @@
 
 from roadhead.jobs.job import FINAL, FORMAT, KEY
 from roadhead.jobs.records import find
+from roadhead.membership.member import DRIFT
 from roadhead.pipelines.parts import whole
 from roadhead.state.client import Unavailable, Unsure
 from roadhead.wire import frames
@@ -18,7 +19,7 @@
 class Takeover:
     """`changed()` is called once a scan is through: what waited for it may be placed."""
 
-    def __init__(self, loop, state, member, teams, send, changed, retry_s):
+    def __init__(self, loop, state, member, teams, send, changed, retry_s, cancel_s):
         self._loop = loop
         self._state = state
         self._member = member
@@ -26,6 +27,7 @@
         self._send = send
         self._changed = changed
         self._retry_s = retry_s
+        self._cancel_s = cancel_s
         self._book = self._shelf = None
         self._roster = None  # of the term: who serves, and who the wardens are
         self._said_newer = False
@@ -91,7 +93,20 @@
             if more:
                 after = items[-1][0]
                 continue
-            self._book.scanned = member.term.number
+            gone_at = None
+            if self._book.inherits_limits():
+                # What was cancelled before this scan saw it is nobody's, but may run, and counts.
+                try:
+                    newest = await member.newest_mark()
+                except (Unavailable, Unsure):
+                    await self._loop.sleep(self._retry_s)
+                    continue
+                if not member.joined or self._roster is not roster:
+                    return
+                if newest is not None:
+                    gone_at = newest + self._cancel_s * (1 + DRIFT)
+                    self._loop.call_later(max(0.0, gone_at - self._loop.now()), self._changed)
+            self._book.all_read(member.term.number, gone_at)
             self._changed()
             return
 
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -191,7 +191,14 @@
     patch.setattr(Node, "_speaks", lambda self: self.member.joined)
 
 
+def cancelled_count_for_nothing(patch):
+    """Limits: tasks of jobs that were cancelled before the heir read the records are not thought of."""
+    real = Book.all_read
+    patch.setattr(Book, "all_read", lambda self, number, _gone_at: real(self, number, None))
+
+
 @pytest.mark.parametrize(("sabotage", "scenario"), [
+    (cancelled_count_for_nothing, "limit-cancelled"),
     (links_tell_only_what_is_new, "meeting-refused-then-down"),
     (members_alone_are_heard, "meeting-alone"),
     (handed_over_taken_for_heard, "cut-in-two"),
