A class's largest jobs begin in time and are served under overload; late lease entries

Cause: where not all can be in time the costliest jobs are put back (Moore and Hodgson), so under lasting overload a class's largest never began. Besides, a member's entry written without an answer could take effect late and tie it to a lease that nobody renews. Change: exception to the queue order: of a class's largest tenth that have not begun after 8 leases the oldest comes first until it has, one a class; and after 16 as many as are lacking to 0.55 of them served. A member's new entry holds under the stamp of the one before.

--- a/roadhead/dispatch/queue.py
+++ b/roadhead/dispatch/queue.py
@@ -18,6 +18,7 @@
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 STARVED_AIMS = 2  # times the aim assumed by default: older than that, a job counts as not served
 SERVED_LEAST = 0.55  # of a class's, or a team's, jobs: below that the oldest of them come first
+LARGEST_WAITS = 8  # windows, after which a class's largest jobs that have not begun come first, one at a time
 TIER_STARVED = -1
 JOBS_A_GAP = 2000  # put in order at once; with more than that the order is kept longer
 
@@ -136,14 +137,30 @@
 
         Work of little urgency would get nothing for as long as what comes before it fills the machines.
         Only jobs that waited for twice the time in which anything should be done count, and of those only
-        as many are lifted as the class lacks, the oldest.
+        as many are lifted as the class lacks, the oldest. What is put back first where not all can be in
+        time, a class's largest jobs, is asked after sooner: of those that have not begun the oldest of each
+        class comes first, until it has.
         """
-        since = self.time_of_day() - STARVED_AIMS * self._default_aim_s
-        old, places = {}, {}
+        now = self.time_of_day()
+        since = now - STARVED_AIMS * self._default_aim_s
+        begun_by = now - LARGEST_WAITS * self._window_s
+        old, places, largest = {}, {}, {}
         for job in self._book.jobs.values():
-            if job.released_at < since and job.state == "open" and not job.doubtful:
+            if job.released_at >= begun_by or job.state != "open" or job.doubtful:
+                continue
+            if job.released_at < since:
                 for key in ("class", job.spec.klass), ("team", job.spec.team):
                     old.setdefault(key, []).append(job)
+            if not self._book.among_largest(job):
+                continue
+            if job.released_at < begun_by - LARGEST_WAITS * self._window_s:
+                old.setdefault(("largest", job.spec.klass), []).append(job)
+            if not job.bound and not job.done.count:
+                first = largest.setdefault(job.spec.klass, job)
+                if job.released_at < first.released_at:
+                    largest[job.spec.klass] = job
+        for job in largest.values():
+            places[job] = TIER_STARVED * TIER_STEP * self._window_s + job.released_at - since
         for key, waiting in old.items():
             served = self._book.served.get(key, 0)
             lacking = SERVED_LEAST * (served + len(waiting)) - served
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from bisect import insort
 
 from roadhead.jobs.job import FINAL, NOBODY, Binding, Job, from_record
 from roadhead.jobs.recorder import LATER, SOON, URGENT
@@ -16,6 +17,8 @@
 
 CANCEL = "c/x/"
 MAX_FINALS = 20000
+LARGEST_PART = 10  # of a class's jobs one in so many is among its largest
+SIZES_MOST = 2000  # jobs of a class by which that is judged
 NO_ROOM = (-1.0, -1.0)  # not even for a task that takes nothing
 AMPLE = 1e12  # CPUs or GPUs of a team without a limit on them
 
@@ -45,7 +48,8 @@
         self._inherited = {}  # those of them of which not every home has told, in order as a set
         self._confirmed = []  # taken over in this turn: the homes are told once more
         self.arrived = []  # those that joined since the queue was last looked at
-        self.served = {}  # ("class" or "team", its name) -> jobs done here
+        self.served = {}  # ("class", "team" or "largest", its name) -> jobs done here
+        self._sizes = {}  # class -> CPUs of the jobs of it that were owned here, in order
         self.version = 0  # changes when the queue is to be put in order anew
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
@@ -230,7 +234,16 @@
             return True
         return False
 
+    def among_largest(self, job):
+        """Whether the job is of the largest tenth of its class, and larger than most of it."""
+        sizes = self._sizes[job.spec.klass]
+        size = job.spec.tasks * job.spec.cpus
+        return size >= sizes[-1 - len(sizes) // LARGEST_PART] and size > sizes[len(sizes) // 2]
+
     def _begin(self, job):
+        sizes = self._sizes.setdefault(job.spec.klass, [])
+        if len(sizes) < SIZES_MOST:
+            insort(sizes, job.spec.tasks * job.spec.cpus)
         self.jobs[job.id] = job
         self.accounts.enter(job)
         if job.unsynced:
@@ -250,7 +263,10 @@
         if record["s"] == "done":
             if self._leave(job) and not counted:
                 self._on_finished(job, self._time_of_day())
-                for key in ("class", job.spec.klass), ("team", job.spec.team):
+                keys = [("class", job.spec.klass), ("team", job.spec.team)]
+                if self.among_largest(job):
+                    keys.append(("largest", job.spec.klass))
+                for key in keys:
                     self.served[key] = self.served.get(key, 0) + 1
             self._forget(job.id, job.bound.items())
             job.bound.clear()
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -523,6 +523,14 @@
             elif words[0] == "cancelled_gone":
                 if self.longest_gone > float(words[2]):
                     faults.append(f"tasks of a cancelled job were there for {self.longest_gone:.1f} s")
+            elif words[0] in ("begun", "mostly_done"):
+                ids = [f"req-{int(number):06d}" for number in words[-1].split(",")]
+                if words[0] == "begun":
+                    begun = {task.rpartition("/")[0] for task, at in self.started.items()
+                             if at < float(words[1])}
+                    faults += [f"{job} did not begin before {words[1]}" for job in ids if job not in begun]
+                elif 2 * sum(self.users[job].told == "done" for job in ids) < len(ids):
+                    faults.append(f"less than half of {words[-1]} is done")
             elif words[0] == "no_rooms":
                 if self.no_rooms:
                     faults.append(f"{self.no_rooms} starts found no room")
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -182,6 +182,7 @@
     async def _read_all(self):
         sent_at = self._loop.now()
         items, revision = await self._state.list(PREFIX)
+        self._entry_stamp = next((stamp for key, _value, stamp in items if key == MEMBER + self.label), 0)
         self._present = {key[len(MEMBER):]: value["format"]
                          for key, value, _ in items if key.startswith(MEMBER)}
         for key, value, stamp in items:
@@ -233,8 +234,10 @@
             await self._read_all()
             if not self.joined:
                 return
+            # Without its own stamp an earlier try could take effect late, and tie the entry to a lease that
+            # nobody renews.
             await self._state.multi(
-                [(TERM, self.revision)],
+                [(TERM, self.revision), (MEMBER + self.label, self._entry_stamp)],
                 [{
                     "put": MEMBER + self.label,
                     "data": self._entry(self.incarnation),
