Scenario: tasks of two and three end far apart across changes of leader; break on purpose

Cause: this meeting had no scenario and no break of its own. Change: `apartS` and the expectation `reruns` (starts of what a record called done); scenario meeting-ends-apart; an heir that does not take over what is recorded is noticed.

--- a/roadhead/local/standins.py
+++ b/roadhead/local/standins.py
@@ -12,6 +12,8 @@
 from roadhead.wire import http
 from roadhead.wire.http import Client, NoAnswer
 
+UNTOLD = ("runS", "apartS", "faulty")  # what a scenario says of a job and its user does not know
+
 
 class Server:
     """An HTTP server on a host of its own. `lose` answers are executed but never sent."""
@@ -494,7 +496,8 @@
     def run(self, item):
         item.status = "running"
         job = self.world.job_of(item.task)
-        run_s = job["runS"] * self.sim.random.uniform(0.9, 1.1)
+        run_s = job["runS"] * self.sim.random.uniform(0.9, 1.1) + (
+            job.get("apartS", 0.0) * int(item.task.rpartition("/")[2]))
         if item.task in self.world.completed:
             run_s = 0.0
         if self.sick or job.get("faulty"):
@@ -665,7 +668,7 @@
 
     async def run(self):
         loop = self.world.user_loop
-        public = {k: v for k, v in self.job.items() if k not in ("runS", "faulty")}
+        public = {k: v for k, v in self.job.items() if k not in UNTOLD}
         # The jobs of a pipeline are submitted each as soon as those that it needs are accepted.
         while not all(self.world.users[name].accepted for name in public.get("upstream") or ()
                       if name in self.world.users and name != self.id):
@@ -696,7 +699,7 @@
 
     async def submit_again(self):
         """A retry long after the job was accepted, until it is answered."""
-        public = {k: v for k, v in self.job.items() if k not in ("runS", "faulty")}
+        public = {k: v for k, v in self.job.items() if k not in UNTOLD}
         while not self.accepted:
             await self.world.user_loop.sleep(1.0)
         for _ in range(60):
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from roadhead.local.sim import HostLoop, Network, Sim
-from roadhead.local.standins import Cloud, State, Storm, User
+from roadhead.local.standins import UNTOLD, Cloud, State, Storm, User
 from roadhead.local.tenancy import Tenancy, TenantUser
 from roadhead.node import Node
 from roadhead.settings import Tuning, parse
@@ -79,6 +79,8 @@
         self.cancelled_at = {}
         self.refusals = {}
         self.late_reports = (0.0, 0.0)  # share of which a copy comes again, and until when
+        self.recorded = set()  # tasks that some record called done once, where a scenario asks for it
+        self.reruns = 0  # starts of those
         self.longest_gone = 0.0  # after its user was told of a cancellation, a task was still there
         self.zones = ("north", "south")
         self.labels = [f"ctl-{number}" for number in range(options["controllers"])]
@@ -191,6 +193,7 @@
             self.break_rule("wrong_place", f"{task} away from its job")
         if job["scatter"] and zones.count(worker.zone) + 1 > (job["legs"] + 1) // 2:
             self.break_rule("wrong_place", f"{task} too close to its job")
+        self.reruns += task in self.recorded
         self.running[task] = worker
         self.started.setdefault(task, self.sim.time)
         most = self.options["cpus_max"]
@@ -234,6 +237,15 @@
                         self.break_rule("ran_cancelled", f"{task} of a tenant that is removed")
 
             self._check_known()
+            if any(words[0] == "reruns" for words in self.expectations):
+                self._note_recorded()
+
+    def _note_recorded(self):
+        for key, (record, *_rest) in self.state.data.items():
+            if key.startswith("j/") and record["s"] == "open":
+                edges = record["done"]
+                self.recorded.update(f"{key[2:]}/{index}" for at in range(0, len(edges), 2)
+                                     for index in range(edges[at], edges[at + 1]))
 
     def _check_known(self):
         settled = self.options["settled"]
@@ -253,7 +265,7 @@
             "urgency": "standard", "legs": 4, "vcpus": 1.0, "gpus": 0.0, "ramGb": 1.0,
             "kit": "img", "sizeGb": 1.0, "rigs": None, "paddock": None, "together": False,
             "scatter": False, "loaners": True, "expectS": 10.0, "musterS": 0.0, "stowS": 0.0,
-            "dueS": None, "runS": 10.0, "faulty": False, "upstream": None,
+            "dueS": None, "runS": 10.0, "apartS": 0.0, "faulty": False, "upstream": None,
         }
         for name, text in given.items():
             kind = type(job[name])
@@ -321,7 +333,7 @@
             number = len(self.jobs) + 1
             self.submit(rest)
             job = self.jobs[f"req-{number:06d}"]
-            public = {k: v for k, v in job.items() if k not in ("runS", "faulty") and v is not None}
+            public = {k: v for k, v in job.items() if k not in UNTOLD and v is not None}
             self.state.put(f"j/{job['id']}", {
                 "s": "open", "o": [self.labels[0], 0], "at": 1e9 + self.sim.time, "spec": public,
                 "done": [],
@@ -523,6 +535,9 @@
             elif words[0] == "cancelled_gone":
                 if self.longest_gone > float(words[2]):
                     faults.append(f"tasks of a cancelled job were there for {self.longest_gone:.1f} s")
+            elif words[0] == "reruns":
+                if self.reruns > int(words[2]):
+                    faults.append(f"{self.reruns} tasks that were recorded as done ran anew")
             elif words[0] in ("begun", "mostly_done"):
                 ids = [f"req-{int(number):06d}" for number in words[-1].split(",")]
                 if words[0] == "begun":
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -9,7 +9,7 @@
 from roadhead.homes.machine import Machine
 from roadhead.homes.sureness import Sureness
 from roadhead.jobs.book import Book
-from roadhead.jobs.job import Job
+from roadhead.jobs.job import Job, from_record
 from roadhead.jobs.teams import Accounts
 from roadhead.local.world import World
 from roadhead.membership.touch import Cancellations
@@ -231,6 +231,16 @@
     raise AssertionError(f"not noticed: {sabotage.__doc__}")
 
 
+def test_results_that_an_heir_does_not_take_over_are_noticed():
+    """5: an heir starts all tasks of a job, not those alone that no record calls done."""
+    text = (SCENARIOS / "meeting-ends-apart.txt").read_text()
+    real = from_record
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr("roadhead.jobs.book.from_record",
+                      lambda record, owner, stamp: real({**record, "done": []}, owner, stamp))
+        assert any("ran anew" in fault for fault in World(text).run().check())
+
+
 def test_silence_of_who_is_no_member_is_noticed():
     """No rule breaks, but the others let go of their machines: the scenario's bound on that notices."""
     text = (SCENARIOS / "meeting-dropped-then-down.txt").read_text()
