Old cancellations asked for are bounded; stale marks go whatever order they came in

Cause: on rereading: each cancelled job that is told is passed on, so that users asking for very many old ones would fill memory; stale marks were looked at in an order that need not be by age. Change: beyond 20,000 known, one that is not known is answered 503; all stale marks are named. Measured: tests/test_meetings.py has both.

--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -300,14 +300,10 @@
 
     def stale_marks(self, age_s):
         """Keys of cancellations' marks that have been there for so long that nobody needs them: whose
-        owner ended before it could drop them. One member names them, in the order in which they came."""
-        if self.label != min(self.term.members):
-            return
+        owner ended before it could drop them. One member names them."""
         before = self._loop.now() - age_s
-        for key, since in self._marks.items():
-            if since > before:
-                return
-            yield key
+        return [key for key, since in self._marks.items()
+                if since <= before] if self.label == min(self.term.members) else []
 
     async def _drop_absent(self):
         """Drops members whose key is gone, in one transaction that checks that it is."""
--- a/roadhead/membership/touch.py
+++ b/roadhead/membership/touch.py
@@ -13,8 +13,8 @@
 class Cancellations:
     """Ids of jobs known to be cancelled, for `keep_s` seconds each.
 
-    Each cost the state service a write, and its mark there goes within that time, so that its rates
-    bound them.
+    New ones cost the state service a write each, so that its rates bound them; Node bounds the old ones that
+    users ask for.
     """
 
     def __init__(self, keep_s):
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -4,7 +4,6 @@
 import random
 import time
 from functools import partial
-from itertools import islice
 
 import msgspec
 
@@ -44,6 +43,7 @@
 
 POLL_S = 2.0  # users wait that long for the answer to a poll (PROTOCOL)
 NEWS_MOST = 500  # jobs in a frame
+CANCELLED_MOST = 20_000  # jobs passed on: beyond that none is told of that was not known before
 MARKS_MOST = 20  # of cancellations, that nobody dropped, dropped at a time
 
 
@@ -401,6 +401,8 @@
         if not self.member.joined:
             # Nobody counts on hearing from us, so somebody's tasks might run on without our telling.
             raise Unavailable("no member: what is told here would not be known")
+        if len(self.cancellations) >= CANCELLED_MOST and not all(map(self.cancellations.knows, jobs)):
+            raise Unavailable("more old cancellations are asked for than can be passed on")
         self._learn_cancelled(jobs)
         self.home.commanding.cancel(jobs)
 
@@ -553,7 +555,7 @@
             every += 1
             if every % 30 == 0:
                 stale = self.member.stale_marks(KEPT * self._deployment.workers.cancel_s)
-                for mark in islice(stale, MARKS_MOST):
+                for mark in stale[:MARKS_MOST]:
                     self.book.recorder.drop(mark)
             if self.desk is not None:
                 self.desk.tick(every)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -7,6 +7,7 @@
 
 from roadhead.local.world import World
 from roadhead.membership.touch import Cancellations, Touch
+from roadhead.state.client import Unavailable
 
 LATER = 1e9
 
@@ -67,6 +68,31 @@
     assert statuses == [200, 200, 503, 503]
 
 
+def test_old_cancellations_asked_for_are_bounded(monkeypatch):
+    """Each that is told is passed on: beyond the bound a user is told to come back, at once."""
+    monkeypatch.setattr("roadhead.node.CANCELLED_MOST", 3)
+    node = World("at 1 submit legs=1\nuntil 15").run().nodes[0]
+    for number in range(3):
+        node.cancelled([f"req-{number}"])
+    node.cancelled(["req-1"])
+    with pytest.raises(Unavailable):
+        node.cancelled(["req-3"])
+    assert len(node.cancellations) == 3
+
+
+def test_marks_that_no_owner_dropped_go():
+    """Their owner ended before it could: the first member, which read them as it joined, does in the end."""
+    world = World("cancel_s 14\nat 1 submit legs=4 runS=100\nat 20 crash 0 0.1\nat 20 crash 1 0.1\n"
+                  "at 20 crash 2 0.1\nat 20.4 cancel 1\nat 24 crash 0 0.1\n"
+                  "at 180 submit legs=1\nuntil 220")
+    world.sim.call_at(22, lambda: world.state.put("c/x/req-000001", True))  # as one left behind
+    world.sim.call_at(60, lambda: marks.append("c/x/req-000001" in world.state.data))
+    marks = []
+    world.run()
+    assert marks == [True] and not any(key.startswith("c/x/") for key in world.state.data)
+    assert world.broken == []
+
+
 def test_bad_news_of_cancellations_is_ignored_or_harmless():
     """Unknown, impossible, doubled: nothing fails, and only what can be a job's id is passed on."""
     world = World("at 1 submit legs=2 runS=30\nuntil 15").run()
