--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -126,7 +126,7 @@
         now = self._loop.now()
         known, sureness = self.known, self.sureness
         shown_at = sureness.shown_at(asked_at)
-        failed = []
+        failed, left = [], set()
         for item in listed:
             if item.id in known.gone:
                 continue
@@ -140,6 +140,8 @@
                 continue
             if machine is None:
                 if self._member.lapsed():
+                    # Not taken on, and so not heard: what runs there is not known, and nothing covers it.
+                    left.add(self._member.term.share(item.id))
                     continue
                 machine = known.take_on(item.id, item.address, item.type, item.zone, item.spot, now)
                 sureness.unheard(machine)
@@ -151,7 +153,7 @@
                 machine.born_at = max(machine.born_at, shown_at)
             if machine.confirmed != machine.token and item.status == "running":
                 self._ask(machine)
-        sureness.cover(asked_at)
+        sureness.cover(asked_at, left)
         sureness.settle()
         return failed
 
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/sureness.py
@@ -95,10 +95,10 @@
         asked for."""
         return asked_at - 2 * self._lag_s * (1 + DRIFT)
 
-    def cover(self, asked_at):
-        """A machine list asked for at `asked_at` was taken in."""
+    def cover(self, asked_at, left):
+        """A machine list asked for at `asked_at` was taken in, but for machines of the shares in `left`."""
         covered = [share for share, fence in self._fences.items()
-                   if not fence.covered and asked_at >= fence.cover_from]
+                   if not fence.covered and asked_at >= fence.cover_from and share not in left]
         for share in covered:
             self._fences[share].covered = True
         if covered:
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -197,7 +197,14 @@
     patch.setattr(Book, "all_read", lambda self, number, _gone_at: real(self, number, None))
 
 
+def covers_what_it_left(patch):
+    """3: a list counts as taken in although machines of it were not taken on."""
+    real = Sureness.cover
+    patch.setattr(Sureness, "cover", lambda self, asked_at, _left: real(self, asked_at, ()))
+
+
 @pytest.mark.parametrize(("sabotage", "scenario"), [
+    (covers_what_it_left, "meeting-lapsed-heir"),
     (cancelled_count_for_nothing, "limit-cancelled"),
     (links_tell_only_what_is_new, "meeting-refused-then-down"),
     (members_alone_are_heard, "meeting-alone"),
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -165,7 +165,7 @@
     other = next(iter(home.machines.values()))
     other.share, other.token = 1, 9
     home.sureness.fence([1], False)
-    home.sureness.cover(200.0)
+    home.sureness.cover(200.0, set())
     assert not home.sureness.clean()
     answer = report(0, 0, sequence=2)
     answer.token = 9
