A sync of all that an older term dropped is told anew: a job never ended (older fault)

Cause: word that a task is gone was lost with a link; at link-up the owner told the home all under the term it knew, which was older, so that it was dropped; at the next term only what moved was told. The owner believed the task on a machine long gone for ever. Change: a sync of all that is not answered yet is told whole again under the next term.

--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -58,6 +58,7 @@
         self.closing = set()  # slots of wardens about to be handed on: nothing of them comes to us
         self._syncs = {}  # number -> (label, [jobs])
         self._sync_number = 0
+        self._whole = {}  # home -> number of the last sync that told it all, until it is answered
         self._attempts = 0
         self._unowned = []  # accepted while slots were closing
         self._ending = {}  # cancelled with a job that they need, to be written; by id
@@ -414,8 +415,9 @@
     def sync_moved(self, old, new):
         """The term changed. Of what is owned here every home is told the jobs of which not all is known
         yet, and what is bound on machines that it is home to only now; a new incarnation is told all."""
-        whole = [label for label in new.members
-                 if old is None or old.incarnation(label) != new.incarnation(label)]
+        # One that told all under an older term, as when a link comes up, may have been dropped as such.
+        whole = [label for label in new.members if label in self._whole
+                 or old is None or old.incarnation(label) != new.incarnation(label)]
         waiting = list(self._inherited)
         for job in waiting:
             job.unsynced = set(new.members)
@@ -437,7 +439,8 @@
         term = self._member.term
         if label not in term.members:
             return
-        complete = complete or jobs is None
+        whole = jobs is None
+        complete = complete or whole
         jobs = list(self.jobs.values()) if jobs is None else jobs
         claims = [
             (binding.machine, job.id, index, binding.attempt)
@@ -446,6 +449,8 @@
             if term.home(binding.machine) == label
         ]
         self._sync_number += 1
+        if whole:
+            self._whole[label] = self._sync_number
         if complete:
             # It names all that those before named. None may be dropped otherwise: jobs whose
             # answer is not waited for would never start.
@@ -455,6 +460,8 @@
 
     def on_synced(self, label, frame):
         home, jobs = self._syncs.pop(frame.number, (None, ()))
+        if self._whole.get(label) == frame.number:
+            del self._whole[label]
         if home != label or frame.term != self._member.term.number:
             # Said for an older term: a home of this one may know of more.
             if home == label:
