--- a/roadhead/homes/hearing.py
+++ b/roadhead/homes/hearing.py
@@ -30,22 +30,27 @@
         if machine is None:
             if report.machine in known.gone or report.type not in known.types:
                 return None
-            if self._member.lapsed():
+            if not self._member.takes_on(self._member.term.share(report.machine)):
                 return None
             machine = known.take_on(report.machine, report.address, report.type, report.zone,
                                     report.spot, now)
             self._sureness.unheard(machine)
-        if report.token > machine.token:
+        if report.token > machine.token or self._too_late(machine):
             return None
         fresh = self.observe(machine, report)
         if fresh:
             machine.renewed_at = now
         return machine
 
+    def _too_late(self, machine):
+        """It may have come up since another is its home, which would not know what is started there."""
+        return not machine.up and not self._member.takes_on(machine.share)
+
     def observe(self, machine, report):
         """Takes in a report or the body of a direct answer; False if it is an old one."""
-        if report.token > machine.token:
+        if report.token > machine.token or self._too_late(machine):
             return False
+        machine.up = True
         at = (report.session, report.sequence)
         if at <= (machine.session, machine.sequence):
             return False
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -78,7 +78,8 @@
                 self.rooms.revoke(machine)
                 self._let_go(machine)
             self.sureness.let_go(lost)
-            self.sureness.fence(begun, False)
+            self.sureness.fence(begun, False, {
+                share for share in begun if old.shares.homes[share] in new.relieved})
         for label in list(self.rooms.demand):
             if old.incarnation(label) != new.incarnation(label):
                 self.rooms.peer_down(label)
@@ -102,11 +103,13 @@
         nothing is known of them before they answer."""
         known = self.known
         for name, address, kind_name, zone, spot, draining, images in frame.rows:
-            if (self._member.term.home(name) != self.label or name in self.machines or name in known.gone
-                    or self._member.lapsed()):
+            term = self._member.term
+            if (term.home(name) != self.label or name in self.machines or name in known.gone
+                    or not self._member.takes_on(term.share(name))):
                 continue
             machine = known.take_on(name, address, kind_name, zone, spot, self._loop.now())
             machine.draining = draining
+            machine.up = True
             machine.images = dict.fromkeys(images, 0.0)
             self.sureness.unheard(machine)
             self._ask(machine)
@@ -138,16 +141,20 @@
                     self.unknown_gone(item.id)
                 failed.append(item.id)
                 continue
+            share = self._member.term.share(item.id)
+            taken_on = self._member.takes_on(share)
             if machine is None:
-                if self._member.lapsed():
-                    # Not taken on, and so not heard: what runs there is not known, and nothing covers it.
-                    left.add(self._member.term.share(item.id))
+                if not taken_on:
+                    # Not heard, then: what runs there is not known, and nothing covers it.
+                    left.add(share)
                     continue
                 machine = known.take_on(item.id, item.address, item.type, item.zone, item.spot, now)
                 sureness.unheard(machine)
             if machine.listed_at is None:
                 machine.born_at = shown_at - item.age_s * (1 + DRIFT)
             machine.listed_at = asked_at
+            if item.status == "running" and taken_on:
+                machine.up = True
             if item.status == "starting":
                 # It was not up at the moment that the list shows, so nobody had told it anything.
                 machine.born_at = max(machine.born_at, shown_at)
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -95,6 +95,7 @@
         "todo",
         "token",
         "type",
+        "up",
         "wanting",
         "zone",
     )
@@ -116,6 +117,7 @@
         self.heard_at = None
         self.renewed_at = now  # when a report was last answered
         self.listed_at = None
+        self.up = False  # it was, by a list or its own word, while surely nobody else was its home
         self.born_at = 0.0  # not before this it was rented, or up
         self.notice_at = None  # when the cloud takes it away
         self.tasks = {}
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/sureness.py
@@ -1,6 +1,7 @@
 """What a home is sure of: which machines it has heard, and when it may say that it knows all (safety 3)."""
 
 import logging
+import math
 
 from roadhead.wire import frames
 
@@ -11,7 +12,8 @@
 
 
 class Fence:
-    """Of one share, since it is this home's under its token. Times are the loop's.
+    """Of one share, since it is this home's under its token. Times are the loop's; `since`: nobody else heard
+    a machine of it that was not up by then.
 
     `at`: by then every lease that another home renewed has ended. `cover_from`: a machine list must
     have been asked for after this. `unheard`: machines not heard under the token; `awaited`: those
@@ -45,9 +47,10 @@
         self._fences = {}  # share -> Fence, of the shares homed here
         self._unsure = {}  # shares that may not be clean, in order as a set
 
-    def fence(self, shares, short):
+    def fence(self, shares, short, unaware=()):
         """These shares are this home's from now on, or under a new token: what was known of them may be
-        old. `short`: nobody else was their home since this one's last incarnation."""
+        old. `short`: nobody else was their home since this one's last incarnation. `unaware`: those of them
+        whose home of before has not lapsed, may not know, and goes on hearing machines for the first time."""
         now = self._loop.now()
         # A process that ended renews nothing; a member that was dropped but lives stops
         # renewing before cancel_s - lease_s is up (guide, safety 4). Then the lease itself.
@@ -59,7 +62,8 @@
             if machine.share in machines:
                 machines[machine.share].append(machine.id)
         for share, names in machines.items():
-            self._fences[share] = Fence(now, at, cover_from, names)
+            since = math.inf if share in unaware else now
+            self._fences[share] = Fence(since, at, cover_from, names)
             self._unsure[share] = True
 
     def let_go(self, shares):
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -51,6 +51,7 @@
         self._amend = Signal()
         self._amendments = []  # (method of Term, its arguments)
         self._said_outdated = self._raising = False
+        self._offered = set()  # shares that a transaction under this term may have given away
         self._ending = False  # this process gives all up and joins no more
         self._not_before = {}  # amendment -> when it may be wanted again
 
@@ -62,10 +63,17 @@
         """True if the lease may have ended: others may go on without this member."""
         return self._loop.now() - self.renewed_at > self._lease_s * (1 - DRIFT)
 
+    def takes_on(self, share):
+        """Whether a machine of a share that the term gives to this member may be heard for the first time:
+        nobody else can be its home by now, as after a lapse, or a move whose outcome is not known. A new
+        home does not wait for machines that came up since it was their home (safety 3)."""
+        return not (self.lapsed() or self._ending or share in self._offered)
+
     def adopt(self, record, revision):
         """Takes a term record that is newer than the one known."""
         if revision <= self.revision:
             return
+        self._offered.clear()
         old, self.term, self.revision = self.term, Term.from_record(record), revision
         if not self.joined:
             return
@@ -375,6 +383,7 @@
         new = self.term.move(moves, self.label)
         if new is self.term:
             return
+        self._offered.update(moves)
         try:
             await self._write_term(new)
         except (Unavailable, Conflict, Unsure) as error:
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -51,6 +51,9 @@
     def lapsed(self):
         return False
 
+    def takes_on(self, _share):
+        return True
+
 
 class Workers:
     lease_s, report_s, cancel_s = 12.0, 2.0, 32.0
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -5,6 +5,7 @@
 import pytest
 
 from roadhead.api.server import Api
+from roadhead.homes.hearing import Hearing
 from roadhead.homes.home import Home
 from roadhead.homes.machine import Machine
 from roadhead.homes.sureness import Sureness
@@ -203,7 +204,13 @@
     patch.setattr(Sureness, "cover", lambda self, asked_at, _left: real(self, asked_at, ()))
 
 
+def takes_on_what_boots_later(patch):
+    """3: a home whose lease has ended hears machines that came up since."""
+    patch.setattr(Hearing, "_too_late", lambda self, machine: False)
+
+
 @pytest.mark.parametrize(("sabotage", "scenario"), [
+    (takes_on_what_boots_later, "meeting-boots-at-the-cut"),
     (covers_what_it_left, "meeting-lapsed-heir"),
     (cancelled_count_for_nothing, "limit-cancelled"),
     (links_tell_only_what_is_new, "meeting-refused-then-down"),
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -17,6 +17,7 @@
 from roadhead.settings import StateLimits, state_faults
 from roadhead.shares.balance import step
 from roadhead.shares.map import SHARES, Shares
+from roadhead.state.client import Unsure
 from roadhead.wire import frames, messages
 
 NAMES = [f"n-{number:06d}" for number in range(400)]
@@ -260,3 +261,53 @@
     routine = loop.spawn(workers._ask(machine, False), "ask")
     loop.run_until(1.0)
     assert routine.done.done and routine.done.result() is None and asked == [machine.id]
+
+
+def test_what_is_offered_to_others_is_not_taken_on_until_the_outcome_is_known():
+    """Safety 3: the new home does not wait for machines that come up after the move, carried out or not as
+    far as the giver can tell."""
+    world = World("until 20").run()
+    member = world.nodes[0].member
+    mine = sorted(member.term.held(member.label))
+    other = next(label for label in member.term.homes if label != member.label)
+
+    class Silent:
+        async def multi(self, *_transaction):
+            raise Unsure("no answer")
+
+    assert all(map(member.takes_on, mine))
+    real, member._state = member._state, Silent()
+    world.sim.spawn(member.move({mine[0]: other}), "move")
+    world.sim.run_until(20.1)
+    assert [share for share in mine if not member.takes_on(share)] == mine[:1]
+    member._state = real
+    world.sim.spawn(member.move({mine[0]: other}), "move again")
+    world.sim.run_until(22)
+    assert mine[0] not in member.term.held(member.label) and all(map(member.takes_on, mine[1:]))
+
+
+def test_a_machine_that_came_up_after_a_lapse_is_not_heard():
+    """Safety 3; one that a list showed to be up before is: an heir waits for it."""
+    home = home_of(0, 0)
+    home.covered([listed("n-000001", "starting"), listed("n-000002", "running")], 100.0)
+    home._member.takes_on = lambda _share: False
+    home.covered([listed("n-000001", "running")], 110.0)
+    assert home.hearing.take_report(report(1, 0)) is None
+    assert not home.hearing.observe(home.machines["n-000001"], report(1, 0))
+    assert home.hearing.take_report(report(2, 0)) is home.machines["n-000002"]
+    home._member.takes_on = lambda _share: True
+    assert home.hearing.take_report(report(1, 0)) is home.machines["n-000001"]
+
+
+def test_machines_of_a_relieved_home_are_waited_for_although_they_boot():
+    """Safety 3: that one serves on, may not know, and may hear them first."""
+    for unaware in (set(), {0}):
+        home = home_of(0, 0)
+        home.sureness.fence([0], False, unaware)
+        home.covered([listed("n-000001", "starting")], 100.0)
+        assert home.sureness.clean() == (not unaware)
+    assert home.hearing.take_report(report(1, 0)) and home.sureness.clean()
+
+
+def listed(name, status):
+    return messages.Listed(name, "10.1.0.1:9000", "box", "a", True, status, 1.0)
