A leader that may have lapsed gives no machines back unless others say its term is in force

Cause: a leader cut from the state service and the others, but not from the cloud, went on returning machines that it took for idle, or that were silent to it for four leases: they were its heirs' by then, and all that ran there was lost.

--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -129,6 +129,7 @@
     # Returning
 
     def release(self, names):
+        """Gives machines back, with whatever is on them."""
         names = [name for name in names if name not in self._releasing]
         for name in names:
             self._releasing.add(name)
--- a/roadhead/local/standins.py
+++ b/roadhead/local/standins.py
@@ -286,6 +286,7 @@
             for name in body["drovers"]:
                 worker = self.rented.pop(name, None)
                 if worker is not None:
+                    self.world.given_back += sum(item.status != "exited" for item in worker.tasks.values())
                     worker.end()
             return 200, {}
         return 400, {}
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -69,6 +69,7 @@
         self.stuck_boots = 0
         self.no_rooms = 0
         self.killed = 0  # tasks, by their workers' leases
+        self.given_back = 0  # tasks, with machines returned to the cloud
         self.jobs = {}
         self.users = {}
         self.storms = []
@@ -529,6 +530,9 @@
             elif words[0] == "killed":
                 if self.killed > int(words[2]):
                     faults.append(f"{self.killed} tasks were killed by their lease")
+            elif words[0] == "given_back":
+                if self.given_back > int(words[2]):
+                    faults.append(f"{self.given_back} tasks were lost with machines returned")
             elif words[0] == "together":
                 faults += [f"the tasks of {job['id']} never ran together" for job in self.jobs.values()
                            if job["shape"] == "group" and job["id"] not in self.together]
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -44,6 +44,7 @@
 POLL_S = 2.0  # users wait that long for the answer to a poll (PROTOCOL)
 NEWS_MOST = 500  # jobs in a frame
 CANCELLED_MOST = 20_000  # jobs passed on: beyond that none is told of that was not known before
+IN_FORCE_BEATS = SILENT_BEATS + 1.5  # for so long a lapsed member goes by a term that others said is in force
 MARKS_MOST = 20  # of cancellations, that nobody dropped, dropped at a time
 
 
@@ -539,14 +540,16 @@
             if not self.member.joined:
                 continue
             self.may_renew()  # hearing counts only as long as it does not break off
-            released = self.home.tick(self.sure_at())
+            sure_at = self.sure_at()
+            unused = self.home.tick(sure_at)
             if self.home.undecided and not self._judging:
                 self._judging = True
                 self._loop.spawn(self._judge(), "judge leases")
-            if released:
-                self.fleet.release([machine.id for machine in released])
+            # Others may have been given these machines, and have work there, without our knowing.
+            if not self.member.lapsed() or self._loop.now() - sure_at < IN_FORCE_BEATS * self._beat_s:
+                self.fleet.release([machine.id for machine in unused])
+                self.fleet.return_idle()
             self._share_state()
-            self.fleet.return_idle()
             self.dispatcher.changed()
             self.takeover.tell()
             self.keeper.tick(self.home)
