--- a/tests/hunt.py
+++ b/tests/hunt.py
@@ -2,15 +2,17 @@
 of pipelines, or of two to four troubles that meet.
 
     python3 tests/hunt.py [--pipelines | --meetings] [--days N] [--seed FIRST] [--jobs N] [--show SEED]
-    python3 tests/hunt.py --first-meeting [--jobs N]
+    python3 tests/hunt.py --first-meeting | --leader [--jobs N]
 
-The last plays every order and spacing of the first meeting (docs/meetings.md) and prints a table.
+The last two play every order and spacing of the first meeting, and of a leader that is cut from all but its
+workers (docs/meetings.md), and print a table.
 
 Prints the days on which a rule broke, a callback failed, or work that was accepted did not end.
 `--show` prints a day's scenario, to be put under tests/scenarios/ with what it found.
 """
 
 import argparse
+import itertools
 import multiprocessing
 import random
 
@@ -167,6 +169,77 @@
                         yield (lost, length, confirmed, back, down), "\n".join(lines)
 
 
+LEADER_CUT_AT = 40
+LEADER_TROUBLES = {  # what happens besides, so many seconds after the cut
+    "nothing": [],
+    "cancelled": [(5, "cancel 1,2 1"), (LEASE_S, "cancel 3 0")],
+    "heirs end": [(7, "crash 1 0.1"), (8, "crash 2 0.1"), (LEASE_S, "crash 1 0.1")],
+    "an heir leaves": [(1, "leave 1 0.2"), (LEASE_S, "leave 2 0.2")],
+    "it leaves": [(2, "leave 0 0.2")],
+    "service down": [(LEASE_S / 2, "outage {cancel}"), (LEASE_S, "cancel 1 1")],
+    "machines boot": [(LEASE_S + 2.2, "cloud-outage {lease}")],
+    "it stalls": [(3, "stall 0 {lease}")],
+    "deaf": [(2, "deaf 0.5 {cancel}")],
+    "hung": [(3, "hang 0 9"), (3, "hang 1 {lease}"), (6, "hang 2 {lease}")],
+    "late": [(0, "late-launch {lease}"), (0, "late-reports 0.5 60"), (2, "late-writes 0.3 20")],
+    "relieved": [(-8, "cut 0 workers 7"), (-3, "crash 1 0.1")],
+}
+
+
+def leader_cuts():
+    """Yields ((controllers, peers lost, for, ended first, trouble, tasks) of a cut, its text): a leader that
+    owns most of the jobs loses the state service in second 40, and the other controllers so many seconds
+    after; not its workers, users or the cloud."""
+    cases = itertools.product(
+        (3, 5), (-LEASE_S / 4, 0, LEASE_S / 6, LEASE_S),
+        (LEASE_S / 3, 3 * LEASE_S / 4, CANCEL_S - LEASE_S, CANCEL_S + 4), ("both", "state", "peers"),
+        LEADER_TROUBLES, (6, 2.5 * CANCEL_S))
+    for number, which in enumerate(cases, 1):
+        yield which, leader_cut(number, *which)
+
+
+def leader_cut(seed, count, lost, length, first, trouble, run_s):
+    """The text of one."""
+    mode = ("lose", "hold")[seed % 2]
+    begins = LEADER_CUT_AT, LEADER_CUT_AT + lost
+    ends = [LEADER_CUT_AT + length + LEASE_S / 2 * (first == other) for other in ("peers", "state")]
+    ends[1] = max(ends[1], begins[1] + LEASE_S / 4)
+    booting = trouble == "machines boot"
+    lines = [f"controllers {count}", f"seed {seed}", f"boot_s {36 if booting else 5}",
+             f"capacity {16 if booting else 6}", "until 900"]
+    lines += [f"at 0.1 crash {other} 8" for other in range(1, count)]
+    lines += [f"at 1 submit count=4 legs={40 if run_s < CANCEL_S else 12} runS={run_s}",
+              f"at 30 submit count=4 legs=12 runS={run_s}"]
+    lines += [f"at {begin} cut 0 {whom} {end - begin} {mode}"
+              for whom, begin, end in zip(("state", "peers"), begins, ends, strict=True)]
+    lines += [f"at {LEADER_CUT_AT + after} {what.format(lease=LEASE_S, cancel=CANCEL_S)}"
+              for after, what in LEADER_TROUBLES[trouble]]
+    return "\n".join(lines)
+
+
+def played_leader(case):
+    """(the case, rules broken, jobs not ended, tasks killed, tasks given back)."""
+    which, text = case
+    world = World(text).run()
+    open_jobs = sum(user.accepted and user.told not in ("done", "cancelled") for user in world.users.values())
+    return which, world.check(), open_jobs, world.killed, world.given_back
+
+
+def table_of_leaders(jobs):
+    """Plays all of them, and prints by trouble and tasks what came of it."""
+    rows = {}
+    with multiprocessing.Pool(jobs) as pool:
+        for which, faults, unended, killed, given_back in pool.imap_unordered(played_leader, leader_cuts()):
+            row = rows.setdefault(which[4:], [0, 0, 0, 0, 0])
+            for place, value in enumerate((1, bool(faults), bool(unended), killed, given_back)):
+                row[place] += value
+            if faults or unended:
+                print(which, unended, faults[:2], flush=True)
+    print("trouble | tasks, s | played | broken | jobs not ended | killed | given back")
+    for (trouble, run_s), (count, broken, unended, killed, given_back) in sorted(rows.items()):
+        print(f"{trouble:14} | {run_s:8} | {count:6} | {broken:6} | {unended:14} | {killed:6} | {given_back}")
+
+
 def played_first(case):
     """(the case, rules broken, seconds for which a cancelled task was there, tasks killed)."""
     which, text = case
@@ -221,10 +294,14 @@
     parser.add_argument("--pipelines", action="store_true")
     parser.add_argument("--meetings", action="store_true")
     parser.add_argument("--first-meeting", action="store_true")
+    parser.add_argument("--leader", action="store_true")
     args = parser.parse_args()
     if args.first_meeting:
         table_of_first(args.jobs)
         return
+    if args.leader:
+        table_of_leaders(args.jobs)
+        return
     draw, play = ((drawn_meetings, played_meetings) if args.meetings else
                   (drawn_pipelines, played_pipelines) if args.pipelines else (drawn, played))
     if args.show is not None:
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -1,6 +1,6 @@
 """Two troubles at once: what a controller knows when it hears others, and samples of drawn meetings."""
 
-from itertools import islice
+import itertools
 
 import hunt
 import pytest
@@ -15,11 +15,19 @@
 @pytest.mark.parametrize("number", range(12))
 def test_the_first_meeting_in_a_sample_of_its_orders(number):
     """Safety 4, one order and spacing in 47; `tests/hunt.py --first-meeting` plays all."""
-    case = next(islice(hunt.first_meetings(), 47 * number + 3, None))
+    case = next(itertools.islice(hunt.first_meetings(), 47 * number + 3, None))
     which, broken, _gone, _killed = hunt.played_first(case)
     assert broken == 0, which
 
 
+@pytest.mark.parametrize("number", range(12))
+def test_a_leader_cut_from_all_but_its_workers_in_a_sample(number):
+    """Safety 3, 4, one case in 187; `tests/hunt.py --leader` plays all."""
+    case = next(itertools.islice(hunt.leader_cuts(), 187 * number + 9, None))
+    which, faults, unended, _killed, _given_back = hunt.played_leader(case)
+    assert (faults, unended) == ([], 0), which
+
+
 @pytest.mark.parametrize("seed", range(2000, 2006))
 def test_meetings_drawn_by_chance(seed):
     assert World(hunt.drawn_meetings(seed)).run().broken == []
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -17,6 +17,7 @@
 from roadhead.node import Node
 from roadhead.shares.map import Shares
 from roadhead.state.reader import Reader
+from roadhead.switchboard import Switchboard
 from roadhead.wire import frames, messages
 
 SCENARIOS = Path(__file__).parent / "scenarios"
@@ -209,7 +210,13 @@
     patch.setattr(Hearing, "_too_late", lambda self, machine: False)
 
 
+def terms_are_not_told(patch):
+    """4: a term is learned from the state service alone, and hearing the others counts as being in touch."""
+    patch.setattr(Switchboard, "tell_term", lambda self, label: None)
+
+
 @pytest.mark.parametrize(("sabotage", "scenario"), [
+    (terms_are_not_told, "refused-leader-told"),
     (takes_on_what_boots_later, "meeting-boots-at-the-cut"),
     (covers_what_it_left, "meeting-lapsed-heir"),
     (cancelled_count_for_nothing, "limit-cancelled"),
