--- a/roadhead/dispatch/demand.py
+++ b/roadhead/dispatch/demand.py
@@ -67,7 +67,7 @@
         for job in coming:
             if job.free and not job.doubtful:
                 self._add_row(rows, job, False)
-        if self._queue.sharing is not None:
+        if self._queue.sharing is not None or any(leads for _shape, _startable, leads in rows):
             rows = dict(sorted(rows.items(), key=lambda item: item[1][3]))
         told = {key: row[0] for key, row in rows.items()}
         if told == self._told:
@@ -79,7 +79,7 @@
         frame = frames.Demand(self._listed(), [
             (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, slack,
              startable, place)
-            for ((rank, cpus, gpus, memory, spot, zone, types, klass), startable),
+            for ((rank, cpus, gpus, memory, spot, zone, types, klass), startable, _leads),
             (count, work, slack, place) in list(rows.items())[:ROWS_MOST]
         ], list(images)[:ROWS_MOST])
         for label in self._member.term.members:
@@ -91,13 +91,16 @@
 
     def _add_row(self, rows, job, startable):
         for count, rank, place in self._parts(job, startable):
-            self._add_part(rows, job, startable, count, rank, place)
+            self._add_part(rows, job, startable, job.leads and place == job.place, count, rank, place)
 
     def _parts(self, job, startable):
-        """(tasks, urgency, place in the queue) of what waits of a job: where teams share, what is
-        within its team's guarantee, and the rest as far as its limit leaves room for it."""
+        """(tasks, urgency, place in the queue) of what waits of a job: the task that leads, and the others;
+        where teams share, what is within its team's guarantee, and the rest as far as its limit leaves room
+        for it."""
         rank = DOUBTFUL if job.doubtful else job.rank
         count = max(1, job.startable() - job.gathered)
+        if job.leads and startable:
+            return ((1, rank, job.place), (count - 1, rank, job.later))[: count]
         if self._queue.sharing is None or not startable:
             return ((count, rank, job.place),)
         sure = min(job.sure, count)
@@ -105,15 +108,15 @@
         parts = ((sure, rank, job.place), (more, rank + BORROWED, job.later))
         return [part for part in parts if part[0] > 0]
 
-    def _add_part(self, rows, job, startable, count, rank, place):
+    def _add_part(self, rows, job, startable, leads, count, rank, place):
         # A group's tasks are of use only side by side: without a run time the renter
         # finds room for all of them at once.
         work = 0.0 if job.gang else count * job.spec.estimate_s
         slack = self._queue.slack(job)
         shape = (rank, *job.shape[1:])
-        row = rows.get((shape, startable))
+        row = rows.get((shape, startable, leads))
         if row is None:
-            rows[shape, startable] = [count, work, slack, place]
+            rows[shape, startable, leads] = [count, work, slack, place]
         else:
             row[0] += count
             row[1] += work
--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -310,6 +310,10 @@
                     job.part -= 1
                     job.sure -= job.sure > 0
                 tasks.append(self._book.bind(job, listing.id, listing.zone))
+                if job.leads:
+                    job.leads = False
+                    self._book.version += 1  # the others of its tasks come later
+                    return started
         return started
 
     def _finish(self, left, starts):
--- a/roadhead/dispatch/queue.py
+++ b/roadhead/dispatch/queue.py
@@ -8,6 +8,8 @@
 import math
 from bisect import insort
 
+from roadhead.jobs.book import LARGER_PART
+
 NO_AIMS = ((), (), ())
 HOPE = 0.7  # of the estimated run time: less than that left, and an aim is taken for lost
 TIERS = (0, 1, 2, 2)  # by urgency: the urgent come strictly first, the others by what is due
@@ -18,7 +20,7 @@
 HOPELESS = 0.25  # of its age by which a job without aims in reach still moves forward
 STARVED_AIMS = 2  # times the aim assumed by default: older than that, a job counts as not served
 SERVED_LEAST = 0.55  # of a class's, or a team's, jobs: below that the oldest of them come first
-LARGEST_WAITS = 8  # windows, after which a class's largest jobs that have not begun come first, one at a time
+LARGEST_WAITS = 8  # windows, after which a class's larger jobs that have not begun lead, with one task each
 TIER_STARVED = -1
 JOBS_A_GAP = 2000  # put in order at once; with more than that the order is kept longer
 
@@ -98,11 +100,11 @@
         back for the sake of the less urgent.
         """
         capacity = max(1e-6, self.capacity())
-        lifted = self._lifted() if self.sharing is None else {}
+        lifted, leading = self._lifted() if self.sharing is None else ({}, {})
         jobs = []
         for job in self._book.jobs.values() if self.sharing is None else self.sharing.candidates():
             slack, later = self._set_place(job)
-            job.place = lifted.get(job, job.place)
+            job.place, job.leads = lifted.get(job, job.place), False
             size = 0.0 if job.doubtful else job.spec.cpus * job.spec.estimate_s
             jobs.append((job.place, slack, len(job.free) * size / capacity, later, job))
         jobs.sort(key=lambda entry: entry[0])
@@ -124,6 +126,8 @@
                 jobs[back][4].place += jobs[back][3]  # to its next aim
                 if back == number:
                     break
+        for job, place in leading.items():
+            job.later, job.place, job.leads = job.place, place, True
         self._order = sorted((entry[4] for entry in jobs), key=lambda job: job.place)
         self.least = (min((job.spec.cpus for job in self._order), default=0.0),
                       min((job.spec.memory for job in self._order), default=0.0))
@@ -132,35 +136,29 @@
             self._order.sort(key=lambda job: job.place)
 
     def _lifted(self):
-        """{job: its place}: the exception to urgency, by which of each class, and each team, at least so
-        much is served in the end.
+        """({job: its place}, {job: the place of its first task}): the exceptions to urgency, by which of each
+        class, and each team, at least so much is served in the end, and the largest jobs begin.
 
         Work of little urgency would get nothing for as long as what comes before it fills the machines.
         Only jobs that waited for twice the time in which anything should be done count, and of those only
         as many are lifted as the class lacks, the oldest. What is put back first where not all can be in
-        time, a class's largest jobs, is asked after sooner: of those that have not begun the oldest of each
-        class comes first, until it has.
+        time, a class's larger jobs, begins sooner: with one task, since all of theirs would cost the most.
         """
         now = self.time_of_day()
         since = now - STARVED_AIMS * self._default_aim_s
         begun_by = now - LARGEST_WAITS * self._window_s
-        old, places, largest = {}, {}, {}
+        old, places, leading = {}, {}, {}
         for job in self._book.jobs.values():
             if job.released_at >= begun_by or job.state != "open" or job.doubtful:
                 continue
             if job.released_at < since:
                 for key in ("class", job.spec.klass), ("team", job.spec.team):
                     old.setdefault(key, []).append(job)
-            if not self._book.among_largest(job):
-                continue
-            if job.released_at < begun_by - LARGEST_WAITS * self._window_s:
+            if (job.released_at < begun_by - LARGEST_WAITS * self._window_s
+                    and self._book.among_largest(job)):
                 old.setdefault(("largest", job.spec.klass), []).append(job)
-            if not job.bound and not job.done.count:
-                first = largest.setdefault(job.spec.klass, job)
-                if job.released_at < first.released_at:
-                    largest[job.spec.klass] = job
-        for job in largest.values():
-            places[job] = TIER_STARVED * TIER_STEP * self._window_s + job.released_at - since
+            if not job.bound and not job.done.count and self._book.among_largest(job, LARGER_PART):
+                leading[job] = TIER_STARVED * TIER_STEP * self._window_s + job.released_at - since
         for key, waiting in old.items():
             served = self._book.served.get(key, 0)
             lacking = SERVED_LEAST * (served + len(waiting)) - served
@@ -169,7 +167,7 @@
             waiting.sort(key=lambda job: job.released_at)
             for job in waiting[: math.ceil(lacking)]:
                 places[job] = TIER_STARVED * TIER_STEP * self._window_s + job.released_at - since
-        return places
+        return places, {job: place for job, place in leading.items() if job not in places and not job.gang}
 
     def refresh(self, anew=False):
         """What is due grows alike for most jobs, so the order is kept for a while; `anew`: not now."""
--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -9,6 +9,7 @@
 PART_MARGIN = 1.2  # what others have parked was told a while ago
 PLACE, CPUS, GPUS, MEMORY, COUNT, SPOT, ZONE, TYPES, STRICT = range(9)
 HOLD_WINDOWS = 2.5  # for which room is kept back at the most
+APART = 1e3  # windows: of a shape, what lies further ahead than that is not met as one with the rest
 HELD_MOST = 1 / 8  # of the machines, kept back at once for tasks larger than what is free
 
 
@@ -205,7 +206,8 @@
             if not startable:
                 continue
             strict = not run_s
-            key = (urgency, cpus, gpus, memory, spot, zone, tuple(types), strict)
+            ahead = self.window_s and place // (APART * self.window_s)
+            key = (urgency, cpus, gpus, memory, spot, zone, tuple(types), strict, ahead)
             row = rows.get(key)
             if row is None:
                 rows[key] = [place, cpus, gpus, memory, count, spot, zone, types, strict]
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -18,6 +18,7 @@
 CANCEL = "c/x/"
 MAX_FINALS = 20000
 LARGEST_PART = 10  # of a class's jobs one in so many is among its largest
+LARGER_PART = 2.5  # and one in so many among the larger ones: more than a quarter, as others own the rest
 SIZES_MOST = 2000  # jobs of a class by which that is judged
 NO_ROOM = (-1.0, -1.0)  # not even for a task that takes nothing
 AMPLE = 1e12  # CPUs or GPUs of a team without a limit on them
@@ -235,11 +236,11 @@
             return True
         return False
 
-    def among_largest(self, job):
-        """Whether the job is of the largest tenth of its class, and larger than most of it."""
+    def among_largest(self, job, part=LARGEST_PART):
+        """Whether the job is of the largest of its class, one in `part`, and larger than most of it."""
         sizes = self._sizes[job.spec.klass]
         size = job.spec.tasks * job.spec.cpus
-        return size >= sizes[-1 - len(sizes) // LARGEST_PART] and size > sizes[len(sizes) // 2]
+        return size >= sizes[-1 - int(len(sizes) / part)] and size > sizes[len(sizes) // 2]
 
     def _begin(self, job):
         sizes = self._sizes.setdefault(job.spec.klass, [])
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -41,7 +41,7 @@
 
     __slots__ = ("accepted_at", "adopting", "aims", "bound", "built", "done", "doubtful", "due_by",
                  "ended_at", "failed_on", "foreign", "free", "gathered", "gathering_since", "head_if",
-                 "id", "last_by", "later", "not_before", "owner", "part", "parts", "pauses", "place",
+                 "id", "last_by", "later", "leads", "not_before", "owner", "part", "parts", "pauses", "place",
                  "rank", "released_at", "room_shape", "saved_count", "shape", "spec", "stamp", "state",
                  "sure", "unsynced", "written_at")
 
@@ -75,10 +75,10 @@
         self.written_at = 0.0
         self.aims = None  # seconds after acceptance, kept by the dispatcher
         self.place = 0.0  # in its queue
-        # Where teams share by guarantee and weight: tasks within the guarantee, the place of the
-        # others, and how many may start before the next round.
+        # Where teams share by guarantee and weight: tasks within the guarantee, and how many may start before
+        # the next round. `leads`: only the first task that starts has its place. `later`: that of the others.
         self.sure = self.part = 0
-        self.later = 0.0
+        self.leads, self.later = False, 0.0
         # Of a gang (dispatch/gangs.py): tasks for which room is kept, and since when.
         self.gathered, self.gathering_since = 0, 0.0
         needs = (
