Rule mended: back before it was sure, a home takes the long fence (ran_twice)

It had been home to the cut ones' shares for 3 s. Back in its own place it took the fence of a mere restart (lease_s), while the cut ones may go on until cancel_s: their tasks were taken for ended and started anew.

Change: the short fence is taken only while all configured controllers are in the term and none is relieved; if a member is dropped, or relieved, before a short fence is over, it grows long (Sureness.lengthen).

--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -80,6 +80,8 @@
             self.sureness.let_go(lost)
             self.sureness.fence(begun, False, {
                 share for share in begun if old.shares.homes[share] in new.relieved})
+        if old.members.keys() - new.members.keys() or new.relieved - old.relieved:
+            self.sureness.lengthen()
         for label in list(self.rooms.demand):
             if old.incarnation(label) != new.incarnation(label):
                 self.rooms.peer_down(label)
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/sureness.py
@@ -20,11 +20,12 @@
     of them that a sync waits for before the fence, which only become fewer. In order as sets.
     """
 
-    __slots__ = ("at", "awaited", "cover_from", "covered", "since", "unheard")
+    __slots__ = ("at", "awaited", "cover_from", "covered", "short", "since", "unheard")
 
-    def __init__(self, since, at, cover_from, machines):
+    def __init__(self, since, at, short, cover_from, machines):
         self.since = since
         self.at = at
+        self.short = short
         self.cover_from = cover_from
         self.covered = False
         self.unheard = dict.fromkeys(machines, True)
@@ -54,8 +55,7 @@
         now = self._loop.now()
         # A process that ended renews nothing; a member that was dropped but lives stops
         # renewing before cancel_s - lease_s is up (guide, safety 4). Then the lease itself.
-        bound = self._lease_s if short else self._cancel_s
-        at = now + (bound + ANSWER_S) * (1 + 2 * DRIFT) + 0.5
+        at = now + self._bound_s(short)
         cover_from = now + 2 * self._lag_s * (1 + DRIFT)
         machines = {share: [] for share in shares}
         for machine in self._known.machines.values():
@@ -63,9 +63,21 @@
                 machines[machine.share].append(machine.id)
         for share, names in machines.items():
             since = math.inf if share in unaware else now
-            self._fences[share] = Fence(since, at, cover_from, names)
+            self._fences[share] = Fence(since, at, short, cover_from, names)
             self._unsure[share] = True
 
+    def _bound_s(self, short):
+        bound = self._lease_s if short else self._cancel_s
+        return (bound + ANSWER_S) * (1 + 2 * DRIFT) + 0.5
+
+    def lengthen(self):
+        """A member is gone from the term that may live on, and have given away one of these shares right
+        before without knowing that it did: a short fence that is not over yet was too short."""
+        now = self._loop.now()
+        for fence in self._fences.values():
+            if fence.short and now < fence.at:
+                fence.at, fence.short = now + self._bound_s(False), False
+
     def let_go(self, shares):
         """These shares have another home."""
         for share in shares:
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -470,7 +470,10 @@
         for label in list(self.peers.links):
             self._switchboard.tell_term(label)
         if old is None:
-            self.home.begin(self.member.replaced)
+            # Who is not in the term may live on, and have been home to what is held now until shortly before
+            # the last end here; so may one that is relieved.
+            all_here = all(other.label in new.members for other in self.settings.members)
+            self.home.begin(self.member.replaced and all_here and not new.relieved)
             self.peers.reset()
         else:
             for label in new.members:
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -210,6 +210,12 @@
     patch.setattr(Hearing, "_too_late", lambda self, machine: False)
 
 
+def back_is_sure_soon(patch):
+    """3: whoever is back in its own place takes the short fence, whoever else may have been home before."""
+    real = Home.begin
+    patch.setattr(Home, "begin", lambda self, _short: real(self, True))
+
+
 def terms_are_not_told(patch):
     """4: a term is learned from the state service alone, and hearing the others counts as being in touch."""
     patch.setattr(Switchboard, "tell_term", lambda self, label: None)
@@ -217,6 +223,7 @@
 
 @pytest.mark.parametrize(("sabotage", "scenario"), [
     (terms_are_not_told, "refused-leader-told"),
+    (back_is_sure_soon, "back-before-sure"),
     (takes_on_what_boots_later, "meeting-boots-at-the-cut"),
     (covers_what_it_left, "meeting-lapsed-heir"),
     (cancelled_count_for_nothing, "limit-cancelled"),
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -327,5 +327,16 @@
     assert home.hearing.take_report(report(1, 0)) and home.sureness.clean()
 
 
+def test_a_short_fence_that_is_not_over_grows_long_once_a_member_is_dropped():
+    """Safety 3: that one may have given a share away without knowing, and live on."""
+    home = home_of(0, 0)
+    short = home.sureness.fence_at(0)
+    home.sureness.lengthen()
+    long = home.sureness.fence_at(0)
+    assert long > short + 15
+    home.sureness.lengthen()
+    assert home.sureness.fence_at(0) == long
+
+
 def listed(name, status):
     return messages.Listed(name, "10.1.0.1:9000", "box", "a", True, status, 1.0)
