Gangs among a class's larger jobs come first whole, as before

Cause: the change by which larger jobs lead with one task left out gangs, which start all or none, so that one that never began was lifted no more.

Change: they come first with all of their tasks.

--- a/roadhead/dispatch/queue.py
+++ b/roadhead/dispatch/queue.py
@@ -167,7 +167,9 @@
             waiting.sort(key=lambda job: job.released_at)
             for job in waiting[: math.ceil(lacking)]:
                 places[job] = TIER_STARVED * TIER_STEP * self._window_s + job.released_at - since
-        return places, {job: place for job, place in leading.items() if job not in places and not job.gang}
+        # A gang begins with all of its tasks or not at all.
+        places.update({job: place for job, place in leading.items() if job.gang})
+        return places, {job: place for job, place in leading.items() if job not in places}
 
     def refresh(self, anew=False):
         """What is due grows alike for most jobs, so the order is kept for a while; `anew`: not now."""
