--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -75,15 +75,15 @@
             if request.method != "GET":
                 return 405, b"", None
             return 200, messages.encode(self._node.shares()), None
-        if desk is not None and path.startswith(USAGE) and path[len(USAGE):].isdigit():
-            return 200, desk.usage(int(path[len(USAGE):])), None
+        if desk is not None and path.startswith(USAGE) and path[len(USAGE) :].isdigit():
+            return 200, desk.usage(int(path[len(USAGE) :])), None
         try:
             if path == "/v1/jobs":
                 if request.method != "POST":
                     return 405, b"", None
                 return await self._submit(request.body)
             if path.startswith("/v1/jobs/"):
-                job_id, slash, verb = path[len("/v1/jobs/"):].partition("/")
+                job_id, slash, verb = path[len("/v1/jobs/") :].partition("/")
                 if not slash:
                     if request.method != "GET":
                         return 405, b"", None
@@ -225,8 +225,11 @@
             try:
                 revision = await node.state.multi(
                     [(KEY + job_id, stamp)],
-                    [{"put": KEY + job_id, "data": record}, {"put": CANCEL + job_id, "data": True},
-                     {"put": CANCELS, "data": job_id}],
+                    [
+                        {"put": KEY + job_id, "data": record},
+                        {"put": CANCEL + job_id, "data": True},
+                        {"put": CANCELS, "data": job_id},
+                    ],
                 )
             except (Conflict, Unsure):
                 continue
--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -23,11 +23,15 @@
     for verb in (serve, check):
         verb.add_argument("--config", metavar="FILE", required=True, help="settings (JSON)")
         verb.add_argument(
-            "--tuning", metavar="FILE",
+            "--tuning",
+            metavar="FILE",
             help="the operators' own settings (TOML); default: $ROADHEAD_TUNING",
         )
-        verb.add_argument("--hosted", metavar="FILE",
-                          help="serve tenants, as this file says (TOML); default: $ROADHEAD_HOSTED")
+        verb.add_argument(
+            "--hosted",
+            metavar="FILE",
+            help="serve tenants, as this file says (TOML); default: $ROADHEAD_HOSTED",
+        )
     gateway = verbs.add_parser("gateway", help="run a gateway for tenants and administrators")
     gateway.add_argument("--hosted", metavar="FILE", required=True, help="its settings (TOML)")
     if hosting:
@@ -45,8 +49,12 @@
     def client(name, about):
         verb = verbs.add_parser(name, help=about)
         verb.add_argument("address", metavar="ADDRESS", help="a controller, as HOST:PORT")
-        verb.add_argument("--hosted", metavar="FILE", help="of a hosted service: whose secret signs "
-                          "what only gateways and operators may ask; default: $ROADHEAD_HOSTED")
+        verb.add_argument(
+            "--hosted",
+            metavar="FILE",
+            help="of a hosted service: whose secret signs "
+            "what only gateways and operators may ask; default: $ROADHEAD_HOSTED",
+        )
         return verb
 
     client("submit", "submit a job").add_argument(
@@ -77,7 +85,8 @@
             from roadhead.tenants.settings import load
 
             headers["Roadhead-Signature"] = Secrets(load(hosted).master).sign(
-                method, path, data or b"", time.time())
+                method, path, data or b"", time.time()
+            )
         connection.request(method, path, data, headers)
         response = connection.getresponse()
         data = response.read()
@@ -107,8 +116,7 @@
     else:
         request = ("GET", f"/v1/{args.verb}")
     try:
-        status, answer = call(args.address, *request,
-                              hosted=args.hosted or os.environ.get("ROADHEAD_HOSTED"))
+        status, answer = call(args.address, *request, hosted=args.hosted or os.environ.get("ROADHEAD_HOSTED"))
     except (OSError, ValueError) as error:
         print(f"roadhead: {args.address}: {error}", file=sys.stderr)
         return 1
@@ -130,9 +138,7 @@
 def render_summary(answer):
     lines = [f"{'class':24} {'open':>6} {'done':>6} {'late':>6} {'at risk':>8}"]
     for row in answer["classes"]:
-        lines.append(
-            f"{row['class']:24} {row['open']:6} {row['done']:6} {row['late']:6} {row['atRisk']:8}"
-        )
+        lines.append(f"{row['class']:24} {row['open']:6} {row['done']:6} {row['late']:6} {row['atRisk']:8}")
     least = answer["leastServed"]
     if least is not None:
         lines.append(f"least served: {least['class']}, {least['share']:.0%} of its jobs are done")
@@ -151,19 +157,24 @@
     lines.append(f"term {answer['term']}")
     gate = answer.get("format")
     if gate is not None:
-        lines.append(f"format {gate['format']}" + (
-            ", all that this version knows" if gate["open"] else f" of {gate['knows']}"))
+        lines.append(
+            f"format {gate['format']}"
+            + (", all that this version knows" if gate["open"] else f" of {gate['knows']}")
+        )
         for member in gate["members"]:
             if member["format"] is None:
                 lines.append(f"{member['label']}: not seen yet")
             elif not gate["open"]:
                 age = "new" if member["format"] >= gate["knows"] else "old"
-                lines.append(f"{member['label']}: {age}, format {member['format']}, "
-                             f"since {member['sinceS']:.0f} s")
+                lines.append(
+                    f"{member['label']}: {age}, format {member['format']}, since {member['sinceS']:.0f} s"
+                )
     for change in answer["changes"]:
         why = "given" if change["planned"] else "lost"
-        lines.append(f"{change['agoS']:.1f} s ago, term {change['term']}: {change['shares']} shares from "
-                     f"{change['from']} to {change['to']} ({why})")
+        lines.append(
+            f"{change['agoS']:.1f} s ago, term {change['term']}: {change['shares']} shares from "
+            f"{change['from']} to {change['to']} ({why})"
+        )
     return "\n".join(lines)
 
 
--- a/roadhead/cloud/client.py
+++ b/roadhead/cloud/client.py
@@ -66,9 +66,7 @@
             after = page.machines[-1].id
 
     async def hire(self, name, kind, zone, spot, count):
-        body = messages.encode(
-            {"hire": name, "rig": kind, "paddock": zone, "loaners": spot, "count": count}
-        )
+        body = messages.encode({"hire": name, "rig": kind, "paddock": zone, "loaners": spot, "count": count})
         answer = await self._read(messages.Rented, "POST", "/hosts", body)
         return answer.machines
 
--- a/roadhead/dispatch/demand.py
+++ b/roadhead/dispatch/demand.py
@@ -76,12 +76,33 @@
             # The first in the queue are told; the others follow as those are served.
             self._count("demand_cut")
         self._told = told
-        frame = frames.Demand(self._listed(), [
-            (rank, cpus, gpus, memory, count, spot, zone, list(types), work / count, klass, slack,
-             startable, place)
-            for ((rank, cpus, gpus, memory, spot, zone, types, klass), startable, _leads),
-            (count, work, slack, place) in list(rows.items())[:ROWS_MOST]
-        ], list(images)[:ROWS_MOST])
+        frame = frames.Demand(
+            self._listed(),
+            [
+                (
+                    rank,
+                    cpus,
+                    gpus,
+                    memory,
+                    count,
+                    spot,
+                    zone,
+                    list(types),
+                    work / count,
+                    klass,
+                    slack,
+                    startable,
+                    place,
+                )
+                for ((rank, cpus, gpus, memory, spot, zone, types, klass), startable, _leads), (
+                    count,
+                    work,
+                    slack,
+                    place,
+                ) in list(rows.items())[:ROWS_MOST]
+            ],
+            list(images)[:ROWS_MOST],
+        )
         for label in self._member.term.members:
             self._send(label, frame)
 
@@ -100,7 +121,7 @@
         rank = DOUBTFUL if job.doubtful else job.rank
         count = max(1, job.startable() - job.gathered)
         if job.leads and startable:
-            return ((1, rank, job.place), (count - 1, rank, job.later))[: count]
+            return ((1, rank, job.place), (count - 1, rank, job.later))[:count]
         if self._queue.sharing is None or not startable:
             return ((count, rank, job.place),)
         sure = min(job.sure, count)
--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -60,8 +60,9 @@
 
 
 class Dispatcher:
-    def __init__(self, loop, label, member, book, aims, random, send, counters, gap_s, window_s,
-                 default_aim_s):
+    def __init__(
+        self, loop, label, member, book, aims, random, send, counters, gap_s, window_s, default_aim_s
+    ):
         self._loop = loop
         self.label = label
         self._member = member
@@ -75,8 +76,18 @@
         self.queue = Queue(loop, book, aims, default_aim_s, gap_s, window_s)
         self.preemption = None  # where teams share by guarantee and weight: who gets room back
         self._gathering = Gathering(loop, window_s, random, self.changed)
-        self._teller = Teller(loop, member, book, self.queue, send, counters, gap_s,
-                              lambda: len(self.idle), self.may_start, self.changed)
+        self._teller = Teller(
+            loop,
+            member,
+            book,
+            self.queue,
+            send,
+            counters,
+            gap_s,
+            lambda: len(self.idle),
+            self.may_start,
+            self.changed,
+        )
         # In a placing pass: listings that may still take a task, and shapes that fit none of them.
         self._open = []
         self._full = set()
@@ -119,8 +130,9 @@
         if old is None:
             self.idle.clear()
         for name, listing in list(self.idle.items()):
-            if (old.place(name) != new.place(name)
-                    or old.incarnation(listing.home) != new.incarnation(listing.home)):
+            if old.place(name) != new.place(name) or old.incarnation(listing.home) != new.incarnation(
+                listing.home
+            ):
                 del self.idle[name]
         self._teller.forget()
         self.changed()
@@ -175,16 +187,18 @@
             left = self._place_all(starts)
             for _ in range(ROUNDS if self.queue.sharing is not None else 0):
                 # Whoever borrows gets no further ahead than a quantum before it is the next one's turn.
-                if not self._open or not any(not job.part and job.room_shape not in self._full
-                                             for job in self.queue.waiting()):
+                if not self._open or not any(
+                    not job.part and job.room_shape not in self._full for job in self.queue.waiting()
+                ):
                     break
                 self.queue.refresh(anew=True)
                 left = self._place_all(starts)
             self._finish(left, starts)
         self._teller.tell()
         if self.preemption is not None:
-            self.preemption.waits([job for job in self.queue.waiting()
-                                   if job.sure > 0 and self.may_start(job)])
+            self.preemption.waits(
+                [job for job in self.queue.waiting() if job.sure > 0 and self.may_start(job)]
+            )
 
     def _look_open(self):
         """Listings with room for the smallest of what waits; those kept for gangs are left out."""
@@ -192,9 +206,12 @@
         cpus, memory = self.queue.least
         kept = self._gathering.kept
         self._open = [
-            listing for listing in self.idle.values()
-            if listing.room[0] >= cpus - 1e-6 and listing.room[2] >= memory - 1e-6
-            and listing.until > now and listing.id not in kept
+            listing
+            for listing in self.idle.values()
+            if listing.room[0] >= cpus - 1e-6
+            and listing.room[2] >= memory - 1e-6
+            and listing.until > now
+            and listing.id not in kept
         ]
 
     def _place_all(self, starts):
@@ -328,8 +345,9 @@
         for listing in list(self.idle.values()):
             jobs = starts.get(listing.id)
             if listing.id in opened:
-                useless = not any(fits(job.need, listing.room) and self._allowed(job, listing)
-                                  for job in left.values())
+                useless = not any(
+                    fits(job.need, listing.room) and self._allowed(job, listing) for job in left.values()
+                )
             else:
                 useless = listing.until > now and listing.id not in self._gathering.kept
             if useless:
@@ -350,8 +368,20 @@
 
     def _start(self, job, listing, tasks, last):
         spec = job.spec
-        self._send(listing.home, frames.Start(
-            self._member.term.number, listing.id, listing.serial, job.id, tasks,
-            max(0, len(self.idle) - 1), *job.need, spec.image or "", spec.image_gb,
-            spec.save_s, spec.checkpoint_s > 0, last,
-        ))
+        self._send(
+            listing.home,
+            frames.Start(
+                self._member.term.number,
+                listing.id,
+                listing.serial,
+                job.id,
+                tasks,
+                max(0, len(self.idle) - 1),
+                *job.need,
+                spec.image or "",
+                spec.image_gb,
+                spec.save_s,
+                spec.checkpoint_s > 0,
+                last,
+            ),
+        )
--- a/roadhead/dispatch/queue.py
+++ b/roadhead/dispatch/queue.py
@@ -67,11 +67,15 @@
             run_s = job.spec.estimate_s
             held_s = job.released_at - job.accepted_at  # by jobs that it needs: all but its deadline waits
             # (latest start, when it is taken for lost)
-            aims = job.aims = sorted([
-                *((aim - run_s, aim - HOPE * run_s)
-                  for aim in (*(aim + held_s for aim in within), *deadlines)),
-                *((aim + held_s, aim + held_s) for aim in waits),
-            ])
+            aims = job.aims = sorted(
+                [
+                    *(
+                        (aim - run_s, aim - HOPE * run_s)
+                        for aim in (*(aim + held_s for aim in within), *deadlines)
+                    ),
+                    *((aim + held_s, aim + held_s) for aim in waits),
+                ]
+            )
         for at, (latest, lost) in enumerate(aims):
             if lost >= since:
                 later = aims[at + 1][0] - latest if at + 1 < len(aims) else self._default_aim_s
@@ -117,8 +121,7 @@
             cost = needs_s * self._book.seen.get(job.spec.klass, 1)
             heapq.heappush(kept.setdefault(job.rank, []), (-cost, number))
             while ready_s > slack:
-                heap = min((heap for rank, heap in kept.items() if rank >= job.rank and heap),
-                           default=None)
+                heap = min((heap for rank, heap in kept.items() if rank >= job.rank and heap), default=None)
                 if heap is None:
                     break
                 _cost, back = heapq.heappop(heap)
@@ -129,8 +132,10 @@
         for job, place in leading.items():
             job.later, job.place, job.leads = job.place, place, True
         self._order = sorted((entry[4] for entry in jobs), key=lambda job: job.place)
-        self.least = (min((job.spec.cpus for job in self._order), default=0.0),
-                      min((job.spec.memory for job in self._order), default=0.0))
+        self.least = (
+            min((job.spec.cpus for job in self._order), default=0.0),
+            min((job.spec.memory for job in self._order), default=0.0),
+        )
         if self.sharing is not None:
             self.sharing.arrange(list(self.waiting()))
             self._order.sort(key=lambda job: job.place)
@@ -154,8 +159,7 @@
             if job.released_at < since:
                 for key in ("class", job.spec.klass), ("team", job.spec.team):
                     old.setdefault(key, []).append(job)
-            if (job.released_at < begun_by - LARGEST_WAITS * self._window_s
-                    and self._book.among_largest(job)):
+            if job.released_at < begun_by - LARGEST_WAITS * self._window_s and self._book.among_largest(job):
                 old.setdefault(("largest", job.spec.klass), []).append(job)
             if not job.bound and not job.done.count and self._book.among_largest(job, LARGER_PART):
                 leading[job] = TIER_STARVED * TIER_STEP * self._window_s + job.released_at - since
@@ -176,8 +180,12 @@
         now = self._loop.now()
         arrived = self._book.arrived
         kept_s = self._gap_s * max(1.0, len(self._order) / JOBS_A_GAP)
-        if (anew or self._ordered != self._book.version or now - self._ordered_at > kept_s
-                or (arrived and self.sharing is not None)):
+        if (
+            anew
+            or self._ordered != self._book.version
+            or now - self._ordered_at > kept_s
+            or (arrived and self.sharing is not None)
+        ):
             self._put_in_order()
             self._ordered, self._ordered_at = self._book.version, now
         else:
@@ -191,6 +199,12 @@
         """Jobs with startable tasks, in order."""
         now = self._loop.now()
         for job in self._order:
-            if (job.free.left and job.state == "open" and not job.unsynced and not job.adopting
-                    and job.not_before <= now and job.startable() > 0):
+            if (
+                job.free.left
+                and job.state == "open"
+                and not job.unsynced
+                and not job.adopting
+                and job.not_before <= now
+                and job.startable() > 0
+            ):
                 yield job
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -17,8 +17,7 @@
 
 
 class Fleet:
-    def __init__(self, loop, cloud, member, home, deployment, tuning, aims, default_aim_s, random,
-                 counters):
+    def __init__(self, loop, cloud, member, home, deployment, tuning, aims, default_aim_s, random, counters):
         self._loop = loop
         self._cloud = cloud
         self._member = member
@@ -171,8 +170,11 @@
     def refused_kinds(self):
         """Kinds of machine that the cloud refused lately."""
         now = self._loop.now()
-        return [" ".join((kind, zone, "spot" if spot else "ordinary"))
-                for (kind, zone, spot), (until, _times) in self._refused.items() if until > now]
+        return [
+            " ".join((kind, zone, "spot" if spot else "ordinary"))
+            for (kind, zone, spot), (until, _times) in self._refused.items()
+            if until > now
+        ]
 
     def capacity(self):
         """The CPUs of all machines heard of that fall to one controller."""
@@ -217,13 +219,10 @@
                 key = (rank, cpus, gpus, memory, spot, zone, tuple(types), klass)
                 want = wants.get(key)
                 if want is None:
-                    wants[key] = Want(rank, cpus, gpus, memory, count, spot, zone, types,
-                                      estimate_s, wait_s)
+                    wants[key] = Want(rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, wait_s)
                 else:
                     total = want.count + count
-                    want.estimate_s = (
-                        want.estimate_s * want.count + estimate_s * count
-                    ) / total
+                    want.estimate_s = (want.estimate_s * want.count + estimate_s * count) / total
                     want.count = total
                     want.wait_s = min(want.wait_s, wait_s)
         now = self._loop.now()
@@ -272,8 +271,17 @@
             machines[key] = max(0, machines.get(key, 0) - count)
         size = sum(machines.values()) + len(self._hired)
         wants = self._wants()
-        orders = plan(wants, offers(self.types, self._zones), machines, idle, busy, coming,
-                      refused, max(0, self._largest - size), DEARER_WITHIN / self._tuning.drain_ratio)
+        orders = plan(
+            wants,
+            offers(self.types, self._zones),
+            machines,
+            idle,
+            busy,
+            coming,
+            refused,
+            max(0, self._largest - size),
+            DEARER_WITHIN / self._tuning.drain_ratio,
+        )
         for shape, count in orders:
             count = min(count, HIRE_MOST)
             self._names += 1
@@ -285,7 +293,7 @@
                 names = []
             if len(names) < count:
                 times = self._refused.get(shape.key, (0, 0))[1] + 1
-                pause = min(2 ** times, 10) * self._lag_s
+                pause = min(2**times, 10) * self._lag_s
                 self._refused[shape.key] = (self._loop.now() + pause, times)
                 log.info("no more capacity for %s", shape.key)
                 self._wake.set()
@@ -294,7 +302,10 @@
             if names:
                 log.info(
                     "hired %d of %s; up %s, coming %s, waiting (urgency, tasks, s each, s left): %s",
-                    len(names), shape.key, sum(machines.values()), sum(coming.values()),
+                    len(names),
+                    shape.key,
+                    sum(machines.values()),
+                    sum(coming.values()),
                     [(w.rank, w.count, round(w.estimate_s), round(w.wait_s)) for w in wants],
                 )
                 self._count("machines_hired", len(names))
--- a/roadhead/fleet/plan.py
+++ b/roadhead/fleet/plan.py
@@ -1,6 +1,5 @@
 """How many machines of which kind to rent: pure decisions."""
 
-
 DOUBTFUL = 4  # urgency of jobs that fail wherever they run, after those of the protocol
 
 
@@ -34,8 +33,19 @@
 class Want:
     """Waiting tasks of one shape, summed over controllers. `stuck`: none of it started for long."""
 
-    __slots__ = ("count", "cpus", "estimate_s", "gpus", "memory", "rank", "spot", "stuck", "types",
-                 "wait_s", "zone")
+    __slots__ = (
+        "count",
+        "cpus",
+        "estimate_s",
+        "gpus",
+        "memory",
+        "rank",
+        "spot",
+        "stuck",
+        "types",
+        "wait_s",
+        "zone",
+    )
 
     def __init__(self, rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, wait_s):
         self.rank = rank
@@ -85,23 +95,22 @@
     backlog = 0.0  # of what comes first, in seconds of a machine of the cheapest shape
     for want in sorted(wants, key=lambda want: (want.rank, want.wait_s)):
         usable = sorted(
-            ((shape.price / slots, shape.key, slots)
-             for shape in shapes if (slots := want.slots(shape))),
+            ((shape.price / slots, shape.key, slots) for shape in shapes if (slots := want.slots(shape))),
         )
         if not usable:
             continue
         if want.rank == DOUBTFUL and any(
             count and want.slots(by_key[key])
-            for pool in (machines, coming) for key, count in pool.items() if key in by_key
+            for pool in (machines, coming)
+            for key, count in pool.items()
+            if key in by_key
         ):
             continue  # it is tried on what there is
         cheapest, _key, per_machine = usable[0]
         # Machines on their way serve what comes first.
         left = _served(want, float(want.count), spare, by_key)
         backlog += want.count * want.estimate_s / per_machine
-        up = sum(
-            count * want.slots(by_key[key]) for key, count in machines.items() if key in by_key
-        )
+        up = sum(count * want.slots(by_key[key]) for key, count in machines.items() if key in by_key)
         arriving = sum(
             count * want.slots(by_key[key])
             for pool in (coming, rented)
--- a/roadhead/gateway/admin_api.py
+++ b/roadhead/gateway/admin_api.py
@@ -41,28 +41,64 @@
 TENANTS = f"{BASE}/tenants"
 ONE = f"{TENANTS}/{{name}}"
 
-ROUTES = Routes([
-    Route("POST", TENANTS, "create", WRITE, NewTenant, TenantView, 201, "Create a tenant"),
-    Route("GET", TENANTS, "list", READ, None, TenantPage, 200, "List tenants", ("state", "after", "limit")),
-    Route("GET", ONE, "show", READ, None, TenantView, 200, "A tenant"),
-    Route("PATCH", ONE, "change", WRITE, TenantChange, TenantView, 200, "Change teams, limits or weight"),
-    Route("POST", f"{ONE}/suspend", "suspend", WRITE, Suspension, TenantView, 200, "Suspend a tenant"),
-    Route("POST", f"{ONE}/resume", "resume", WRITE, None, TenantView, 200, "Resume a tenant"),
-    Route("DELETE", ONE, "remove", WRITE, None, TenantView, 202, "Remove a tenant and all it has"),
-    Route("GET", f"{ONE}/usage", "usage", READ, None, Usage, 200, "What a tenant holds now"),
-    Route("GET", f"{ONE}/keys", "keys", KEYS, None, KeyList, 200, "A tenant's keys"),
-    Route("POST", f"{ONE}/keys", "new_key", KEYS, NewKey, KeyView, 201, "Make a key"),
-    Route("POST", f"{ONE}/keys/{{key}}/rotate", "rotate", KEYS, Rotation, KeyView, 201,
-          "A new key in place of an old one, which stays good for a while"),
-    Route("DELETE", f"{ONE}/keys/{{key}}", "revoke", KEYS, None, None, 204, "Revoke a key"),
-    Route("GET", f"{BASE}/administrators/keys", "admin_keys", KEYS, None, KeyList, 200,
-          "Administrators' keys"),
-    Route("POST", f"{BASE}/administrators/keys", "new_admin_key", KEYS, NewKey, KeyView, 201,
-          "Make an administrator's key"),
-    Route("DELETE", f"{BASE}/administrators/keys/{{key}}", "revoke_admin_key", KEYS, None, None, 204,
-          "Revoke an administrator's key"),
-    Route("GET", f"{BASE}/openapi.json", "document", None, None, None, 200, "This API as OpenAPI"),
-])
+ROUTES = Routes(
+    [
+        Route("POST", TENANTS, "create", WRITE, NewTenant, TenantView, 201, "Create a tenant"),
+        Route(
+            "GET", TENANTS, "list", READ, None, TenantPage, 200, "List tenants", ("state", "after", "limit")
+        ),
+        Route("GET", ONE, "show", READ, None, TenantView, 200, "A tenant"),
+        Route("PATCH", ONE, "change", WRITE, TenantChange, TenantView, 200, "Change teams, limits or weight"),
+        Route("POST", f"{ONE}/suspend", "suspend", WRITE, Suspension, TenantView, 200, "Suspend a tenant"),
+        Route("POST", f"{ONE}/resume", "resume", WRITE, None, TenantView, 200, "Resume a tenant"),
+        Route("DELETE", ONE, "remove", WRITE, None, TenantView, 202, "Remove a tenant and all it has"),
+        Route("GET", f"{ONE}/usage", "usage", READ, None, Usage, 200, "What a tenant holds now"),
+        Route("GET", f"{ONE}/keys", "keys", KEYS, None, KeyList, 200, "A tenant's keys"),
+        Route("POST", f"{ONE}/keys", "new_key", KEYS, NewKey, KeyView, 201, "Make a key"),
+        Route(
+            "POST",
+            f"{ONE}/keys/{{key}}/rotate",
+            "rotate",
+            KEYS,
+            Rotation,
+            KeyView,
+            201,
+            "A new key in place of an old one, which stays good for a while",
+        ),
+        Route("DELETE", f"{ONE}/keys/{{key}}", "revoke", KEYS, None, None, 204, "Revoke a key"),
+        Route(
+            "GET",
+            f"{BASE}/administrators/keys",
+            "admin_keys",
+            KEYS,
+            None,
+            KeyList,
+            200,
+            "Administrators' keys",
+        ),
+        Route(
+            "POST",
+            f"{BASE}/administrators/keys",
+            "new_admin_key",
+            KEYS,
+            NewKey,
+            KeyView,
+            201,
+            "Make an administrator's key",
+        ),
+        Route(
+            "DELETE",
+            f"{BASE}/administrators/keys/{{key}}",
+            "revoke_admin_key",
+            KEYS,
+            None,
+            None,
+            204,
+            "Revoke an administrator's key",
+        ),
+        Route("GET", f"{BASE}/openapi.json", "document", None, None, None, 200, "This API as OpenAPI"),
+    ]
+)
 
 
 class AdminApi:
@@ -103,8 +139,11 @@
 
     async def _load(self, name):
         """(Tenant, stamp) by name, as stored now. Raises Refused 404 or 410."""
-        number, _stamp = await self._state.get(NAME + name) if name.isascii() and name.replace(
-            "-", "").isalnum() else (None, 0)
+        number, _stamp = (
+            await self._state.get(NAME + name)
+            if name.isascii() and name.replace("-", "").isalnum()
+            else (None, 0)
+        )
         if number is None:
             raise Refused(404, "no such tenant")
         tenant, stamp = await self._load_number(number)
@@ -146,8 +185,17 @@
 
     async def _keys_of(self, tenant):
         now = self._time_of_day()
-        return 200, KeyList([KeyView(key.id, key.scopes, key.label, key.until) for key in tenant.keys
-                             if tenant.key(key.id, now)]), tenant.version
+        return (
+            200,
+            KeyList(
+                [
+                    KeyView(key.id, key.scopes, key.label, key.until)
+                    for key in tenant.keys
+                    if tenant.key(key.id, now)
+                ]
+            ),
+            tenant.version,
+        )
 
     # Changing
 
@@ -157,7 +205,8 @@
         tenant = tenant.fitting(self._state.limits.value_bytes)
         key = key_of(tenant.number)
         revision = await self._state.multi(
-            [(key, stamp), *conditions], [{"put": key, "data": tenant.to_record()}, *writes])
+            [(key, stamp), *conditions], [{"put": key, "data": tenant.to_record()}, *writes]
+        )
         self._table.take(key, tenant.to_record(), revision)
 
     async def _apply(self, load, request_key, change):
@@ -198,11 +247,21 @@
             number = number or 1
             if number > MOST_TENANTS:
                 raise Refused(422, "no numbers are left: each is given once")
-            tenant = Tenant(number, wanted.name, teams=wanted.teams, limits=wanted.limits,
-                            weight=wanted.weight, requests={request_key: 1} if request_key else {})
+            tenant = Tenant(
+                number,
+                wanted.name,
+                teams=wanted.teams,
+                limits=wanted.limits,
+                weight=wanted.weight,
+                requests={request_key: 1} if request_key else {},
+            )
             try:
-                await self._store(tenant, 0, [(NAME + wanted.name, name_stamp), (NEXT, number_stamp)], [
-                    {"put": NAME + wanted.name, "data": number}, {"put": NEXT, "data": number + 1}])
+                await self._store(
+                    tenant,
+                    0,
+                    [(NAME + wanted.name, name_stamp), (NEXT, number_stamp)],
+                    [{"put": NAME + wanted.name, "data": number}, {"put": NEXT, "data": number + 1}],
+                )
                 return 201, view(tenant), tenant.version
             except (Conflict, Unsure) as error:
                 if isinstance(error, Unsure) and not request_key:
@@ -214,8 +273,11 @@
         if match is None:
             raise Refused(428, 'If-Match: "VERSION" is needed, as the ETag of a tenant gives it')
         wanted = request.read(TenantChange)
-        fields = {field: getattr(wanted, field) for field in wanted.__struct_fields__
-                  if getattr(wanted, field) is not None}
+        fields = {
+            field: getattr(wanted, field)
+            for field in wanted.__struct_fields__
+            if getattr(wanted, field) is not None
+        }
 
         def change(tenant):
             if tenant.version != int(match[1]):
@@ -285,8 +347,11 @@
         number = int(key) if key.isascii() and key.isdigit() and len(key) < 10 else -1
 
         def change(tenant):
-            return tenant.ending_key(number, until, request_key) if any(
-                known.id == number for known in tenant.keys) else tenant
+            return (
+                tenant.ending_key(number, until, request_key)
+                if any(known.id == number for known in tenant.keys)
+                else tenant
+            )
 
         return await self._apply(load, request_key, change)
 
@@ -335,5 +400,13 @@
 
 
 def view(tenant):
-    return TenantView(tenant.name, tenant.number, tenant.state, tenant.version, tenant.running,
-                      tenant.teams, tenant.limits, tenant.weight)
+    return TenantView(
+        tenant.name,
+        tenant.number,
+        tenant.state,
+        tenant.version,
+        tenant.running,
+        tenant.teams,
+        tenant.limits,
+        tenant.weight,
+    )
--- a/roadhead/gateway/answers.py
+++ b/roadhead/gateway/answers.py
@@ -39,8 +39,9 @@
         self.query = {name: values[-1] for name, values in parse_qs(query, max_num_fields=20).items()}
         self.headers = message.headers
         self.body = message.body
-        self.media = CBOR if CBOR in message.headers.get("accept", message.headers.get(
-            "content-type", "")) else JSON
+        self.media = (
+            CBOR if CBOR in message.headers.get("accept", message.headers.get("content-type", "")) else JSON
+        )
 
     def key(self):
         """The access key, or an empty text."""
--- a/roadhead/gateway/commands.py
+++ b/roadhead/gateway/commands.py
@@ -18,10 +18,15 @@
 
     def action(name, about, named=True):
         parser = actions.add_parser(name, help=about)
-        parser.add_argument("--address", default="127.0.0.1:8091", metavar="HOST:PORT",
-                            help="a gateway's address of administration")
-        parser.add_argument("--key-file", metavar="FILE",
-                            help=f"file with an administrator's key; default: ${KEY_VARIABLE}")
+        parser.add_argument(
+            "--address",
+            default="127.0.0.1:8091",
+            metavar="HOST:PORT",
+            help="a gateway's address of administration",
+        )
+        parser.add_argument(
+            "--key-file", metavar="FILE", help=f"file with an administrator's key; default: ${KEY_VARIABLE}"
+        )
         parser.add_argument("--request-key", metavar="TEXT", help="the same text makes a repeat harmless")
         parser.add_argument("--json", action="store_true", help="print the answer as JSON")
         if named:
@@ -29,8 +34,12 @@
         return parser
 
     def described(parser):
-        parser.add_argument("--team", action="append", metavar="NAME[:cpus=N][:cpus_max=N][:weight=N]",
-                            help="a team; again for each. All teams are named anew")
+        parser.add_argument(
+            "--team",
+            action="append",
+            metavar="NAME[:cpus=N][:cpus_max=N][:weight=N]",
+            help="a team; again for each. All teams are named anew",
+        )
         for amount in ("cpus", "gpus", "submissions"):
             parser.add_argument(f"--{amount}", type=float)
         for amount in ("open-jobs", "waiting-tasks"):
@@ -44,7 +53,8 @@
     described(change)
     change.add_argument("--version", type=int, help="only if this is the version; default: the present one")
     action("suspend", "nothing of it starts").add_argument(
-        "--running", choices=("finish", "stop"), default="finish", help="what becomes of running work")
+        "--running", choices=("finish", "stop"), default="finish", help="what becomes of running work"
+    )
     action("resume", "its work starts again")
     action("remove", "cancel all its jobs and remove it")
     action("usage", "what it holds now")
@@ -114,8 +124,12 @@
     def __call__(self, method, path, body=None, headers=None):
         connection = http.client.HTTPConnection(self._address, timeout=15)
         try:
-            connection.request(method, f"{BASE}/{path}", json.dumps(body) if body is not None else None,
-                               {**self._headers, **(headers or {})})
+            connection.request(
+                method,
+                f"{BASE}/{path}",
+                json.dumps(body) if body is not None else None,
+                {**self._headers, **(headers or {})},
+            )
             response = connection.getresponse()
             data = response.read()
             answer = json.loads(data) if data else {}
@@ -134,8 +148,11 @@
     body = {}
     if args.team is not None:
         body["teams"] = [_team(text) for text in args.team]
-    limits = {name: value for name in ("cpus", "gpus", "submissions", "open_jobs", "waiting_tasks")
-              if (value := getattr(args, name)) is not None}
+    limits = {
+        name: value
+        for name in ("cpus", "gpus", "submissions", "open_jobs", "waiting_tasks")
+        if (value := getattr(args, name)) is not None
+    }
     if limits:
         body["limits"] = limits
     if args.weight is not None:
@@ -177,7 +194,8 @@
 
 def _one(method, path="", body=lambda args: None):
     return lambda call, args: call(
-        method, f"tenants/{quote(args.name, safe='')}{path.format(id=getattr(args, 'id', ''))}", body(args))
+        method, f"tenants/{quote(args.name, safe='')}{path.format(id=getattr(args, 'id', ''))}", body(args)
+    )
 
 
 ACTIONS = {
@@ -191,8 +209,9 @@
     "usage": _one("GET", "/usage"),
     "keys": _one("GET", "/keys"),
     "add-key": _one("POST", "/keys", lambda args: {"scopes": args.scopes.split(","), "label": args.label}),
-    "rotate-key": _one("POST", "/keys/{id}/rotate", lambda args: (
-        {} if args.overlap is None else {"overlap_s": args.overlap})),
+    "rotate-key": _one(
+        "POST", "/keys/{id}/rotate", lambda args: {} if args.overlap is None else {"overlap_s": args.overlap}
+    ),
     "revoke-key": _one("DELETE", "/keys/{id}"),
 }
 
@@ -212,8 +231,10 @@
     elif "classes" in answer:
         yield f"{'team':32} {'cpus':>8} {'gpus':>6} {'tasks':>7} {'open':>6} {'waiting':>8}"
         for row in answer["teams"]:
-            yield (f"{row['team']:32} {row['cpus']:8g} {row['gpus']:6g} {row['tasks']:7} "
-                   f"{row['open_jobs']:6} {row['waiting_tasks']:8}")
+            yield (
+                f"{row['team']:32} {row['cpus']:8g} {row['gpus']:6g} {row['tasks']:7} "
+                f"{row['open_jobs']:6} {row['waiting_tasks']:8}"
+            )
         if not answer["complete"]:
             yield "not known to be all: a controller is not heard, or is taking over"
     else:
--- a/roadhead/gateway/controllers.py
+++ b/roadhead/gateway/controllers.py
@@ -16,8 +16,7 @@
 class Controllers:
     def __init__(self, loop, net, fronts, secrets, term, time_of_day, random):
         self._loop = loop
-        self._clients = {label: Client(loop, net, address, max_idle=32)
-                         for label, address in fronts.items()}
+        self._clients = {label: Client(loop, net, address, max_idle=32) for label, address in fronts.items()}
         self._secrets = secrets
         self._term = term  # () -> Term
         self._time_of_day = time_of_day
@@ -37,7 +36,8 @@
     async def _ask(self, label, method, target, body, timeout):
         signature = self._secrets.sign(method, target, body, self._time_of_day())
         status, data, headers = await self._clients[label].request(
-            method, target, body, timeout, [("Roadhead-Signature", signature)])
+            method, target, body, timeout, [("Roadhead-Signature", signature)]
+        )
         return status, (messages.decode_map(data) if data else {}), headers
 
     async def ask(self, number, method, target, body=b"", within_s=4.0):
@@ -64,8 +64,9 @@
 
     async def ask_all(self, target, within_s=2.0):
         """The answers (200) of all controllers, as far as they come."""
-        routines = [self._loop.spawn(self._one(label, target, within_s), "ask one")
-                    for label in self._clients]
+        routines = [
+            self._loop.spawn(self._one(label, target, within_s), "ask one") for label in self._clients
+        ]
         return [answer for routine in routines if (answer := await routine.done) is not None]
 
     async def _one(self, label, target, within_s):
--- a/roadhead/gateway/gateway.py
+++ b/roadhead/gateway/gateway.py
@@ -31,18 +31,27 @@
         secrets = Secrets(hosted.master)
         self.state = StateClient(loop, net, hosted.cluster.state, hosted.gateway_limits(), 1)
         self.watch = Watch(loop, self.state, self.table, hosted.stale_s)
-        controllers = Controllers(loop, net, hosted.cluster.controllers, secrets,
-                                  lambda: self.watch.term, time_of_day, rng or random.Random())
+        controllers = Controllers(
+            loop,
+            net,
+            hosted.cluster.controllers,
+            secrets,
+            lambda: self.watch.term,
+            time_of_day,
+            rng or random.Random(),
+        )
         self._tenants = TenantsApi(loop, self.table, secrets, controllers, self.state, time_of_day)
-        self._administration = AdminApi(self.table, secrets, self.state, time_of_day,
-                                        self._tenants.usage, hosted.overlap_s)
+        self._administration = AdminApi(
+            self.table, secrets, self.state, time_of_day, self._tenants.usage, hosted.overlap_s
+        )
 
     def start(self):
         gateway = self._hosted.gateway
         self._loop.spawn(self.watch.run(), "watch")
         self._net.listen(gateway.tenants, self._accepting("tenants", self._serve_tenants))
-        self._net.listen(gateway.administration,
-                         self._accepting("administration", self._serve_administration))
+        self._net.listen(
+            gateway.administration, self._accepting("administration", self._serve_administration)
+        )
 
     def _accepting(self, name, handle):
         async def serve(stream):
--- a/roadhead/gateway/routes.py
+++ b/roadhead/gateway/routes.py
@@ -51,21 +51,28 @@
         for route, _parts in self._routes:
             kinds += [kind for kind in (route.takes, route.gives) if kind not in (None, *kinds)]
         schemas, components = msgspec.json.schema_components(
-            kinds, ref_template="#/components/schemas/{name}")
+            kinds, ref_template="#/components/schemas/{name}"
+        )
         schema_of = dict(zip(kinds, schemas, strict=True))
         paths = {}
         for route, parts in self._routes:
             operation = {
-                "operationId": route.name, "summary": route.about,
+                "operationId": route.name,
+                "summary": route.about,
                 "parameters": [
-                    *({"name": part[1:-1], "in": "path", "required": True, "schema": {"type": "string"}}
-                      for part in parts if part.startswith("{")),
+                    *(
+                        {"name": part[1:-1], "in": "path", "required": True, "schema": {"type": "string"}}
+                        for part in parts
+                        if part.startswith("{")
+                    ),
                     *({"name": name, "in": "query", "schema": {"type": "string"}} for name in route.query),
                 ],
                 "responses": {
                     str(route.status): {"description": "done", **self._content(schema_of, route.gives)},
-                    "default": {"description": "a problem", "content": {
-                        "application/problem+json": {"schema": schema_of[Problem]}}},
+                    "default": {
+                        "description": "a problem",
+                        "content": {"application/problem+json": {"schema": schema_of[Problem]}},
+                    },
                 },
             }
             if route.takes is not None:
@@ -75,14 +82,21 @@
                 operation["description"] = f"Scope: {route.scope}."
             paths.setdefault(route.path, {})[route.method.lower()] = operation
         return {
-            "openapi": "3.1.0", "info": {"title": title, "version": __version__}, "paths": paths,
-            "components": {"schemas": components,
-                           "securitySchemes": {"key": {"type": "http", "scheme": "bearer"}}},
+            "openapi": "3.1.0",
+            "info": {"title": title, "version": __version__},
+            "paths": paths,
+            "components": {
+                "schemas": components,
+                "securitySchemes": {"key": {"type": "http", "scheme": "bearer"}},
+            },
         }
 
     @staticmethod
     def _content(schema_of, kind):
         if kind is None:
             return {}
-        return {"content": {media: {"schema": schema_of[kind]}
-                            for media in ("application/json", "application/cbor")}}
+        return {
+            "content": {
+                media: {"schema": schema_of[kind]} for media in ("application/json", "application/cbor")
+            }
+        }
--- a/roadhead/gateway/tenants_api.py
+++ b/roadhead/gateway/tenants_api.py
@@ -15,20 +15,53 @@
 # What a controller may say of a submission that can never run: nothing else is passed on.
 REASONS = ("unknown team", "more than the team's limit", "fits no machine type")
 UPSTREAM = ("was never accepted", "is a service", "names itself")
-TEXTS = (admission.TOO_FAST, admission.TOO_MANY_JOBS, admission.TOO_MANY_TASKS,
-         admission.TOO_MUCH_AT_ONCE, admission.RESTING.text, admission.GONE.text)
-
-ROUTES = Routes([
-    Route("POST", "/v1/jobs", "submit", "submit", Submission, Job, 201,
-          "Submit a job; the same id again is the same job, also through another gateway"),
-    Route("GET", "/v1/jobs", "list", "read", None, JobPage, 200, "List jobs",
-          ("state", "class", "team", "after", "limit")),
-    Route("GET", "/v1/jobs/{id}", "status", "read", None, Job, 200, "A job's state"),
-    Route("POST", "/v1/jobs/{id}/cancel", "cancel", "cancel", None, Job, 200, "Cancel a job"),
-    Route("GET", "/v1/summary", "summary", "read", None, Usage, 200,
-          "What is held and waits, by team and class"),
-    Route("GET", "/v1/openapi.json", "document", None, None, None, 200, "This API as OpenAPI"),
-])
+TEXTS = (
+    admission.TOO_FAST,
+    admission.TOO_MANY_JOBS,
+    admission.TOO_MANY_TASKS,
+    admission.TOO_MUCH_AT_ONCE,
+    admission.RESTING.text,
+    admission.GONE.text,
+)
+
+ROUTES = Routes(
+    [
+        Route(
+            "POST",
+            "/v1/jobs",
+            "submit",
+            "submit",
+            Submission,
+            Job,
+            201,
+            "Submit a job; the same id again is the same job, also through another gateway",
+        ),
+        Route(
+            "GET",
+            "/v1/jobs",
+            "list",
+            "read",
+            None,
+            JobPage,
+            200,
+            "List jobs",
+            ("state", "class", "team", "after", "limit"),
+        ),
+        Route("GET", "/v1/jobs/{id}", "status", "read", None, Job, 200, "A job's state"),
+        Route("POST", "/v1/jobs/{id}/cancel", "cancel", "cancel", None, Job, 200, "Cancel a job"),
+        Route(
+            "GET",
+            "/v1/summary",
+            "summary",
+            "read",
+            None,
+            Usage,
+            200,
+            "What is held and waits, by team and class",
+        ),
+        Route("GET", "/v1/openapi.json", "document", None, None, None, 200, "This API as OpenAPI"),
+    ]
+)
 
 
 def authenticate(table, secrets, text, now):
@@ -132,11 +165,13 @@
                 raise NOT_SURE from None
             for key, record, _stamp in items:
                 after = key
-                job = job_of(number, key[len(place):], record)
+                job = job_of(number, key[len(place) :], record)
                 if job is None or (state and state != (job.status if job.status in FINAL else "open")):
                     continue
-                if any(value and value != getattr(job, "klass" if name == "class" else name)
-                       for name, value in wanted.items()):
+                if any(
+                    value and value != getattr(job, "klass" if name == "class" else name)
+                    for name, value in wanted.items()
+                ):
                     continue
                 found.append(job)
                 if len(found) == limit:
@@ -149,7 +184,7 @@
 
     @staticmethod
     def _next(place, after):
-        own = ids.from_job(after[len(place):]) if after else None
+        own = ids.from_job(after[len(place) :]) if after else None
         return f"{place[0]}.{own[1] if own else ''}"
 
     @staticmethod
@@ -183,8 +218,11 @@
                 row = classes.setdefault(klass, ClassRow(klass, 0, 0))
                 row.open += running
                 row.at_risk += at_risk
-        return Usage(list(teams.values()), [row for _name, row in sorted(classes.items())],
-                     any(answer["warden"] for answer in answers))
+        return Usage(
+            list(teams.values()),
+            [row for _name, row in sorted(classes.items())],
+            any(answer["warden"] for answer in answers),
+        )
 
 
 def own_words(number, text):
@@ -206,5 +244,12 @@
         return Job(named[1], record["s"], record["d"], tasks=record["n"])
     spec, done = record["spec"], record["done"]
     count = sum(done[1::2]) - sum(done[0::2])
-    return Job(named[1], "running" if count else "pending", count, None, spec["legs"], spec["jobclass"],
-               ids.from_team(spec["crew"])[1])
+    return Job(
+        named[1],
+        "running" if count else "pending",
+        count,
+        None,
+        spec["legs"],
+        spec["jobclass"],
+        ids.from_team(spec["crew"])[1],
+    )
--- a/roadhead/gateway/types.py
+++ b/roadhead/gateway/types.py
@@ -44,12 +44,26 @@
     def to_protocol(self, job_id, number):
         """The controllers' message."""
         return {
-            "id": job_id, "jobclass": self.klass, "crew": to_team(number, self.team), "shape": self.kind,
-            "urgency": self.priority, "legs": self.tasks, "vcpus": self.cpus, "gpus": self.gpus,
-            "ramGb": self.memory_gb, "kit": self.image, "sizeGb": self.image_gb, "rigs": self.types,
-            "paddock": self.zone, "together": self.same_zone, "scatter": self.spread,
-            "loaners": self.spot, "expectS": self.expected_s, "musterS": self.checkpoint_s,
-            "stowS": self.save_s, "dueS": self.due_s,
+            "id": job_id,
+            "jobclass": self.klass,
+            "crew": to_team(number, self.team),
+            "shape": self.kind,
+            "urgency": self.priority,
+            "legs": self.tasks,
+            "vcpus": self.cpus,
+            "gpus": self.gpus,
+            "ramGb": self.memory_gb,
+            "kit": self.image,
+            "sizeGb": self.image_gb,
+            "rigs": self.types,
+            "paddock": self.zone,
+            "together": self.same_zone,
+            "scatter": self.spread,
+            "loaners": self.spot,
+            "expectS": self.expected_s,
+            "musterS": self.checkpoint_s,
+            "stowS": self.save_s,
+            "dueS": self.due_s,
             **({"upstream": [to_job(number, own) for own in self.upstream]} if self.upstream else {}),
         }
 
--- a/roadhead/homes/commanding.py
+++ b/roadhead/homes/commanding.py
@@ -26,7 +26,10 @@
         needs = known.specs.get(frame.job)
         if needs is None:
             needs = known.specs[frame.job] = Needs(
-                (frame.cpus, frame.gpus, frame.memory), frame.image, frame.image_gb, frame.save_s,
+                (frame.cpus, frame.gpus, frame.memory),
+                frame.image,
+                frame.image_gb,
+                frame.save_s,
                 frame.saves,
             )
         known.owners[frame.job] = (label, incarnation)
--- a/roadhead/homes/faults.py
+++ b/roadhead/homes/faults.py
@@ -44,8 +44,11 @@
     def _blame(self, machine, proven=False):
         """How often tasks of each job failed there, those left out that fail everywhere."""
         known = self._known
-        return [count for job, count in machine.errors.items()
-                if job not in known.faulty and (not proven or job in known.proven)]
+        return [
+            count
+            for job, count in machine.errors.items()
+            if job not in known.faulty and (not proven or job in known.proven)
+        ]
 
     def _acquit(self, machine):
         if machine.doubt_until:
--- a/roadhead/homes/handover.py
+++ b/roadhead/homes/handover.py
@@ -12,13 +12,32 @@
         for task in machine.tasks.values():
             owner, needs = known.owners.get(task.job) or task.owner, known.specs.get(task.job) or task.needs
             if owner is not None and needs is not None:
-                jobs[task.job] = (task.job, *owner, *needs.room, needs.image, needs.image_gb,
-                                  needs.save_s, needs.saves)
-    rows = [(machine.id, machine.address, machine.type, machine.zone, machine.spot,
-             machine.draining and machine.notice_at is None, list(machine.images))
-            for machine in machines if machine.heard_at is not None]
-    return [*(frames.HandoverJobs(part) for part in _parts(list(jobs.values()))),
-            *(frames.Handover(part) for part in _parts(rows))]
+                jobs[task.job] = (
+                    task.job,
+                    *owner,
+                    *needs.room,
+                    needs.image,
+                    needs.image_gb,
+                    needs.save_s,
+                    needs.saves,
+                )
+    rows = [
+        (
+            machine.id,
+            machine.address,
+            machine.type,
+            machine.zone,
+            machine.spot,
+            machine.draining and machine.notice_at is None,
+            list(machine.images),
+        )
+        for machine in machines
+        if machine.heard_at is not None
+    ]
+    return [
+        *(frames.HandoverJobs(part) for part in _parts(list(jobs.values()))),
+        *(frames.Handover(part) for part in _parts(rows)),
+    ]
 
 
 def _parts(rows):
--- a/roadhead/homes/hearing.py
+++ b/roadhead/homes/hearing.py
@@ -32,8 +32,9 @@
                 return None
             if not self._member.takes_on(self._member.term.share(report.machine)):
                 return None
-            machine = known.take_on(report.machine, report.address, report.type, report.zone,
-                                    report.spot, now)
+            machine = known.take_on(
+                report.machine, report.address, report.type, report.zone, report.spot, now
+            )
             self._sureness.unheard(machine)
         if report.token > machine.token or self._too_late(machine):
             return None
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -27,8 +27,7 @@
 class Home:
     """Puts the rooms of the package together: `rooms` (granting), `hearing`, `commanding`, `sureness`."""
 
-    def __init__(self, loop, label, member, deployment, lapse_s, random, send, ask, need_spec,
-                 counters):
+    def __init__(self, loop, label, member, deployment, lapse_s, random, send, ask, need_spec, counters):
         self._loop = loop
         self.label = label
         self._member = member
@@ -44,10 +43,12 @@
         self.sureness = Sureness(loop, member, known, self._news, workers.lease_s, workers.cancel_s, lag_s)
         self.rooms = Rooms(loop, label, self.machines, lapse_s, random, send, counters)
         self.faults = Faults(loop, known, self.rooms, workers.report_s, self._drain, counters)
-        self.hearing = Hearing(loop, member, known, self._news, self.sureness, self.rooms, self.faults,
-                               self._drain, need_spec)
-        self.commanding = Commanding(loop, known, self._news, self.sureness, self.rooms, lapse_s, send, ask,
-                                     counters)
+        self.hearing = Hearing(
+            loop, member, known, self._news, self.sureness, self.rooms, self.faults, self._drain, need_spec
+        )
+        self.commanding = Commanding(
+            loop, known, self._news, self.sureness, self.rooms, lapse_s, send, ask, counters
+        )
 
     # Terms
 
@@ -78,8 +79,9 @@
                 self.rooms.revoke(machine)
                 self._let_go(machine)
             self.sureness.let_go(lost)
-            self.sureness.fence(begun, False, {
-                share for share in begun if old.shares.homes[share] in new.relieved})
+            self.sureness.fence(
+                begun, False, {share for share in begun if old.shares.homes[share] in new.relieved}
+            )
         if old.members.keys() - new.members.keys() or new.relieved - old.relieved:
             self.sureness.lengthen()
         for label in list(self.rooms.demand):
@@ -106,8 +108,12 @@
         known = self.known
         for name, address, kind_name, zone, spot, draining, images in frame.rows:
             term = self._member.term
-            if (term.home(name) != self.label or name in self.machines or name in known.gone
-                    or not self._member.takes_on(term.share(name))):
+            if (
+                term.home(name) != self.label
+                or name in self.machines
+                or name in known.gone
+                or not self._member.takes_on(term.share(name))
+            ):
                 continue
             machine = known.take_on(name, address, kind_name, zone, spot, self._loop.now())
             machine.draining = draining
@@ -170,8 +176,11 @@
         """Surely gone, with all that was on it."""
         now = self._loop.now()
         log.info(
-            "machine %s gone: %s, with %d tasks; heard %.1f s ago%s", machine.id, cause,
-            len(machine.tasks), now - (machine.heard_at or now),
+            "machine %s gone: %s, with %d tasks; heard %.1f s ago%s",
+            machine.id,
+            cause,
+            len(machine.tasks),
+            now - (machine.heard_at or now),
             "" if machine.notice_at is None else f", notice {now - machine.notice_at:+.1f} s",
         )
         self.known.gone[machine.id] = now
@@ -197,8 +206,12 @@
         if machine.notice_at is not None:
             left = machine.notice_at - self._loop.now()
             for task in machine.tasks.values():
-                if (task.status != EXITED and task.needs is not None and task.needs.saves
-                        and task.stop_grace is None):
+                if (
+                    task.status != EXITED
+                    and task.needs is not None
+                    and task.needs.saves
+                    and task.stop_grace is None
+                ):
                     machine.stop(task, max(0.0, left))
             self._ask(machine)
 
@@ -218,8 +231,9 @@
                 self.rooms.offer(machine)
             if machine.doubt_until and now >= machine.doubt_until and not machine.draining:
                 self.faults.judge(machine)
-            if machine.todo and any(task.forget and task.loose_token == machine.token
-                                    for task in machine.todo.values()):
+            if machine.todo and any(
+                task.forget and task.loose_token == machine.token for task in machine.todo.values()
+            ):
                 # An unanswered launch could start the attempt again once it is forgotten;
                 # under a higher token the worker refuses it.
                 self._member.want_new_token(machine.share)
@@ -253,8 +267,12 @@
             if sure_at <= end:
                 undecided = True
                 continue
-            log.info("lease of %s has run out: last report answered %.1f s ago, %d tasks",
-                     machine.id, now - machine.renewed_at, len(machine.tasks))
+            log.info(
+                "lease of %s has run out: last report answered %.1f s ago, %d tasks",
+                machine.id,
+                now - machine.renewed_at,
+                len(machine.tasks),
+            )
             self._count("leases_out")
             self.rooms.revoke(machine)
             for task in list(machine.tasks.values()):
--- a/roadhead/homes/known.py
+++ b/roadhead/homes/known.py
@@ -29,8 +29,18 @@
 
     def take_on(self, name, address, kind_name, zone, spot, now):
         term = self._member.term
-        machine = Machine(name, address, kind_name, zone, spot, self.types.get(kind_name), now,
-                          self.where, term.share(name), term.place(name)[1])
+        machine = Machine(
+            name,
+            address,
+            kind_name,
+            zone,
+            spot,
+            self.types.get(kind_name),
+            now,
+            self.where,
+            term.share(name),
+            term.place(name)[1],
+        )
         self.machines[name] = machine
         return machine
 
@@ -64,8 +74,11 @@
         self.owners = {job: owner for job, owner in self.owners.items() if job in live}
         self.specs = {job: spec for job, spec in self.specs.items() if job in live}
         if len(self.cancelled) > CANCELLED_MOST:
-            self.cancelled = {job: at for job, at in self.cancelled.items()
-                              if job in live or at > now - KEPT * self._cancel_s}
+            self.cancelled = {
+                job: at
+                for job, at in self.cancelled.items()
+                if job in live or at > now - KEPT * self._cancel_s
+            }
         self.faulty = {job: at for job, at in self.faulty.items() if job in live or at > old}
         self.proven = {job: at for job, at in self.proven.items() if job in live or at > old}
         self.gone = {name: at for name, at in self.gone.items() if at > old - 20 * self._lag_s}
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -21,8 +21,23 @@
 class Task:
     """One attempt on a machine. `needs` are None while unknown."""
 
-    __slots__ = ("attempt", "cause", "forget", "index", "job", "loose_token", "mark", "name",
-                 "needs", "owner", "saved", "seen", "status", "stop_grace", "told")
+    __slots__ = (
+        "attempt",
+        "cause",
+        "forget",
+        "index",
+        "job",
+        "loose_token",
+        "mark",
+        "name",
+        "needs",
+        "owner",
+        "saved",
+        "seen",
+        "status",
+        "stop_grace",
+        "told",
+    )
 
     def __init__(self, job, index, attempt, status, owner=None):
         self.job = job
@@ -58,10 +73,17 @@
     """
 
     __slots__ = (
-        "_cpus", "_gpus", "_memory", "_room", "_vague", "_where",
+        "_cpus",
+        "_gpus",
+        "_memory",
+        "_room",
+        "_vague",
+        "_where",
         "active",
         "address",
-        "asking", "attempts", "born_at",
+        "asking",
+        "attempts",
+        "born_at",
         "by_name",
         "confirmed",
         "confirmed_at",
@@ -79,7 +101,8 @@
         "heard_at",
         "holder",
         "id",
-        "idle_since", "images",
+        "idle_since",
+        "images",
         "kind",
         "listed_at",
         "notice_at",
@@ -253,9 +276,7 @@
 
     def empty(self):
         """Nothing runs there, and no result there has yet to be recorded."""
-        return not self.active and all(
-            task.forget or task.cause != "done" for task in self.tasks.values()
-        )
+        return not self.active and all(task.forget or task.cause != "done" for task in self.tasks.values())
 
     def orders(self):
         """All commands that the worker has yet to carry out, and the launches among them.
@@ -294,6 +315,4 @@
 
 
 def fits(need, room):
-    return (
-        need[0] <= room[0] + 1e-6 and need[1] <= room[1] + 1e-6 and need[2] <= room[2] + 1e-6
-    )
+    return need[0] <= room[0] + 1e-6 and need[1] <= room[1] + 1e-6 and need[2] <= room[2] + 1e-6
--- a/roadhead/homes/news.py
+++ b/roadhead/homes/news.py
@@ -35,8 +35,11 @@
         that named them last is told what is found since (ran_twice on a day at 1.5 times).
         """
         for machine, tasks in self._known.on_machines(jobs).items():
-            rows = [(task.job, task.index, task.attempt, task.status, task.cause or "")
-                    for task in tasks if self._owner(task) != owner and not task.forget]
+            rows = [
+                (task.job, task.index, task.attempt, task.status, task.cause or "")
+                for task in tasks
+                if self._owner(task) != owner and not task.forget
+            ]
             if rows:
                 self.tell(owner, frames.TaskStates(machine.id, machine.zone, rows))
 
--- a/roadhead/homes/rooms.py
+++ b/roadhead/homes/rooms.py
@@ -57,8 +57,11 @@
                 count = min(row[COUNT], times(row[CPUS : MEMORY + 1], left))
                 row[COUNT] -= count
                 self.left -= count
-                left = (left[0] - count * row[CPUS], left[1] - count * row[GPUS],
-                        left[2] - count * row[MEMORY])
+                left = (
+                    left[0] - count * row[CPUS],
+                    left[1] - count * row[GPUS],
+                    left[2] - count * row[MEMORY],
+                )
 
 
 class Rooms:
@@ -121,11 +124,21 @@
             return
         machine.grant_sent = state
         machine.grant_lapse_at = self._loop.now() + self._lapse_s
-        self._send(machine.holder, frames.Grant(
-            machine.id, machine.grant_serial, machine.grant_taken, machine.type, machine.zone,
-            self.label, machine.spot, *(max(0.0, part) for part in room), list(machine.images),
-            self._lapse_s,
-        ))
+        self._send(
+            machine.holder,
+            frames.Grant(
+                machine.id,
+                machine.grant_serial,
+                machine.grant_taken,
+                machine.type,
+                machine.zone,
+                self.label,
+                machine.spot,
+                *(max(0.0, part) for part in room),
+                list(machine.images),
+                self._lapse_s,
+            ),
+        )
 
     @staticmethod
     def _standing(machine):
@@ -164,8 +177,11 @@
             return
         self.held.pop(machine.id, None)
         # What has to gather room (a gang) is not drawn for: two that share it would both go without.
-        eligible = [label for place, label, _strict in found
-                    if label == foremost or (not strict and place <= first + self.window_s)]
+        eligible = [
+            label
+            for place, label, _strict in found
+            if label == foremost or (not strict and place <= first + self.window_s)
+        ]
         empty = [label for label in eligible if self.demand[label].length == 0]
         label = self._random.choice(empty or eligible)
         self._count("grants")
@@ -219,9 +235,11 @@
             return
         least = min(row[CPUS] for row in demand.rows), min(row[MEMORY] for row in demand.rows)
         machines = [
-            machine for machine in self._machines.values()
+            machine
+            for machine in self._machines.values()
             if machine.holder is None
-            and fits((least[0], 0.0, least[1]), machine.room()) and self.offerable(machine)
+            and fits((least[0], 0.0, least[1]), machine.room())
+            and self.offerable(machine)
         ]
         wanted = set(frame.images)
         machines.sort(key=lambda m: (wanted.isdisjoint(m.images), *self._standing(m)))
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/sureness.py
@@ -103,8 +103,14 @@
     def cover_at(self):
         """When the next list that covers something should be asked for; None if that is not ahead."""
         now = self._loop.now()
-        return min((fence.cover_from for fence in self._fences.values()
-                    if not fence.covered and fence.cover_from > now), default=None)
+        return min(
+            (
+                fence.cover_from
+                for fence in self._fences.values()
+                if not fence.covered and fence.cover_from > now
+            ),
+            default=None,
+        )
 
     def shown_at(self, asked_at):
         """No earlier than this is the moment that a list shows, up to twice its lag before it was
@@ -113,8 +119,11 @@
 
     def cover(self, asked_at, left):
         """A machine list asked for at `asked_at` was taken in, but for machines of the shares in `left`."""
-        covered = [share for share, fence in self._fences.items()
-                   if not fence.covered and asked_at >= fence.cover_from and share not in left]
+        covered = [
+            share
+            for share, fence in self._fences.items()
+            if not fence.covered and asked_at >= fence.cover_from and share not in left
+        ]
         for share in covered:
             self._fences[share].covered = True
         if covered:
@@ -174,8 +183,11 @@
     def _missing(self):
         """(name, its Fence) of machines that owners claim tasks on and that are not known here."""
         term = self._member.term
-        return [(name, fence) for name in self._claims if name not in self._known.machines
-                and (fence := self._fences.get(term.share(name))) is not None]
+        return [
+            (name, fence)
+            for name in self._claims
+            if name not in self._known.machines and (fence := self._fences.get(term.share(name))) is not None
+        ]
 
     def vanished(self, listed, asked_at):
         """Machines that owners claim tasks on, never heard here nor in this list, late enough.
@@ -183,8 +195,9 @@
         They ran before this home served the term, so a list that shows a later moment would
         name them if they were not gone; a release that the cloud answers makes it sure.
         """
-        return [name for name, fence in self._missing()
-                if asked_at >= fence.cover_from and name not in listed]
+        return [
+            name for name, fence in self._missing() if asked_at >= fence.cover_from and name not in listed
+        ]
 
     def past_fence(self, sure_at):
         """Nobody but this home has renewed anything since: what was not heard has ended. Whether there is
--- a/roadhead/homes/workers.py
+++ b/roadhead/homes/workers.py
@@ -93,9 +93,7 @@
             body = messages.commands(machine.token, session, orders)
             fresh = self.home.commanding.sending(machine, launches)
             try:
-                status, data, _headers = await client.request(
-                    "POST", "/commands", body, self._timeout_s
-                )
+                status, data, _headers = await client.request("POST", "/commands", body, self._timeout_s)
             except NoAnswer as error:
                 log.debug("commands to %s: %s", machine.id, error)
                 if not error.sent:
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -25,8 +25,23 @@
 
 
 class Book:
-    def __init__(self, loop, member, recorder_of, send, changed, counters, time_of_day, lease_s,
-                 on_finished, teams, on_orphan, shelve, line_of, parts):
+    def __init__(
+        self,
+        loop,
+        member,
+        recorder_of,
+        send,
+        changed,
+        counters,
+        time_of_day,
+        lease_s,
+        on_finished,
+        teams,
+        on_orphan,
+        shelve,
+        line_of,
+        parts,
+    ):
         self._loop = loop
         self._member = member
         self._send = send
@@ -163,8 +178,9 @@
         """Slots held here of which nothing is owned, being created or taken over."""
         groups = {self.teams.group(job.spec.team) for job in (*self._new.values(), *self._adopting)}
         groups |= {self.teams.group(team) for team in self.line.waits.by_team}
-        busy = {self._member.term.slot(group)
-                for group in (*self.accounts.groups(), *groups) if group is not None}
+        busy = {
+            self._member.term.slot(group) for group in (*self.accounts.groups(), *groups) if group is not None
+        }
         return [slot for slot in self.warden_since if slot not in busy]
 
     def on_term(self, old, new):
@@ -174,7 +190,8 @@
         held = {slot for slot, warden in enumerate(old.wardens) if warden == label} if same else set()
         self.warden_since = {
             slot: self.warden_since.get(slot, new.number) if slot in held else new.number
-            for slot, warden in enumerate(new.wardens) if warden == label
+            for slot, warden in enumerate(new.wardens)
+            if warden == label
         }
         for slot in self.warden_since.keys() - held:
             before = old.wardens[slot] if old is not None and slot < len(old.wardens) else None
@@ -287,8 +304,10 @@
         pending = self._settled(job)
         if pending is not None:
             self.recorder.unmark(job)
-            if record is not None and record["s"] == "open" and (
-                (tuple(record["o"]), record["at"]) == (job.owner, job.accepted_at)
+            if (
+                record is not None
+                and record["s"] == "open"
+                and ((tuple(record["o"]), record["at"]) == (job.owner, job.accepted_at))
             ):
                 job.stamp = stamp
                 self._created(job)
@@ -417,8 +436,11 @@
         """The term changed. Of what is owned here every home is told the jobs of which not all is known
         yet, and what is bound on machines that it is home to only now; a new incarnation is told all."""
         # One that told all under an older term, as when a link comes up, may have been dropped as such.
-        whole = [label for label in new.members if label in self._whole
-                 or old is None or old.incarnation(label) != new.incarnation(label)]
+        whole = [
+            label
+            for label in new.members
+            if label in self._whole or old is None or old.incarnation(label) != new.incarnation(label)
+        ]
         waiting = list(self._inherited)
         for job in waiting:
             job.unsynced = set(new.members)
@@ -528,8 +550,9 @@
 
     def stop(self, job, index, binding):
         """A task stops, saved if it can be; it waits again once it is surely gone."""
-        self._send_home(binding, frames.Stop(
-            binding.machine, job.id, index, binding.attempt, job.spec.save_s))
+        self._send_home(
+            binding, frames.Stop(binding.machine, job.id, index, binding.attempt, job.spec.save_s)
+        )
 
     def _unbind(self, job, index):
         self.accounts.let_go(job, job.bound.pop(index))
@@ -611,8 +634,15 @@
             binding = job.bound[index] = Binding(machine, zone, attempt, "", self._loop.now())
         if status == "running" and binding.status != "running" and log.isEnabledFor(logging.DEBUG):
             prepared = self._loop.now() - binding.at
-            log.debug("runs %s/%d of %s after %.2f s, of which %.2f s on %s", job.id, index,
-                      job.spec.klass, self._time_of_day() - job.accepted_at, prepared, machine)
+            log.debug(
+                "runs %s/%d of %s after %.2f s, of which %.2f s on %s",
+                job.id,
+                index,
+                job.spec.klass,
+                self._time_of_day() - job.accepted_at,
+                prepared,
+                machine,
+            )
         binding.status = status
         binding.zone = zone
         if status == "exited":
@@ -635,15 +665,18 @@
     def _failed(self, job, machine):
         """A job that fails everywhere is tried ever more slowly, on few machines at a time."""
         if job.failed(machine):
-            log.info("job %s of %s fails wherever it runs: tried now and then until it is cancelled",
-                     job.id, job.spec.klass)
+            log.info(
+                "job %s of %s fails wherever it runs: tried now and then until it is cancelled",
+                job.id,
+                job.spec.klass,
+            )
             self._count("jobs_faulty")
             self.version += 1
             for label in self._member.term.members:
                 self._send(label, frames.JobFails(job.id))
         now = self._loop.now()
         if job.doubtful and job.not_before <= now:
-            pause = min(5 * self._lease_s, self._lease_s / 4 * 1.5 ** job.pauses)
+            pause = min(5 * self._lease_s, self._lease_s / 4 * 1.5**job.pauses)
             job.pauses += 1
             job.not_before = now + pause
             self._loop.call_later(pause, self._changed)
@@ -721,8 +754,7 @@
         if record is not None:
             self.remember(job_id, record)
         job.free.clear()
-        over = [(index, binding) for index, binding in job.bound.items()
-                if binding.status == "exited"]
+        over = [(index, binding) for index, binding in job.bound.items() if binding.status == "exited"]
         self._forget(job_id, over)
         for index, _binding in over:
             del job.bound[index]
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -39,11 +39,44 @@
     it starts before (safety 3).
     """
 
-    __slots__ = ("accepted_at", "adopting", "aims", "bound", "built", "done", "doubtful", "due_by",
-                 "ended_at", "failed_on", "foreign", "free", "gathered", "gathering_since", "head_if",
-                 "id", "last_by", "later", "leads", "not_before", "owner", "part", "parts", "pauses", "place",
-                 "rank", "released_at", "room_shape", "saved_count", "shape", "spec", "stamp", "state",
-                 "sure", "unsynced", "written_at")
+    __slots__ = (
+        "accepted_at",
+        "adopting",
+        "aims",
+        "bound",
+        "built",
+        "done",
+        "doubtful",
+        "due_by",
+        "ended_at",
+        "failed_on",
+        "foreign",
+        "free",
+        "gathered",
+        "gathering_since",
+        "head_if",
+        "id",
+        "last_by",
+        "later",
+        "leads",
+        "not_before",
+        "owner",
+        "part",
+        "parts",
+        "pauses",
+        "place",
+        "rank",
+        "released_at",
+        "room_shape",
+        "saved_count",
+        "shape",
+        "spec",
+        "stamp",
+        "state",
+        "sure",
+        "unsynced",
+        "written_at",
+    )
 
     def __init__(self, spec, owner, accepted_at, stamp=0, done=(), inherited=False, released_at=None):
         self.id = spec.id
@@ -81,9 +114,7 @@
         self.leads, self.later = False, 0.0
         # Of a gang (dispatch/gangs.py): tasks for which room is kept, and since when.
         self.gathered, self.gathering_since = 0, 0.0
-        needs = (
-            spec.cpus, spec.gpus, spec.memory, spec.spot, spec.zone or "", tuple(spec.types or ())
-        )
+        needs = (spec.cpus, spec.gpus, spec.memory, spec.spot, spec.zone or "", tuple(spec.types or ()))
         # Jobs of one room shape find room on the same machines; where a job's tasks depend on
         # one another's zones it is alone in its shape.
         alone = spec.one_zone or spec.spread or self.gang
@@ -182,9 +213,7 @@
         fits = (largest - 64 - size) // 14
         if len(record["done"]) <= 2 * fits:
             return record, self.done
-        pairs = sorted(
-            zip(self.done.starts, self.done.ends, strict=True), key=lambda pair: pair[0] - pair[1]
-        )
+        pairs = sorted(zip(self.done.starts, self.done.ends, strict=True), key=lambda pair: pair[0] - pair[1])
         kept = Ranges([edge for pair in sorted(pairs[: max(0, fits)]) for edge in pair])
         record["done"] = kept.flat()
         return record, kept
@@ -201,8 +230,15 @@
 
 def from_record(record, owner, stamp):
     """An inherited job. Nothing of one that nobody has owned can have been started."""
-    job = Job(spec_of(record), owner, record["at"], stamp, record["done"],
-              inherited=tuple(record["o"]) != NOBODY, released_at=record.get("rel"))
+    job = Job(
+        spec_of(record),
+        owner,
+        record["at"],
+        stamp,
+        record["done"],
+        inherited=tuple(record["o"]) != NOBODY,
+        released_at=record.get("rel"),
+    )
     job.parts = tuple(record["up"]) if "up" in record else None
     return job
 
@@ -219,7 +255,8 @@
     spec, done = record["spec"], record["done"]
     waits = {"upstream": names} if (names := before(record)) else {}
     return {
-        "s": "open", "o": record["o"],
+        "s": "open",
+        "o": record["o"],
         "spec": {"crew": spec["crew"], "legs": spec["legs"], **waits},
         "done": [0, sum(done[1::2]) - sum(done[0::2])],
     }
@@ -240,6 +277,7 @@
     """The answer to a poll, from a record alone."""
     if record["s"] == "open":
         done = sum(record["done"][1::2]) - sum(record["done"][0::2])
-        return messages.job_status(job_id, "pending" if not done else "running", done, 0,
-                                   record.get("waits", ()))
+        return messages.job_status(
+            job_id, "pending" if not done else "running", done, 0, record.get("waits", ())
+        )
     return messages.job_status(job_id, record["s"], record["d"], 0)
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -50,8 +50,9 @@
     that nobody can say (`unsure`).
     """
 
-    def __init__(self, loop, state, progress_s, on_written, on_conflict, on_refused, on_new, member, guards,
-                 counters):
+    def __init__(
+        self, loop, state, progress_s, on_written, on_conflict, on_refused, on_new, member, guards, counters
+    ):
         self._count = counters.add
         self._loop = loop
         self._state = state
@@ -145,8 +146,7 @@
             if not batch:
                 continue
             try:
-                await self._state.unchanged(
-                    [(place + job.id, 0) for job in batch for place in (KEY, SHELF)])
+                await self._state.unchanged([(place + job.id, 0) for job in batch for place in (KEY, SHELF)])
             except Conflict as error:
                 self.unsure = False
                 for job in batch:
@@ -256,8 +256,11 @@
             if not job.stamp:
                 conditions.append((SHELF + job.id, 0))  # it may be over long since
                 guard = self._guards.of(job)
-                conditions += [condition for condition in (guard, job.head_if)
-                               if condition is not None and condition not in conditions]
+                conditions += [
+                    condition
+                    for condition in (guard, job.head_if)
+                    if condition is not None and condition not in conditions
+                ]
             writes.append({"put": KEY + job.id, "data": record})
             self._to_check.pop(job, None)
             written.append((job, self._take(job), recorded, count, job.state))
@@ -290,11 +293,21 @@
                             self._on_conflict(job, record, stamp)
                 for key in error.failed:
                     if key.startswith(PARTS):
-                        await self._refuse([job for job, *_rest in written if job.head_if is not None
-                                            and job in self._dirty and job.head_if[0] == key])
+                        await self._refuse(
+                            [
+                                job
+                                for job, *_rest in written
+                                if job.head_if is not None and job in self._dirty and job.head_if[0] == key
+                            ]
+                        )
                     if key.startswith(TENANT) and self._guards.changed(key, *await self._state.get(key)):
-                        await self._refuse([job for job, *_rest in written if not job.stamp
-                                            and job in self._dirty and self._guards.of(job)[0] == key])
+                        await self._refuse(
+                            [
+                                job
+                                for job, *_rest in written
+                                if not job.stamp and job in self._dirty and self._guards.of(job)[0] == key
+                            ]
+                        )
                 return
             raise
         now = self._loop.now()
--- a/roadhead/jobs/records.py
+++ b/roadhead/jobs/records.py
@@ -82,9 +82,9 @@
                 continue
             try:
                 if self._queue:
-                    await self._move([
-                        (job_id, *self._queue.pop(job_id)) for job_id in list(self._queue)[:most]
-                    ])
+                    await self._move(
+                        [(job_id, *self._queue.pop(job_id)) for job_id in list(self._queue)[:most]]
+                    )
                 elif self._after is not None:
                     await self._read_on()
             except (Unavailable, Unsure) as error:
@@ -112,6 +112,6 @@
         items, more, _revision = await self._state.page(KEY, self._after)
         for key, record, stamp in items:
             if record["s"] in FINAL:
-                self.found(key[len(KEY):], record, stamp)
+                self.found(key[len(KEY) :], record, stamp)
         if self._after is not None:
             self._after = items[-1][0] if more else None
--- a/roadhead/jobs/risk.py
+++ b/roadhead/jobs/risk.py
@@ -65,8 +65,12 @@
                 if job.id not in self._at_risk:
                     self._at_risk.add(job.id)
                     log.info(
-                        "at risk: %s of %s, %d of %d tasks done after %.0f s", job.id,
-                        job.spec.klass, job.done.count, job.spec.tasks, now - job.accepted_at,
+                        "at risk: %s of %s, %d of %d tasks done after %.0f s",
+                        job.id,
+                        job.spec.klass,
+                        job.done.count,
+                        job.spec.tasks,
+                        now - job.accepted_at,
                     )
         for klass in self._done:
             counts.setdefault(klass, [0, 0])
--- a/roadhead/jobs/teams.py
+++ b/roadhead/jobs/teams.py
@@ -31,9 +31,9 @@
     def take_off(self, need):
         self.tasks -= 1
         # Amounts are decimal numbers: nothing of their rounding is left once nothing is held.
-        self.held = tuple(
-            held - part for held, part in zip(self.held, need, strict=True)
-        ) if self.tasks else NOTHING
+        self.held = (
+            tuple(held - part for held, part in zip(self.held, need, strict=True)) if self.tasks else NOTHING
+        )
 
     def waiting(self):
         """Tasks that wait, by a look at every job."""
@@ -128,8 +128,9 @@
 
     def __init__(self, teams):
         self._teams = {team.name: team for team in teams}
-        self._limits = {team.name: (team.cpus_max, team.gpus_max) for team in teams
-                        if team.cpus_max or team.gpus_max}
+        self._limits = {
+            team.name: (team.cpus_max, team.gpus_max) for team in teams if team.cpus_max or team.gpus_max
+        }
 
     def get(self, name):
         return self._teams.get(name)
--- a/roadhead/local/cluster.py
+++ b/roadhead/local/cluster.py
@@ -58,9 +58,14 @@
     def _new_plan(self):
         labels = [f"controller-{number}" for number in range(CONTROLLERS)]
         return {
-            "labels": labels, "settings": SETTINGS, "fronts": [free_address() for _ in labels],
-            "internal": [free_address() for _ in labels], "state": free_address(),
-            "cloud": free_address(), "tenants": free_address(), "administration": free_address(),
+            "labels": labels,
+            "settings": SETTINGS,
+            "fronts": [free_address() for _ in labels],
+            "internal": [free_address() for _ in labels],
+            "state": free_address(),
+            "cloud": free_address(),
+            "tenants": free_address(),
+            "administration": free_address(),
         }
 
     def _write_settings(self):
@@ -70,23 +75,39 @@
             secret.touch(0o600)
             secret.write_text(secrets.token_hex(32))
         for number, label in enumerate(plan["labels"]):
-            members = [{"label": other, "location": "north", "endpoint": plan["internal"][n]}
-                       for n, other in enumerate(plan["labels"]) if n != number]
-            (self.directory / f"{label}.json").write_text(json.dumps({
-                "label": label, "location": "north", "front": plan["fronts"][number],
-                "internal_addr": plan["internal"][number], "members": members,
-                "external": {"cloud": plan["cloud"], "state": plan["state"]},
-                "deployment": {"nodes": len(plan["labels"]), "zones": ["north", "south"], "teams": [],
-                               **plan["settings"]},
-            }))
+            members = [
+                {"label": other, "location": "north", "endpoint": plan["internal"][n]}
+                for n, other in enumerate(plan["labels"])
+                if n != number
+            ]
+            (self.directory / f"{label}.json").write_text(
+                json.dumps(
+                    {
+                        "label": label,
+                        "location": "north",
+                        "front": plan["fronts"][number],
+                        "internal_addr": plan["internal"][number],
+                        "members": members,
+                        "external": {"cloud": plan["cloud"], "state": plan["state"]},
+                        "deployment": {
+                            "nodes": len(plan["labels"]),
+                            "zones": ["north", "south"],
+                            "teams": [],
+                            **plan["settings"],
+                        },
+                    }
+                )
+            )
         state = plan["settings"]["state"]
-        fronts = "\n".join(f'{label} = "{front}"' for label, front in
-                           zip(plan["labels"], plan["fronts"], strict=True))
+        fronts = "\n".join(
+            f'{label} = "{front}"' for label, front in zip(plan["labels"], plan["fronts"], strict=True)
+        )
         (self.directory / "hosted.toml").write_text(
             f'secret_file = "secret"\ngateways = 1\n[gateway]\ntenants = "{plan["tenants"]}"\n'
             f'administration = "{plan["administration"]}"\n[cluster]\nstate = "{plan["state"]}"\n'
             + "".join(f"{name} = {value}\n" for name, value in state.items())
-            + f"[cluster.controllers]\n{fronts}\n")
+            + f"[cluster.controllers]\n{fronts}\n"
+        )
 
     # Processes
 
@@ -107,8 +128,12 @@
     def _start(self, name):
         with open(self.directory / "logs" / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(
-                [sys.executable, *self.plan["program"], *self._command(name)], stdout=log, stderr=log,
-                stdin=subprocess.DEVNULL, preexec_fn=die_with_parent)
+                [sys.executable, *self.plan["program"], *self._command(name)],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                preexec_fn=die_with_parent,
+            )
 
     def mend(self):
         """Starts again whatever has ended; names of those."""
@@ -132,8 +157,9 @@
         while addresses:
             if time.monotonic() > deadline:
                 raise Failed(f"not ready after 30 s; its logs are in {self.directory / 'logs'}")
-            addresses = [address for address in addresses
-                         if self._request(address, "GET", "/ready")[0] != 200]
+            addresses = [
+                address for address in addresses if self._request(address, "GET", "/ready")[0] != 200
+            ]
             time.sleep(0.05)
 
     # Requests
@@ -172,18 +198,23 @@
         """The tenant of this machine's user, made once; its key is told to nobody else."""
         address = self.plan["administration"]
         headers = [("Authorization", f"Bearer {self._secrets.root_key()}")]
-        self._insist(address, "POST", "/admin/v1/tenants",
-                     {"name": TENANT, "teams": [{"name": TEAM}]}, headers=headers)
+        self._insist(
+            address, "POST", "/admin/v1/tenants", {"name": TENANT, "teams": [{"name": TEAM}]}, headers=headers
+        )
         _status, answer = self._insist(
-            address, "POST", f"/admin/v1/tenants/{TENANT}/keys",
+            address,
+            "POST",
+            f"/admin/v1/tenants/{TENANT}/keys",
             {"scopes": ["read", "submit", "cancel"], "label": "local"},
-            headers=[*headers, ("Idempotency-Key", "local")])
+            headers=[*headers, ("Idempotency-Key", "local")],
+        )
         self.key = answer["key"]
         return self.key
 
     def ask(self, method, path, body=None):
-        return self._insist(self.plan["tenants"], method, path, body,
-                            headers=[("Authorization", f"Bearer {self.key}")])
+        return self._insist(
+            self.plan["tenants"], method, path, body, headers=[("Authorization", f"Bearer {self.key}")]
+        )
 
     # Jobs
 
@@ -193,9 +224,20 @@
     def submit(self, job, command):
         """Uploads what the workers need of a job, then submits it."""
         job_id = self.job_id(job)
-        self._insist(self.plan["cloud"], "POST", f"/uploads/{job_id}", {
-            "name": job.id, "command": command, "vcpus": job.cpus, "musterS": job.checkpoint_s,
-            "stowS": job.save_s, "runS": 0.0}, cbor=True)
+        self._insist(
+            self.plan["cloud"],
+            "POST",
+            f"/uploads/{job_id}",
+            {
+                "name": job.id,
+                "command": command,
+                "vcpus": job.cpus,
+                "musterS": job.checkpoint_s,
+                "stowS": job.save_s,
+                "runS": 0.0,
+            },
+            cbor=True,
+        )
         status, answer = self.ask("POST", "/v1/jobs", msgspec.to_builtins(job))
         if status not in (200, 201):
             raise Failed(f"job {job.id}: {answer.get('detail') or answer['title']}")
@@ -296,8 +338,10 @@
     """Serves until interrupted."""
     key = cluster.tenant()
     print(f"tenants' API    http://{cluster.plan['tenants']}  (key {key})")
-    print(f"administration  http://{cluster.plan['administration']}  "
-          f"(key: roadhead tenants root-key --hosted {cluster.directory / 'hosted.toml'})")
+    print(
+        f"administration  http://{cluster.plan['administration']}  "
+        f"(key: roadhead tenants root-key --hosted {cluster.directory / 'hosted.toml'})"
+    )
     for label, front in zip(cluster.plan["labels"], cluster.plan["fronts"], strict=True):
         print(f"{label}    {front}")
     print(f"state service   {cluster.plan['state']}\ncloud           {cluster.plan['cloud']}", flush=True)
--- a/roadhead/local/processes.py
+++ b/roadhead/local/processes.py
@@ -1,6 +1,6 @@
 """The stand-ins as processes on loopback: state service, cloud with uploads, workers that run commands.
 
-    python3 run.py local-part state|cloud|worker DIR [ARGUMENTS]
+python3 run.py local-part state|cloud|worker DIR [ARGUMENTS]
 """
 
 import ctypes
@@ -74,8 +74,20 @@
     """Its machines are worker processes; it also takes what users upload of their jobs."""
 
     def __init__(self, ground):
-        kinds = [{"name": "box", "vcpus": 4, "gpus": 0, "ramGb": 16, "cacheGb": 20, "fetchGbPerS": 10,
-                  "price": 0.2, "marketPrice": 0.05, "startupS": 1.0, "paddocks": ["north", "south"]}]
+        kinds = [
+            {
+                "name": "box",
+                "vcpus": 4,
+                "gpus": 0,
+                "ramGb": 16,
+                "cacheGb": 20,
+                "fetchGbPerS": 10,
+                "price": 0.2,
+                "marketPrice": 0.05,
+                "startupS": 1.0,
+                "paddocks": ["north", "south"],
+            }
+        ]
         super().__init__(ground, kinds, capacity=3, address=ground.plan["cloud"])
         self.names = int(time.time()) * 1000  # names are never given twice, whatever ended
         self._uploads = ground.directory / "uploads"
@@ -104,8 +116,19 @@
         self.born = ground.sim.time
         self.address = free_address()
         self.process = subprocess.Popen(
-            [sys.executable, *ground.plan["program"], "local-part", "worker", str(ground.directory), name,
-             self.address, zone, str(int(spot))], preexec_fn=die_with_parent)
+            [
+                sys.executable,
+                *ground.plan["program"],
+                "local-part",
+                "worker",
+                str(ground.directory),
+                name,
+                self.address,
+                zone,
+                str(int(spot)),
+            ],
+            preexec_fn=die_with_parent,
+        )
 
     def listed(self):
         return "running" if self.process.poll() is None else "failed"
@@ -150,9 +173,14 @@
         described = self._jobs[job]
         with open(self._out / f"{job}.{index}.log", "wb") as file:
             item.process = subprocess.Popen(
-                described["command"], stdin=subprocess.DEVNULL, stdout=file, stderr=subprocess.STDOUT,
-                start_new_session=True, preexec_fn=die_with_parent,
-                env={**os.environ, "ROADHEAD_JOB": described["name"], "ROADHEAD_TASK": index})
+                described["command"],
+                stdin=subprocess.DEVNULL,
+                stdout=file,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
+                preexec_fn=die_with_parent,
+                env={**os.environ, "ROADHEAD_JOB": described["name"], "ROADHEAD_TASK": index},
+            )
         handle = os.pidfd_open(item.process.pid)
 
         def ended(_mask):
--- a/roadhead/local/sim.py
+++ b/roadhead/local/sim.py
@@ -67,6 +67,7 @@
 
     def deliver(self, delay, fn, *args):
         """A packet comes in; while the host stands still it lies in the socket."""
+
         def arrive():
             if self.alive and self.hung:
                 self._packets.append((fn, args))
@@ -220,9 +221,7 @@
     async def connect(self, address, timeout):
         network = self._network
         target = address.rpartition(":")[0]
-        if network.cut_between(self.name, target) is not None or (
-            target not in network.loops
-        ):
+        if network.cut_between(self.name, target) is not None or (target not in network.loops):
             if target in network.loops or target.startswith("10.1."):
                 await self.loop.sleep(timeout)
                 raise Timeout
--- a/roadhead/local/standins.py
+++ b/roadhead/local/standins.py
@@ -141,7 +141,7 @@
             self.listed += len(items) if prefix == "j/" else 0
             return 200, {"items": items, "hasNext": len(keys) > limit, "epoch": self.epoch}
         if path.startswith("/store/"):
-            key = path[len("/store/"):]
+            key = path[len("/store/") :]
             if key not in self.data:
                 return 404, {"epoch": self.epoch}
             value, stamp, permit = self.data[key]
@@ -168,8 +168,11 @@
             while True:
                 if after < self.log_from:
                     return 410, {}
-                found = [e for e in self.log
-                         if e["stamp"] > after and (e.get("put") or e.get("drop")).startswith(prefix)]
+                found = [
+                    e
+                    for e in self.log
+                    if e["stamp"] > after and (e.get("put") or e.get("drop")).startswith(prefix)
+                ]
                 if not refused() and (found or self.sim.time >= ends):
                     return 200, {"epoch": self.epoch, "log": found}
                 waiter = Future()
@@ -210,8 +213,7 @@
         if not self._take("write_rps", len(body["writes"])):
             self.refused += 1
             return 429, {"error": "too much"}
-        failed = [c["k"] for c in body["if"]
-                  if self.data.get(c["k"], (None, 0, None))[1] != c["stamp"]]
+        failed = [c["k"] for c in body["if"] if self.data.get(c["k"], (None, 0, None))[1] != c["stamp"]]
         for write in body["writes"]:
             if "put" in write and write.get("permit") and write["permit"] not in self.leases:
                 return 400, {"error": "no such lease"}
@@ -230,8 +232,10 @@
                     self.log.append({"drop": write["drop"], "stamp": self.epoch})
             if self.keeper:
                 self.keeper.save(
-                    self.epoch, {w["put"]: self.data[w["put"]] for w in body["writes"] if "put" in w},
-                    [w["drop"] for w in body["writes"] if "drop" in w])
+                    self.epoch,
+                    {w["put"]: self.data[w["put"]] for w in body["writes"] if "put" in w},
+                    [w["drop"] for w in body["writes"] if "drop" in w],
+                )
             self._wake()
         return 200, {"epoch": self.epoch}
 
@@ -256,8 +260,15 @@
 
     def _now(self):
         return [
-            {"id": w.name, "endpoint": w.address, "rig": w.kind["name"], "paddock": w.zone,
-             "loaners": w.spot, "status": w.listed(), "ageS": self.sim.time - w.born}
+            {
+                "id": w.name,
+                "endpoint": w.address,
+                "rig": w.kind["name"],
+                "paddock": w.zone,
+                "loaners": w.spot,
+                "status": w.listed(),
+                "ageS": self.sim.time - w.born,
+            }
             for w in sorted(self.rented.values(), key=lambda w: w.name)
         ]
 
@@ -390,7 +401,8 @@
                     self.execute(answer["orders"])
                 self.wanted = Future()
                 timer = self.loop.call_later(
-                    self.report_s * self.sim.random.uniform(0.75, 1.25), self.wanted.set)
+                    self.report_s * self.sim.random.uniform(0.75, 1.25), self.wanted.set
+                )
                 await self.loop.sleep(0.5)
                 await self.wanted
                 timer.cancel()
@@ -426,9 +438,15 @@
         self.sequence += 1
         notice = None if self.notice_at is None else max(0.0, self.notice_at - self.sim.time)
         return {
-            "drover": self.name, "endpoint": self.address, "rig": self.kind["name"],
-            "paddock": self.zone, "loaners": self.spot, "stint": self.session,
-            "tally": self.sequence, "brand": self.token, "recallS": notice,
+            "drover": self.name,
+            "endpoint": self.address,
+            "rig": self.kind["name"],
+            "paddock": self.zone,
+            "loaners": self.spot,
+            "stint": self.session,
+            "tally": self.sequence,
+            "brand": self.token,
+            "recallS": notice,
             "legs": [
                 {"leg": i.task, "try": i.attempt, "status": i.status, "cause": i.cause, "saved": i.saved}
                 for i in self.tasks.values()
@@ -456,8 +474,7 @@
                 self._launch(*key)
             elif order["verb"] == "stop" and item is not None and item.status != "exited":
                 job = self.world.job_of(item.task)
-                if (item.status == "running" and job["musterS"] > 0
-                        and order["letgoS"] >= job["stowS"]):
+                if item.status == "running" and job["musterS"] > 0 and order["letgoS"] >= job["stowS"]:
                     item.status = "saving"
                     item.timer.cancel()
                     item.timer = self.loop.call_later(job["stowS"], self._saved, item)
@@ -498,7 +515,8 @@
         item.status = "running"
         job = self.world.job_of(item.task)
         run_s = job["runS"] * self.sim.random.uniform(0.9, 1.1) + (
-            job.get("apartS", 0.0) * int(item.task.rpartition("/")[2]))
+            job.get("apartS", 0.0) * int(item.task.rpartition("/")[2])
+        )
         if item.task in self.world.completed:
             run_s = 0.0
         if self.sick or job.get("faulty"):
@@ -570,10 +588,12 @@
     def leave(self, item):
         worker = self.here.pop(item, None)
         if worker is not None and item.status != "gathering":
+
             def lost():
                 if item.task not in worker.world.completed:
                     for peer, host in list(self.here.items()):
                         host._exit(peer, "incomplete")
+
             worker.sim.call_later(worker.world.gang_peer_s, lost)
 
 
@@ -635,7 +655,8 @@
         self.asked_at = self.sim.time
         try:
             status, data, _ = await client.request(
-                method, path, cbor2.dumps(body) if body is not None else b"", timeout)
+                method, path, cbor2.dumps(body) if body is not None else b"", timeout
+            )
         except (NoAnswer, Timeout):
             return 0, None
         return status, (cbor2.loads(data) if data else None)
@@ -651,8 +672,11 @@
         state = answer["status"]
         if self.told in ("done", "cancelled") and state != self.told:
             world.break_rule("went_back", f"{self.id}: {self.told} then {state}")
-        if state == "cancelled" and not self.asked_to_cancel and not any(
-                user.asked_to_cancel for user in world.above(self.id)):
+        if (
+            state == "cancelled"
+            and not self.asked_to_cancel
+            and not any(user.asked_to_cancel for user in world.above(self.id))
+        ):
             world.break_rule("went_back", f"{self.id}: nobody cancelled it")
         if state == "done" and not world.all_completed(self.job):
             world.break_rule("not_done", self.id)
@@ -660,8 +684,9 @@
             self.told_cancelled_at = self.sim.time
             world.cancelled_at[self.id] = self.sim.time
         if state in ("pending", "running") and any(
-                self.asked_at > told + world.settings["workers"]["cancel_s"]
-                for told in world.cancelled_above(self.id)):
+            self.asked_at > told + world.settings["workers"]["cancel_s"]
+            for told in world.cancelled_above(self.id)
+        ):
             world.break_rule("orphaned", f"{self.id} is called {state}")
         if self.told != state:
             self.told_at = self.sim.time
@@ -671,8 +696,11 @@
         loop = self.world.user_loop
         public = {k: v for k, v in self.job.items() if k not in UNTOLD}
         # The jobs of a pipeline are submitted each as soon as those that it needs are accepted.
-        while not all(self.world.users[name].accepted for name in public.get("upstream") or ()
-                      if name in self.world.users and name != self.id):
+        while not all(
+            self.world.users[name].accepted
+            for name in public.get("upstream") or ()
+            if name in self.world.users and name != self.id
+        ):
             await loop.sleep(0.05)
         begun = self.sim.time
         while not self.accepted:
--- a/roadhead/local/tenancy.py
+++ b/roadhead/local/tenancy.py
@@ -17,10 +17,25 @@
 MASTER = b"a master secret of a virtual world"
 SETTLED_S = 15.0  # in which a start sent before limits changed has come
 ASKED = {  # fields of a scenario's job as a tenant names them
-    "jobclass": "class", "crew": "team", "shape": "kind", "urgency": "priority", "legs": "tasks",
-    "vcpus": "cpus", "gpus": "gpus", "ramGb": "memory_gb", "kit": "image", "sizeGb": "image_gb",
-    "rigs": "types", "paddock": "zone", "together": "same_zone", "scatter": "spread", "loaners": "spot",
-    "expectS": "expected_s", "musterS": "checkpoint_s", "stowS": "save_s", "dueS": "due_s",
+    "jobclass": "class",
+    "crew": "team",
+    "shape": "kind",
+    "urgency": "priority",
+    "legs": "tasks",
+    "vcpus": "cpus",
+    "gpus": "gpus",
+    "ramGb": "memory_gb",
+    "kit": "image",
+    "sizeGb": "image_gb",
+    "rigs": "types",
+    "paddock": "zone",
+    "together": "same_zone",
+    "scatter": "spread",
+    "loaners": "spot",
+    "expectS": "expected_s",
+    "musterS": "checkpoint_s",
+    "stowS": "save_s",
+    "dueS": "due_s",
 }
 
 
@@ -30,13 +45,25 @@
     def __init__(self, world, gateways):
         self.world = world
         state = world.settings["state"]
-        self._hosted = [msgspec.convert({
-            "secret_file": "", "master": MASTER, "gateways": gateways, "slots": world.options["slots"],
-            "preempt": bool(world.options["preempt"]),
-            "gateway": {"tenants": f"10.3.0.{n + 1}:8090", "administration": f"10.3.0.{n + 1}:8091"},
-            "cluster": {"state": "10.2.0.1:2379",
-                        "controllers": dict(zip(world.labels, world.fronts, strict=True)), **state},
-        }, Hosted) for n in range(gateways)]
+        self._hosted = [
+            msgspec.convert(
+                {
+                    "secret_file": "",
+                    "master": MASTER,
+                    "gateways": gateways,
+                    "slots": world.options["slots"],
+                    "preempt": bool(world.options["preempt"]),
+                    "gateway": {"tenants": f"10.3.0.{n + 1}:8090", "administration": f"10.3.0.{n + 1}:8091"},
+                    "cluster": {
+                        "state": "10.2.0.1:2379",
+                        "controllers": dict(zip(world.labels, world.fronts, strict=True)),
+                        **state,
+                    },
+                },
+                Hosted,
+            )
+            for n in range(gateways)
+        ]
         self.root = Secrets(MASTER).root_key()
         self.numbers, self.keys, self.limits, self.removed_at = {}, {}, {}, {}
         self._turns = {}  # tenant -> the latest line about it
@@ -51,8 +78,12 @@
         host = f"10.3.0.{number + 1}"
         loop = self.world.host_loop(host)
         self.gateways[number] = Gateway(
-            loop, self.world.network.host(host, loop), self._hosted[number],
-            random.Random(self.world.sim.random.random()), self.time_of_day)
+            loop,
+            self.world.network.host(host, loop),
+            self._hosted[number],
+            random.Random(self.world.sim.random.random()),
+            self.time_of_day,
+        )
         self.gateways[number].start()
 
     def crash(self, number, back_after):
@@ -76,9 +107,13 @@
         data = json.dumps(body).encode() if body is not None else b""
         try:
             status, data, _ = await client.request(
-                method, path, data, timeout,
+                method,
+                path,
+                data,
+                timeout,
                 [("Authorization", f"Bearer {key}"), ("Accept", "application/json"), *headers],
-                "application/json")
+                "application/json",
+            )
         except (NoAnswer, Timeout):
             return 0, None
         return status, (json.loads(data) if data else None)
@@ -87,8 +122,14 @@
         """Repeats a request under one request key until it has a final answer."""
         key = f"{self.world.sim.random.random():.12f}"
         while True:
-            status, answer = await self.ask("administration", method, f"/admin/v1/{path}", body, self.root,
-                                            headers=[("Idempotency-Key", key), *headers])
+            status, answer = await self.ask(
+                "administration",
+                method,
+                f"/admin/v1/{path}",
+                body,
+                self.root,
+                headers=[("Idempotency-Key", key), *headers],
+            )
             if status not in (0, 503):
                 return status, answer
             await self.world.user_loop.sleep(0.5)
@@ -113,7 +154,8 @@
             self.numbers[name] = answer["number"]
             self.limits[answer["number"]] = body
             status, answer = await self.administrate(
-                "POST", f"tenants/{name}/keys", {"scopes": ["read", "submit", "cancel"]})
+                "POST", f"tenants/{name}/keys", {"scopes": ["read", "submit", "cancel"]}
+            )
             assert status == 201, (status, answer)
             self.keys[name] = answer["key"]
             return
@@ -122,7 +164,8 @@
             while status == 412:  # somebody else changed the tenant meanwhile
                 _status, answer = await self.administrate("GET", f"tenants/{name}")
                 status, answer = await self.administrate(
-                    "PATCH", f"tenants/{name}", body, [("If-Match", f'"{answer["version"]}"')])
+                    "PATCH", f"tenants/{name}", body, [("If-Match", f'"{answer["version"]}"')]
+                )
             self.limits[self.numbers[name]] = body
             self.changed_at[self.numbers[name]] = self.world.sim.time
         elif verb == "remove":
@@ -143,8 +186,9 @@
             name, value = word.split("=", 1)
             if name == "team":
                 own, *amounts = value.split(":")
-                teams.append({"name": own, **{
-                    part.split("=")[0]: float(part.split("=")[1]) for part in amounts}})
+                teams.append(
+                    {"name": own, **{part.split("=")[0]: float(part.split("=")[1]) for part in amounts}}
+                )
             elif name == "weight":
                 body["weight"] = float(value)
             else:
@@ -174,8 +218,11 @@
 
     def left_of(self, number):
         """Keys of a tenant's jobs that are still stored."""
-        return [key for key in self.world.state.data
-                if key.startswith(tuple(place + ids.prefix(number) for place in ("j/", "f/", "c/x/")))]
+        return [
+            key
+            for key in self.world.state.data
+            if key.startswith(tuple(place + ids.prefix(number) for place in ("j/", "f/", "c/x/")))
+        ]
 
 
 class TenantUser(User):
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -14,11 +14,29 @@
 from roadhead.tenants.ids import to_job
 
 DEFAULTS = {
-    "controllers": 3, "seed": 1, "report_s": 2.0, "lease_s": 12.0, "cancel_s": 32.0,
-    "list_lag_s": 3.0, "txn_ops": 16, "capacity": 8, "fetch_s": 1.0, "until": 200.0,
-    "cpus_max": 0.0, "drift": 0.0005, "boot_s": 5.0, "gateways": 0, "slots": 24,
-    "preempt": 1, "sockets": 0, "rps": 300.0, "write_rps": 60.0, "value_kb": 8.0,
-    "next_write_rps": 0.0, "next_value_kb": 0.0, "next_txn_ops": 0,
+    "controllers": 3,
+    "seed": 1,
+    "report_s": 2.0,
+    "lease_s": 12.0,
+    "cancel_s": 32.0,
+    "list_lag_s": 3.0,
+    "txn_ops": 16,
+    "capacity": 8,
+    "fetch_s": 1.0,
+    "until": 200.0,
+    "cpus_max": 0.0,
+    "drift": 0.0005,
+    "boot_s": 5.0,
+    "gateways": 0,
+    "slots": 24,
+    "preempt": 1,
+    "sockets": 0,
+    "rps": 300.0,
+    "write_rps": 60.0,
+    "value_kb": 8.0,
+    "next_write_rps": 0.0,
+    "next_value_kb": 0.0,
+    "next_txn_ops": 0,
     "settled": 0.0,  # when all troubles are over, for the rule that a job stays known
 }
 UNANSWERED_S = 75.0  # once they are, without an answer for that long a job counts as forgotten
@@ -87,10 +105,20 @@
         self.labels = [f"ctl-{number}" for number in range(options["controllers"])]
         self.fronts = [f"10.0.0.{number + 1}:8080" for number in range(options["controllers"])]
         self.state = State(self)
-        kinds = [{
-            "name": "box", "vcpus": 4, "gpus": 0, "ramGb": 16, "cacheGb": 20, "fetchGbPerS": 1,
-            "price": 0.2, "marketPrice": 0.05, "startupS": options["boot_s"], "paddocks": list(self.zones),
-        }]
+        kinds = [
+            {
+                "name": "box",
+                "vcpus": 4,
+                "gpus": 0,
+                "ramGb": 16,
+                "cacheGb": 20,
+                "fetchGbPerS": 1,
+                "price": 0.2,
+                "marketPrice": 0.05,
+                "startupS": options["boot_s"],
+                "paddocks": list(self.zones),
+            }
+        ]
         self.cloud = Cloud(self, kinds, options["capacity"])
         self.user_loop = self.host_loop("10.9.0.1")
         self.user_net = self.network.host("10.9.0.1", self.user_loop)
@@ -115,12 +143,15 @@
             return {"label": self.labels[n], "location": self.zones[n % 2], "endpoint": endpoint}
 
         document = {
-            "label": self.labels[number], "location": self.zones[number % 2],
-            "front": self.fronts[number], "internal_addr": f"10.0.0.{number + 1}:8081",
+            "label": self.labels[number],
+            "location": self.zones[number % 2],
+            "front": self.fronts[number],
+            "internal_addr": f"10.0.0.{number + 1}:8081",
             "members": [member(n) for n in range(len(self.labels)) if n != number],
             "external": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
             "deployment": {
-                "nodes": len(self.labels), "zones": list(self.zones),
+                "nodes": len(self.labels),
+                "zones": list(self.zones),
                 "teams": [{"name": "crew", "cpus_max": self.options["cpus_max"]}],
                 "objectives": [{"kind": "finished", "class": "c", "within_s": 60.0, "share": 0.9}],
                 **({"quota": {"fd_limit": self.options["sockets"]}} if self.options["sockets"] else {}),
@@ -130,7 +161,10 @@
         if later := self.later_limits():
             limits = document["deployment"]["state"]
             document["deployment"]["state"] = {
-                **limits, **{name: self.options[name] for name in limits}, "next": later}
+                **limits,
+                **{name: self.options[name] for name in limits},
+                "next": later,
+            }
         return msgspec.json.encode(document)
 
     def fronts_for(self, _job):
@@ -138,8 +172,11 @@
         return self.fronts
 
     def later_limits(self):
-        return {name: self.options[f"next_{name}"] for name in ("write_rps", "value_kb", "txn_ops")
-                if self.options[f"next_{name}"]}
+        return {
+            name: self.options[f"next_{name}"]
+            for name in ("write_rps", "value_kb", "txn_ops")
+            if self.options[f"next_{name}"]
+        }
 
     def node_class(self, _number):
         """The version that a controller runs: (its Node, Tuning and parse)."""
@@ -154,9 +191,15 @@
         loop = self.host_loop(host)
         net = self.network.host(host, loop)
         node_kind, tuning, read = self.node_class(number)
-        node = node_kind(loop, net, read(self._settings_of(number)), tuning(),
-                    random.Random(self.sim.random.random()), time_of_day=lambda: 1e9 + self.sim.time,
-                    hosted=self.tenancy.desk(loop) if self.tenancy is not None else None)
+        node = node_kind(
+            loop,
+            net,
+            read(self._settings_of(number)),
+            tuning(),
+            random.Random(self.sim.random.random()),
+            time_of_day=lambda: 1e9 + self.sim.time,
+            hosted=self.tenancy.desk(loop) if self.tenancy is not None else None,
+        )
         self.nodes[number] = node
         node.start()
 
@@ -215,8 +258,11 @@
 
     def cancelled_above(self, job_id):
         """When users of jobs that it needs were told that those are cancelled, as they had asked."""
-        return [user.told_cancelled_at for user in self.above(job_id)
-                if user.asked_to_cancel and user.told_cancelled_at is not None]
+        return [
+            user.told_cancelled_at
+            for user in self.above(job_id)
+            if user.asked_to_cancel and user.told_cancelled_at is not None
+        ]
 
     def off_machine(self, task, worker):
         if self.running.get(task) is worker:
@@ -245,16 +291,22 @@
         for key, (record, *_rest) in self.state.data.items():
             if key.startswith("j/") and record["s"] == "open":
                 edges = record["done"]
-                self.recorded.update(f"{key[2:]}/{index}" for at in range(0, len(edges), 2)
-                                     for index in range(edges[at], edges[at + 1]))
+                self.recorded.update(
+                    f"{key[2:]}/{index}"
+                    for at in range(0, len(edges), 2)
+                    for index in range(edges[at], edges[at + 1])
+                )
 
     def _check_known(self):
         settled = self.options["settled"]
         if not settled or self.sim.time < settled + UNANSWERED_S:
             return
         for user in self.users.values():
-            if user.accepted and user.told not in ("done", "cancelled") and (
-                    self.sim.time > max(settled, user.answered_at) + UNANSWERED_S):
+            if (
+                user.accepted
+                and user.told not in ("done", "cancelled")
+                and (self.sim.time > max(settled, user.answered_at) + UNANSWERED_S)
+            ):
                 self.break_rule("forgotten", f"{user.id}: no question answered since {user.answered_at:.1f}")
 
     # What a scenario can do
@@ -262,11 +314,29 @@
     @staticmethod
     def _job(given):
         job = {
-            "jobclass": "c", "crew": "crew", "shape": "batch",
-            "urgency": "standard", "legs": 4, "vcpus": 1.0, "gpus": 0.0, "ramGb": 1.0,
-            "kit": "img", "sizeGb": 1.0, "rigs": None, "paddock": None, "together": False,
-            "scatter": False, "loaners": True, "expectS": 10.0, "musterS": 0.0, "stowS": 0.0,
-            "dueS": None, "runS": 10.0, "apartS": 0.0, "faulty": False, "upstream": None,
+            "jobclass": "c",
+            "crew": "crew",
+            "shape": "batch",
+            "urgency": "standard",
+            "legs": 4,
+            "vcpus": 1.0,
+            "gpus": 0.0,
+            "ramGb": 1.0,
+            "kit": "img",
+            "sizeGb": 1.0,
+            "rigs": None,
+            "paddock": None,
+            "together": False,
+            "scatter": False,
+            "loaners": True,
+            "expectS": 10.0,
+            "musterS": 0.0,
+            "stowS": 0.0,
+            "dueS": None,
+            "runS": 10.0,
+            "apartS": 0.0,
+            "faulty": False,
+            "upstream": None,
         }
         for name, text in given.items():
             kind = type(job[name])
@@ -274,11 +344,15 @@
                 kind = float
             if name == "upstream":  # numbers of jobs of the scenario
                 parts = [part.split("-") for part in text.split(",")]
-                job[name] = [f"req-{number:06d}" for part in parts
-                             for number in range(int(part[0]), int(part[-1]) + 1)]
+                job[name] = [
+                    f"req-{number:06d}" for part in parts for number in range(int(part[0]), int(part[-1]) + 1)
+                ]
                 continue
-            job[name] = text if kind is type(None) else kind(eval(text, {}) if kind is bool else (
-                text if kind is str else float(text)))
+            job[name] = (
+                text
+                if kind is type(None)
+                else kind(eval(text, {}) if kind is bool else (text if kind is str else float(text)))
+            )
         return job
 
     def submit(self, words):
@@ -335,10 +409,16 @@
             self.submit(rest)
             job = self.jobs[f"req-{number:06d}"]
             public = {k: v for k, v in job.items() if k not in UNTOLD and v is not None}
-            self.state.put(f"j/{job['id']}", {
-                "s": "open", "o": [self.labels[0], 0], "at": 1e9 + self.sim.time, "spec": public,
-                "done": [],
-            })
+            self.state.put(
+                f"j/{job['id']}",
+                {
+                    "s": "open",
+                    "o": [self.labels[0], 0],
+                    "at": 1e9 + self.sim.time,
+                    "spec": public,
+                    "done": [],
+                },
+            )
         elif verb in ("tenant", "limits", "suspend", "resume", "remove"):
             self.tenancy.in_turn(verb, *rest)
         elif verb == "lower":
@@ -385,13 +465,17 @@
                 user = self.users[f"req-{int(number):06d}"]
                 self.user_loop.spawn(getattr(user, verb)(via), verb)
         elif verb == "hang":
-            up = sorted((w for w in self.cloud.rented.values() if w.up and not w.dead),
-                        key=lambda w: (-len(w.tasks), w.name))
+            up = sorted(
+                (w for w in self.cloud.rented.values() if w.up and not w.dead),
+                key=lambda w: (-len(w.tasks), w.name),
+            )
             for worker in up[int(rest[0]) : int(rest[0]) + 1]:
                 worker.hang(float(rest[1]))
         elif verb in ("die", "sick", "notice"):
-            busy = sorted((w for w in self.cloud.rented.values() if w.up and not w.dead),
-                          key=lambda w: (-len(w.tasks), w.name))
+            busy = sorted(
+                (w for w in self.cloud.rented.values() if w.up and not w.dead),
+                key=lambda w: (-len(w.tasks), w.name),
+            )
             for worker in busy[: int(rest[0])]:
                 if verb == "die":
                     worker.end()
@@ -410,8 +494,14 @@
                 worker.lose += int(rest[0])
         elif verb == "late-launch":
             for worker in self.cloud.rented.values():
-                worker.late.append((lambda _m, path, body: path == "/commands" and any(
-                    order["verb"] == "launch" for order in body["orders"]), float(rest[0])))
+                worker.late.append(
+                    (
+                        lambda _m, path, body: (
+                            path == "/commands" and any(order["verb"] == "launch" for order in body["orders"])
+                        ),
+                        float(rest[0]),
+                    )
+                )
         elif verb == "late-hire":
             self.cloud.late.append((lambda m, path, _b: (m, path) == ("POST", "/hosts"), float(rest[0])))
         elif verb == "late-write":
@@ -452,8 +542,11 @@
     # What came of it
 
     def _untold(self, tenant, wanted):
-        return [f"{user.own} of {tenant} was told {user.told}, not {wanted}" for user in self.users.values()
-                if getattr(user, "tenant", None) == tenant and user.told != wanted]
+        return [
+            f"{user.own} of {tenant} was told {user.told}, not {wanted}"
+            for user in self.users.values()
+            if getattr(user, "tenant", None) == tenant and user.told != wanted
+        ]
 
     def counter(self, name):
         return sum(node.counters.counts.get(name, 0) for node in self.nodes.values())
@@ -468,8 +561,11 @@
                 continue
             if words[0] == "told":
                 wanted = {"done": "done", "cancelled": "cancelled"}[words[1]]
-                ids = list(self.users) if words[2] == "all" else [
-                    f"req-{int(number):06d}" for number in words[2].split(",")]
+                ids = (
+                    list(self.users)
+                    if words[2] == "all"
+                    else [f"req-{int(number):06d}" for number in words[2].split(",")]
+                )
                 for job_id in ids:
                     told = self.users[job_id].told
                     if told != wanted:
@@ -493,16 +589,25 @@
                 if record["state"] != "removed" or left:
                     faults.append(f"tenant {words[1]} is {record['state']}, {len(left)} keys are left")
             elif words[0] == "accepted_done":
-                faults += [f"{user.own} was accepted, and is {user.told}" for user in self.users.values()
-                           if user.tenant == words[1] and user.accepted and user.told != "done"]
+                faults += [
+                    f"{user.own} was accepted, and is {user.told}"
+                    for user in self.users.values()
+                    if user.tenant == words[1] and user.accepted and user.told != "done"
+                ]
                 # Whatever is stored was accepted, or would be if it were asked for.
-                faults += [f"{key} is open" for key, (record, *_) in self.state.data.items()
-                           if key.startswith("j/") and record["s"] == "open"]
+                faults += [
+                    f"{key} is open"
+                    for key, (record, *_) in self.state.data.items()
+                    if key.startswith("j/") and record["s"] == "open"
+                ]
             elif words[0] == "tenants_told":
                 faults += self._untold(words[1], words[2])
             elif words[0] == "refused_with":
-                count = sum(user.refused_with == int(words[1]) for user in self.users.values()
-                            if user.job.get("tenant") == words[2])
+                count = sum(
+                    user.refused_with == int(words[1])
+                    for user in self.users.values()
+                    if user.job.get("tenant") == words[2]
+                )
                 if count < int(words[3]):
                     faults.append(f"{count} jobs of {words[2]} were refused with {words[1]}")
             elif words[0] == "running":
@@ -534,8 +639,11 @@
                 if self.given_back > int(words[2]):
                     faults.append(f"{self.given_back} tasks were lost with machines returned")
             elif words[0] == "together":
-                faults += [f"the tasks of {job['id']} never ran together" for job in self.jobs.values()
-                           if job["shape"] == "group" and job["id"] not in self.together]
+                faults += [
+                    f"the tasks of {job['id']} never ran together"
+                    for job in self.jobs.values()
+                    if job["shape"] == "group" and job["id"] not in self.together
+                ]
             elif words[0] == "cancelled_gone":
                 if self.longest_gone > float(words[2]):
                     faults.append(f"tasks of a cancelled job were there for {self.longest_gone:.1f} s")
@@ -545,8 +653,9 @@
             elif words[0] in ("begun", "mostly_done"):
                 ids = [f"req-{int(number):06d}" for number in words[-1].split(",")]
                 if words[0] == "begun":
-                    begun = {task.rpartition("/")[0] for task, at in self.started.items()
-                             if at < float(words[1])}
+                    begun = {
+                        task.rpartition("/")[0] for task, at in self.started.items() if at < float(words[1])
+                    }
                     faults += [f"{job} did not begin before {words[1]}" for job in ids if job not in begun]
                 elif 2 * sum(self.users[job].told == "done" for job in ids) < len(ids):
                     faults.append(f"less than half of {words[-1]} is done")
@@ -556,5 +665,3 @@
             else:
                 raise ValueError(f"scenario: {words}")
         return faults
-
-
--- a/roadhead/membership/gate.py
+++ b/roadhead/membership/gate.py
@@ -72,8 +72,13 @@
         """For operators: the format in force, and each configured member with what it was seen with."""
         seen = self.record["seen"] if self.record is not None else {}
         return {
-            "format": self.force, "open": self.open, "knows": self.knows,
-            "members": [{"label": label, "format": entry[0], "sinceS": round(now - entry[1], 1)}
-                        if (entry := seen.get(label)) else {"label": label, "format": None, "sinceS": None}
-                        for label in self._labels],
+            "format": self.force,
+            "open": self.open,
+            "knows": self.knows,
+            "members": [
+                {"label": label, "format": entry[0], "sinceS": round(now - entry[1], 1)}
+                if (entry := seen.get(label))
+                else {"label": label, "format": None, "sinceS": None}
+                for label in self._labels
+            ],
         }
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -22,8 +22,21 @@
     """Callbacks: `on_term(old, new)` for each adopted term, `on_lost()` when this
     incarnation was dropped, `on_cancel(jobs)` for cancellations seen."""
 
-    def __init__(self, loop, state, label, lease_s, watch_s, on_term, on_lost, on_cancel, gate,
-                 slots=1, on_tenant=None, time_of_day=None):
+    def __init__(
+        self,
+        loop,
+        state,
+        label,
+        lease_s,
+        watch_s,
+        on_term,
+        on_lost,
+        on_cancel,
+        gate,
+        slots=1,
+        on_tenant=None,
+        time_of_day=None,
+    ):
         self._loop = loop
         self._state = state
         self.label = label
@@ -115,8 +128,11 @@
             if self.gate.outdated:
                 if not self._said_outdated:
                     self._said_outdated = True
-                    log.error("the records are of format %d, this version knows %d: it serves nothing",
-                              self.gate.force, self.gate.knows)
+                    log.error(
+                        "the records are of format %d, this version knows %d: it serves nothing",
+                        self.gate.force,
+                        self.gate.knows,
+                    )
                 await self._loop.sleep(self._lease_s)
                 return False
             term = self.term or Term()
@@ -179,8 +195,9 @@
     async def _raise_gate(self, record):
         # Whoever joins changes the term: none that was not looked at is a member then.
         try:
-            stamp = await self._state.multi([(GATE, self.gate.stamp), (TERM, self.revision)],
-                                            [{"put": GATE, "data": record}])
+            stamp = await self._state.multi(
+                [(GATE, self.gate.stamp), (TERM, self.revision)], [{"put": GATE, "data": record}]
+            )
             self._take_gate(record, stamp)
         except (Unavailable, Unsure, Conflict) as error:
             log.debug("gate: %r", error)
@@ -191,8 +208,9 @@
         sent_at = self._loop.now()
         items, revision = await self._state.list(PREFIX)
         self._entry_stamp = next((stamp for key, _value, stamp in items if key == MEMBER + self.label), 0)
-        self._present = {key[len(MEMBER):]: value["format"]
-                         for key, value, _ in items if key.startswith(MEMBER)}
+        self._present = {
+            key[len(MEMBER) :]: value["format"] for key, value, _ in items if key.startswith(MEMBER)
+        }
         for key, value, stamp in items:
             if key == TERM:
                 self.adopt(value, stamp)
@@ -203,7 +221,7 @@
         marks = [key for key, _, _ in items if key.startswith(CANCEL)]
         self._marks = {key: self._marks.get(key, sent_at) for key in marks}
         if marks:
-            self._on_cancel([key[len(CANCEL):] for key in marks])
+            self._on_cancel([key[len(CANCEL) :] for key in marks])
         self._seen = revision
         self._watched(sent_at)
 
@@ -246,11 +264,13 @@
             # nobody renews.
             await self._state.multi(
                 [(TERM, self.revision), (MEMBER + self.label, self._entry_stamp)],
-                [{
-                    "put": MEMBER + self.label,
-                    "data": self._entry(self.incarnation),
-                    "permit": permit,
-                }],
+                [
+                    {
+                        "put": MEMBER + self.label,
+                        "data": self._entry(self.incarnation),
+                        "permit": permit,
+                    }
+                ],
             )
             self._permit, self.renewed_at = permit, sent_at
         except (Unavailable, Unsure, Conflict, LeaseGone) as error:
@@ -280,7 +300,7 @@
                 elif key == GATE and "put" in event:
                     self._take_gate(event["data"], event["stamp"])
                 elif key.startswith(MEMBER):
-                    label = key[len(MEMBER):]
+                    label = key[len(MEMBER) :]
                     if "put" in event:
                         self._present[label] = event["data"]["format"]
                     else:
@@ -288,7 +308,7 @@
                         self._absent.set()
                 elif key.startswith(CANCEL):
                     if "put" in event:
-                        cancelled.append(key[len(CANCEL):])
+                        cancelled.append(key[len(CANCEL) :])
                         self._marks[key] = self._loop.now()
                     else:
                         self._marks.pop(key, None)
@@ -310,8 +330,11 @@
         """Keys of cancellations' marks that have been there for so long that nobody needs them: whose
         owner ended before it could drop them. One member names them."""
         before = self._loop.now() - age_s
-        return [key for key, since in self._marks.items()
-                if since <= before] if self.label == min(self.term.members) else []
+        return (
+            [key for key, since in self._marks.items() if since <= before]
+            if self.label == min(self.term.members)
+            else []
+        )
 
     async def _drop_absent(self):
         """Drops members whose key is gone, in one transaction that checks that it is."""
@@ -359,7 +382,8 @@
         `StateClient.multi` does."""
         record = new.to_record()
         revision = await self._state.multi(
-            [(TERM, self.revision), *conditions], [{"put": TERM, "data": record}, *writes])
+            [(TERM, self.revision), *conditions], [{"put": TERM, "data": record}, *writes]
+        )
         self.adopt(record, revision)
 
     async def give(self, slots):
--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -18,8 +18,7 @@
     """`heard_at` tells silence; `spoke_at` is when the last beat came: what the other side knew when it
     sent that was on the link before it."""
 
-    __slots__ = ("deaf", "heard_at", "incarnation", "spoke_at", "state_ok", "stream",
-                 "used")
+    __slots__ = ("deaf", "heard_at", "incarnation", "spoke_at", "state_ok", "stream", "used")
 
     def __init__(self, stream, incarnation, now):
         self.stream = stream
--- a/roadhead/membership/term.py
+++ b/roadhead/membership/term.py
@@ -37,8 +37,14 @@
         members = {label: tuple(entry) for label, entry in record["members"].items()}
         wardens = record.get("wardens") or [record["warden"]]
         shares = record.get("shares")
-        return cls(record["number"], record["next"], members, wardens, record.get("relieved", ()),
-                   Shares.from_record(shares) if shares else None)
+        return cls(
+            record["number"],
+            record["next"],
+            members,
+            wardens,
+            record.get("relieved", ()),
+            Shares.from_record(shares) if shares else None,
+        )
 
     def to_record(self):
         return {
@@ -67,19 +73,23 @@
         if relieved is None:
             relieved = self.relieved - changed
         # Their machines have the same home under a new incarnation: it knows nothing of them.
-        return self._next(members, relieved, {
-            share: label for label in changed for share in self.shares.of(label)})
+        return self._next(
+            members, relieved, {share: label for label in changed for share in self.shares.of(label)}
+        )
 
     def _heirs(self, entries):
         """The wardens among the next term's members: slots of those gone go to who has fewest."""
-        wardens = [label if label in entries and self.incarnation(label) == entries[label][0] else None
-                   for label in self.wardens]
+        wardens = [
+            label if label in entries and self.incarnation(label) == entries[label][0] else None
+            for label in self.wardens
+        ]
         for slot, label in enumerate(wardens):
             if label is None and entries:
                 fewest = min(wardens.count(member) for member in entries)
                 wardens[slot] = pick(
                     [member for member in entries if wardens.count(member) == fewest],
-                    f"warden {slot}" if slot else "warden")
+                    f"warden {slot}" if slot else "warden",
+                )
         return wardens
 
     def spread(self, slots):
@@ -110,8 +120,14 @@
         members = dict(self.members)
         members[label] = (self.next, self.next, nonce)
         if not self.members:
-            return Term(self.number + 1, self.next + 1, members, self._heirs(members), (),
-                        Shares.even([label], self.next))
+            return Term(
+                self.number + 1,
+                self.next + 1,
+                members,
+                self._heirs(members),
+                (),
+                Shares.even([label], self.next),
+            )
         return self._renewed(members, {label})
 
     def drop(self, labels):
@@ -124,8 +140,11 @@
 
     def move(self, moves, giver):
         """The next term, in which shares that are still the giver's have the homes named in `moves`."""
-        moves = {share: label for share, label in moves.items()
-                 if label in self.homes and self.shares.homes[share] == giver}
+        moves = {
+            share: label
+            for share, label in moves.items()
+            if label in self.homes and self.shares.homes[share] == giver
+        }
         return self._next(self.members, self.relieved, moves) if moves else self
 
     def relieve(self, label):
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -63,14 +63,29 @@
         self.troubles = Troubles(loop.now, time_of_day)
         self.desk = hosted  # tenants/desk.py, where tenants are served
         state_limits = deployment.state if hosted is None else hosted.left_of(deployment.state)
-        self.state = StateClient(loop, net, settings.external.state, state_limits, deployment.nodes,
-                                 self._on_lowered)
+        self.state = StateClient(
+            loop, net, settings.external.state, state_limits, deployment.nodes, self._on_lowered
+        )
         self.ancestry = Ancestry(
-            loop, self.state, lambda job: (record := self.book.finals.get(job)) and record["s"],
-            lambda job, record: self.book.remember(job, record), partial(find, self.state),
-            partial(complete, self.state), before, closing_above, (KEY, SHELF))
-        self.reader = Reader(loop, self.state, POLL_S / 2, (KEY, SHELF), partial(complete, self.state),
-                             shorten, self.ancestry.derive)
+            loop,
+            self.state,
+            lambda job: (record := self.book.finals.get(job)) and record["s"],
+            lambda job, record: self.book.remember(job, record),
+            partial(find, self.state),
+            partial(complete, self.state),
+            before,
+            closing_above,
+            (KEY, SHELF),
+        )
+        self.reader = Reader(
+            loop,
+            self.state,
+            POLL_S / 2,
+            (KEY, SHELF),
+            partial(complete, self.state),
+            shorten,
+            self.ancestry.derive,
+        )
         self.cloud = CloudClient(loop, net, settings.external.cloud, deployment.cloud, deployment.nodes)
         # A controller out of touch must stop renewing before this is up (safety 4).
         blind_s = 0.8 * (workers.cancel_s - workers.lease_s)
@@ -78,10 +93,14 @@
         self.cancellations = Cancellations(KEPT * workers.cancel_s)
         self._beat_s = workers.lease_s / 12
         self.member = Member(
-            loop, self.state, self.label,
+            loop,
+            self.state,
+            self.label,
             lease_s=max(0.1, min(600.0, tuning.membership.lease_ratio * workers.lease_s)),
             watch_s=blind_s / 4,
-            on_term=self._on_term, on_lost=self._on_lost, on_cancel=self.on_cancelled,
+            on_term=self._on_term,
+            on_lost=self._on_lost,
+            on_cancel=self.on_cancelled,
             gate=Gate(FORMAT, [self.label, *(member.label for member in settings.members)]),
             slots=1 if hosted is None else hosted.slots,
             on_tenant=None if hosted is None else hosted.table.take,
@@ -89,9 +108,16 @@
         )
         self._switchboard = Switchboard(self.member, self.send, self.on_cancelled, self.state.lower)
         self.peers = Peers(
-            loop, net, settings, self._beat_s,
-            me=lambda: self.member.incarnation, speaks=self._speaks, beat=self._beat,
-            on_frame=self._switchboard.on_frame, on_up=self._on_up, on_down=self._on_down,
+            loop,
+            net,
+            settings,
+            self._beat_s,
+            me=lambda: self.member.incarnation,
+            speaks=self._speaks,
+            beat=self._beat,
+            on_frame=self._switchboard.on_frame,
+            on_up=self._on_up,
+            on_down=self._on_down,
         )
         self._default_aim_s = 15 * workers.lease_s
         self.aims = {}
@@ -113,7 +139,8 @@
         self._create_s = create_s
         self.teams = FixedTeams(deployment.teams) if hosted is None else hosted.teams
         self.api = Api(
-            loop, self,
+            loop,
+            self,
             sockets=self._sockets,
             create_s=create_s,
             patience_s=workers.lease_s / 1.2,
@@ -121,13 +148,37 @@
         self.risk = Risk(self.aims, sorted({objective.klass for objective in deployment.objectives}))
         self._began_at = self._outside_since = loop.now()
         self._used = (0.0, 0.0)  # requests and writes a second, in the last beat
-        self.takeover = Takeover(loop, self.state, self.member, self.teams, self.send, self._changed,
-                                 self._beat_s, workers.cancel_s)
-        self.keeper = Keeper(loop, self.label, self.member, tuning.membership.lease_ratio * workers.lease_s,
-                             lambda: self.peers.links, self.counters)
-        self._summary = Summary(loop, settings, self._beat_s, self.member, self.peers.links, self._state_ok,
-                                self.risk, self.troubles, self.counters, time_of_day,
-                                lambda: self.keeper.changes)
+        self.takeover = Takeover(
+            loop,
+            self.state,
+            self.member,
+            self.teams,
+            self.send,
+            self._changed,
+            self._beat_s,
+            workers.cancel_s,
+        )
+        self.keeper = Keeper(
+            loop,
+            self.label,
+            self.member,
+            tuning.membership.lease_ratio * workers.lease_s,
+            lambda: self.peers.links,
+            self.counters,
+        )
+        self._summary = Summary(
+            loop,
+            settings,
+            self._beat_s,
+            self.member,
+            self.peers.links,
+            self._state_ok,
+            self.risk,
+            self.troubles,
+            self.counters,
+            time_of_day,
+            lambda: self.keeper.changes,
+        )
         self._leaving = self._judging = False
         self.workers = None
         self._duties = []
@@ -143,14 +194,26 @@
         if self.workers is not None:
             self.workers.close()
         self.workers = Workers(
-            loop, self._net, self.member, timeout_s=workers.lease_s / 4, may_command=self.may_renew,
-            silent_s=SILENT_REPORTS * workers.report_s, sockets=self._sockets)
+            loop,
+            self._net,
+            self.member,
+            timeout_s=workers.lease_s / 4,
+            may_command=self.may_renew,
+            silent_s=SILENT_REPORTS * workers.report_s,
+            sockets=self._sockets,
+        )
         types = self.fleet.types if hasattr(self, "fleet") else {}
         self.home = Home(
-            loop, self.label, self.member, deployment,
+            loop,
+            self.label,
+            self.member,
+            deployment,
             lapse_s=self._tuning.grants.lapse_ratio * workers.lease_s,
-            random=self._random, send=self.send, ask=self.workers.ask,
-            need_spec=self._need_spec, counters=self.counters,
+            random=self._random,
+            send=self.send,
+            ask=self.workers.ask,
+            need_spec=self._need_spec,
+            counters=self.counters,
         )
         self.home.known.types = types
         self.workers.home = self.home
@@ -158,31 +221,76 @@
         self.shelf = Shelf(loop, self.state, self.member, self.counters)
 
         def recorder_of(*told):
-            return Recorder(loop, self.state, workers.report_s * 2, *told, self.member,
-                            self.desk or NO_GUARDS, self.counters)
+            return Recorder(
+                loop,
+                self.state,
+                workers.report_s * 2,
+                *told,
+                self.member,
+                self.desk or NO_GUARDS,
+                self.counters,
+            )
 
         parts = Parts(loop, self.state, self.member, self._time_of_day, workers.lease_s)
 
         def line_of(book):
             times = {klass: times for klass, (_within, times, _waits) in self.stages.items()}
-            return Line(loop, self.member, self.state, book, self.send, times, self._time_of_day,
-                        workers.lease_s, self._beat_s, partial(find, self.state), self.counters)
+            return Line(
+                loop,
+                self.member,
+                self.state,
+                book,
+                self.send,
+                times,
+                self._time_of_day,
+                workers.lease_s,
+                self._beat_s,
+                partial(find, self.state),
+                self.counters,
+            )
 
         self.book = Book(
-            loop, self.member, recorder_of, self.send, self._changed, self.counters,
-            self._time_of_day, workers.lease_s, self.risk.finished,
-            self.teams, self.takeover.on_accepted, self.shelf.add, line_of, parts,
+            loop,
+            self.member,
+            recorder_of,
+            self.send,
+            self._changed,
+            self.counters,
+            self._time_of_day,
+            workers.lease_s,
+            self.risk.finished,
+            self.teams,
+            self.takeover.on_accepted,
+            self.shelf.add,
+            line_of,
+            parts,
         )
         self.dispatcher = Dispatcher(
-            loop, self.label, self.member, self.book, self.stages, self._random, self.send,
-            self.counters, gap_s=workers.report_s / 8, window_s=workers.lease_s,
+            loop,
+            self.label,
+            self.member,
+            self.book,
+            self.stages,
+            self._random,
+            self.send,
+            self.counters,
+            gap_s=workers.report_s / 8,
+            window_s=workers.lease_s,
             default_aim_s=self._default_aim_s,
         )
         self.home.rooms.window_s = workers.lease_s
         self.dispatcher.queue.time_of_day = self._time_of_day
         self.fleet = Fleet(
-            loop, self.cloud, self.member, self.home, deployment, self._tuning.fleet, self.aims,
-            self._default_aim_s, self._random, self.counters,
+            loop,
+            self.cloud,
+            self.member,
+            self.home,
+            deployment,
+            self._tuning.fleet,
+            self.aims,
+            self._default_aim_s,
+            self._random,
+            self.counters,
         )
         self.fleet.types = types
         self.dispatcher.queue.capacity = self.fleet.capacity
@@ -191,11 +299,25 @@
         self._looking.clear()
         self.takeover.begin(self.book, self.shelf)
         self._summary.begin(self.book, self.home, self.dispatcher, self.fleet)
-        self._switchboard.begin(self.home, self.book, self.dispatcher, self.fleet, self.takeover,
-                                self._summary, self.desk.handlers() if self.desk is not None else {})
+        self._switchboard.begin(
+            self.home,
+            self.book,
+            self.dispatcher,
+            self.fleet,
+            self.takeover,
+            self._summary,
+            self.desk.handlers() if self.desk is not None else {},
+        )
         recorder = self.book.recorder
-        duties = [recorder.run, recorder.check, self.shelf.run, self.book.line.look,
-                  parts.collect, self._tick, *self.fleet.duties()]
+        duties = [
+            recorder.run,
+            recorder.check,
+            self.shelf.run,
+            self.book.line.look,
+            parts.collect,
+            self._tick,
+            *self.fleet.duties(),
+        ]
         if self.desk is not None:
             duties += self.desk.begin(self)
         self._duties = [loop.spawn(self._keep(duty), duty.__name__) for duty in duties]
@@ -216,8 +338,9 @@
         Leases, the term and what we may command are looked at by the clock wherever they are
         used, so nothing is done on an authority that ran out meanwhile.
         """
-        log.warning("stood still for %.1f s%s", seconds,
-                    "; the lease may have ended" if self.member.lapsed() else "")
+        log.warning(
+            "stood still for %.1f s%s", seconds, "; the lease may have ended" if self.member.lapsed() else ""
+        )
         self.counters.add("stalls")
         self.troubles.note("stood still", seconds)
         self.peers.excuse()
@@ -225,8 +348,14 @@
 
     def start(self):
         for team in self._deployment.teams if self.desk is None else ():
-            log.info("team %s: cpus %g to %g, gpus %g to %g (0: no limit)", team.name,
-                     team.cpus, team.cpus_max, team.gpus, team.gpus_max)
+            log.info(
+                "team %s: cpus %g to %g, gpus %g to %g (0: no limit)",
+                team.name,
+                team.cpus,
+                team.cpus_max,
+                team.gpus,
+                team.gpus_max,
+            )
             if team.guarantee != (team.cpus, team.gpus):
                 log.warning("team %s: the guarantee is above the limit; the limit holds", team.name)
         self._loop.stall_s, self._loop.on_stall = self._beat_s, self._stalled
@@ -267,8 +396,7 @@
 
     def _beat(self):
         term = self.member.term
-        return frames.Beat(term.number if term else 0, self._state_ok(), self.home.deaf(),
-                           *self._used)
+        return frames.Beat(term.number if term else 0, self._state_ok(), self.home.deaf(), *self._used)
 
     def home_of(self, report):
         """The home's label for a worker that asks here, or None if it would not get through.
@@ -446,8 +574,17 @@
             else:
                 spec = spec_of(record)
                 home.known.owners.setdefault(job, tuple(record["o"]))
-                home.commanding.spec(job, Needs((spec.cpus, spec.gpus, spec.memory), spec.image or "",
-                                     spec.image_gb, spec.save_s, spec.checkpoint_s > 0), False)
+                home.commanding.spec(
+                    job,
+                    Needs(
+                        (spec.cpus, spec.gpus, spec.memory),
+                        spec.image or "",
+                        spec.image_gb,
+                        spec.save_s,
+                        spec.checkpoint_s > 0,
+                    ),
+                    False,
+                )
             break
         self._looking.discard(job)
 
@@ -527,10 +664,12 @@
         """Uses of the state service's limits what the other controllers leave."""
         self._used = self.state.requests.used(), self.state.writes.used()
         term, links = self.member.term, self.peers.links
-        self.state.share([
-            links[label].used if label in links else (None if label in term.members else (0.0, 0.0))
-            for label in (member.label for member in self.settings.members)
-        ])
+        self.state.share(
+            [
+                links[label].used if label in links else (None if label in term.members else (0.0, 0.0))
+                for label in (member.label for member in self.settings.members)
+            ]
+        )
 
     # Time
 
@@ -584,9 +723,10 @@
                 log.info(
                     "jobs=%d machines=%d clean=%s cpus=%.0f running=%.0f preparing=%.0f parked=%.0f "
                     "granted=%.0f waiting=%d %s",
-                    len(self.book.jobs), len(self.home.machines), self.home.sureness.clean(),
-                    *self.home.usage(), sum(len(job.free) for job in self.book.jobs.values()),
+                    len(self.book.jobs),
+                    len(self.home.machines),
+                    self.home.sureness.clean(),
+                    *self.home.usage(),
+                    sum(len(job.free) for job in self.book.jobs.values()),
                     self.counters.line(),
                 )
-
-
--- a/roadhead/pipelines/ancestry.py
+++ b/roadhead/pipelines/ancestry.py
@@ -98,8 +98,9 @@
             await self._read_pages(sorted(names), found)
         else:
             for at in range(0, len(names), READS):
-                reads = [self._loop.spawn(self._one(name, found), "ancestor")
-                         for name in names[at : at + READS]]
+                reads = [
+                    self._loop.spawn(self._one(name, found), "ancestor") for name in names[at : at + READS]
+                ]
                 for routine in reads:
                     if (error := await routine.done) is not None:
                         raise error
@@ -126,8 +127,8 @@
                 first = names[at]
                 after = f"{place}{first[:-1]}{chr(ord(first[-1]) - 1)}~"
                 items, more, _revision = await self._state.page(place, after)
-                here = {key[len(place):]: record for key, record, _stamp in items}
-                last = items[-1][0][len(place):] if more else None
+                here = {key[len(place) :]: record for key, record, _stamp in items}
+                last = items[-1][0][len(place) :] if more else None
                 while at < len(names) and (last is None or names[at] <= last):
                     name = names[at]
                     if name in here:
--- a/roadhead/pipelines/line.py
+++ b/roadhead/pipelines/line.py
@@ -139,8 +139,9 @@
     def told(self, job_id, record):
         """A final record is durable, or follows from one that is: the others are to know."""
         if self._member.gate.open:
-            self._ends.append((job_id, record["n"], record["d"], record.get("e", 0.0),
-                               record["s"] == CANCELLED))
+            self._ends.append(
+                (job_id, record["n"], record["d"], record.get("e", 0.0), record["s"] == CANCELLED)
+            )
             self._flush_soon()
 
     def on_over(self, frame):
@@ -214,13 +215,18 @@
     def at_risk(self, endangered):
         """Lines for operators: pipelines late or at risk, by their last job, and the stage that is.
         `endangered(job)`: by its estimate."""
-        late = [(job.due_by, name) for name in self._wishes.wanted()
-                if (job := self._book.jobs.get(name)) is not None and endangered(job)]
+        late = [
+            (job.due_by, name)
+            for name in self._wishes.wanted()
+            if (job := self._book.jobs.get(name)) is not None and endangered(job)
+        ]
         late.sort()
         now = self._time_of_day()
-        lines = [f"the pipeline of {self._wishes.end(name)}: {name} should be done "
-                 f"{'in' if due_by >= now else 'since'} {abs(due_by - now):.0f} s"
-                 for due_by, name in late[:LATE_SHOWN]]
+        lines = [
+            f"the pipeline of {self._wishes.end(name)}: {name} should be done "
+            f"{'in' if due_by >= now else 'since'} {abs(due_by - now):.0f} s"
+            for due_by, name in late[:LATE_SHOWN]
+        ]
         if len(late) > LATE_SHOWN:
             lines.append(f"{len(late) - LATE_SHOWN} more jobs that others need are late or at risk")
         return lines
--- a/roadhead/pipelines/parts.py
+++ b/roadhead/pipelines/parts.py
@@ -71,8 +71,10 @@
         at, first = 0, 0
         while at < len(values):
             most = max(1, min(self._state.batch, TXN_BYTES // largest))
-            writes = [{"put": key(job_id, nonce, number), "data": values[number]}
-                      for number in range(at, min(at + most, len(values)))]
+            writes = [
+                {"put": key(job_id, nonce, number), "data": values[number]}
+                for number in range(at, min(at + most, len(values)))
+            ]
             try:
                 stamp = await self._state.multi([], writes)
                 first = first or stamp
@@ -106,7 +108,7 @@
         for name, value, stamp in items:
             if value["at"] > old:
                 continue
-            job_id, nonce, _number = name[len(PARTS):].split("/")
+            job_id, nonce, _number = name[len(PARTS) :].split("/")
             if job_id not in heads:
                 record, _stamp = await self._state.get(KEY + job_id)
                 heads[job_id] = record["up"][0] if record is not None and "up" in record else None
--- a/roadhead/recovery/takeover.py
+++ b/roadhead/recovery/takeover.py
@@ -69,7 +69,7 @@
                 return
             mine = []
             for key, record, stamp in items:
-                job_id = key[len(KEY):]
+                job_id = key[len(KEY) :]
                 if record.get("v", 0) > FORMAT:
                     if not self._said_newer:
                         self._said_newer = True
@@ -80,8 +80,9 @@
                 elif not member.term.serves(*record["o"]) and self._heir(job_id, record) == member.label:
                     mine.append((record, stamp))
             try:
-                mine = [(await whole(self._state, record["spec"]["id"], record), stamp)
-                        for record, stamp in mine]
+                mine = [
+                    (await whole(self._state, record["spec"]["id"], record), stamp) for record, stamp in mine
+                ]
             except (Unavailable, Unsure):
                 await self._loop.sleep(self._retry_s)
                 continue  # the same page again
--- a/roadhead/settings.py
+++ b/roadhead/settings.py
@@ -37,8 +37,10 @@
     @property
     def guarantee(self):
         """(cpus, gpus): a guarantee above the limit counts up to the limit."""
-        return tuple(min(sure, most) if most else sure
-                     for sure, most in ((self.cpus, self.cpus_max), (self.gpus, self.gpus_max)))
+        return tuple(
+            min(sure, most) if most else sure
+            for sure, most in ((self.cpus, self.cpus_max), (self.gpus, self.gpus_max))
+        )
 
 
 class Objective(Struct, rename={"klass": "class"}):
@@ -79,10 +81,17 @@
         return int(self.value_kb * 1024)
 
     def _with_later(self, names):
-        smaller = {name: min(getattr(self, name), later) for name in names
-                   if self.next is not None and (later := getattr(self.next, name)) is not None}
-        return StateLimits(**{name: smaller.get(name, getattr(self, name))
-                              for name in ("rps", "write_rps", "value_kb", "txn_ops")})
+        smaller = {
+            name: min(getattr(self, name), later)
+            for name in names
+            if self.next is not None and (later := getattr(self.next, name)) is not None
+        }
+        return StateLimits(
+            **{
+                name: smaller.get(name, getattr(self, name))
+                for name in ("rps", "write_rps", "value_kb", "txn_ops")
+            }
+        )
 
     def planned(self):
         """What every value and transaction is planned for: sizes that are taken now and later."""
@@ -94,9 +103,12 @@
 
     def scaled(self, share):
         """The same with a part of the rates."""
-        later = self.next and LaterLimits(self.next.rps and self.next.rps * share,
-                                          self.next.write_rps and self.next.write_rps * share,
-                                          self.next.value_kb, self.next.txn_ops)
+        later = self.next and LaterLimits(
+            self.next.rps and self.next.rps * share,
+            self.next.write_rps and self.next.write_rps * share,
+            self.next.value_kb,
+            self.next.txn_ops,
+        )
         return StateLimits(self.rps * share, self.write_rps * share, self.value_kb, self.txn_ops, later)
 
 
@@ -197,11 +209,14 @@
         if given is None:
             continue
         if given.value_kb is not None and given.value_kb < needed:
-            faults.append(f"deployment.state.{where}value_kb: must be at least {needed:.2f} for the records "
-                          f"of {len(labels)} members, is {given.value_kb:g}")
+            faults.append(
+                f"deployment.state.{where}value_kb: must be at least {needed:.2f} for the records "
+                f"of {len(labels)} members, is {given.value_kb:g}"
+            )
         if given.txn_ops is not None and given.txn_ops < TXN_LEAST:
-            faults.append(f"deployment.state.{where}txn_ops: must be at least {TXN_LEAST}, "
-                          f"is {given.txn_ops}")
+            faults.append(
+                f"deployment.state.{where}txn_ops: must be at least {TXN_LEAST}, is {given.txn_ops}"
+            )
     return faults
 
 
--- a/roadhead/shares/keeper.py
+++ b/roadhead/shares/keeper.py
@@ -27,8 +27,10 @@
     def on_term(self, old, new):
         now = self._loop.now()
         self._since = {
-            label: (entry[0], self._since[label][1]
-                    if label in self._since and self._since[label][0] == entry[0] else now)
+            label: (
+                entry[0],
+                self._since[label][1] if label in self._since and self._since[label][0] == entry[0] else now,
+            )
             for label, entry in new.members.items()
         }
         if old is None:
@@ -64,6 +66,12 @@
     def _takers(self, term):
         """Other homes that are heard, hear their workers, and have stayed for a while."""
         now, links = self._loop.now(), self._links()
-        return [label for label in sorted(term.homes) if label != self._label and label in links
-                and not links[label].deaf and links[label].state_ok
-                and now - self._since[label][1] >= self._settle_s]
+        return [
+            label
+            for label in sorted(term.homes)
+            if label != self._label
+            and label in links
+            and not links[label].deaf
+            and links[label].state_ok
+            and now - self._since[label][1] >= self._settle_s
+        ]
--- a/roadhead/state/client.py
+++ b/roadhead/state/client.py
@@ -72,14 +72,13 @@
         `others` has for each other controller what it uses of (requests, writes) a second,
         or None for one that may use its equal part unseen.
         """
-        for place, (bucket, limit) in enumerate((
-            (self.requests, self.limits.rps), (self.writes, self.limits.write_rps)
-        )):
+        for place, (bucket, limit) in enumerate(
+            ((self.requests, self.limits.rps), (self.writes, self.limits.write_rps))
+        ):
             equal = limit / self._nodes
             # Of what another does not use a part is left to it, for it to start with.
             left = limit - sum(
-                equal if used is None else min(equal, max(used[place], IDLE_PART * equal))
-                for used in others
+                equal if used is None else min(equal, max(used[place], IDLE_PART * equal)) for used in others
             )
             rate = USABLE * max(equal, left)
             if abs(rate - bucket.rate) > 0.05 * bucket.rate:
@@ -90,8 +89,11 @@
         if self.limits == self._lowered:
             return
         self.lowered = True
-        log.info("the state service's rates are lower now: %g requests, %g changes a second",
-                 self._lowered.rps, self._lowered.write_rps)
+        log.info(
+            "the state service's rates are lower now: %g requests, %g changes a second",
+            self._lowered.rps,
+            self._lowered.write_rps,
+        )
         self.limits = self._lowered
         for bucket, limit in ((self.requests, self.limits.rps), (self.writes, self.limits.write_rps)):
             bucket.retune(min(bucket.rate, USABLE * limit / self._nodes))
--- a/roadhead/state/reader.py
+++ b/roadhead/state/reader.py
@@ -71,8 +71,9 @@
             await self._compare(batch, known)
         left = list(batch)
         for at in range(0, len(left), READS):
-            reads = [self._loop.spawn(self._read(name, batch[name]), "read one")
-                     for name in left[at : at + READS]]
+            reads = [
+                self._loop.spawn(self._read(name, batch[name]), "read one") for name in left[at : at + READS]
+            ]
             for routine in reads:
                 await routine.done
 
@@ -81,8 +82,13 @@
         for _ in range(ROUNDS):
             sent_at = self._loop.now()
             try:
-                await self._state.unchanged(list(dict.fromkeys(
-                    condition for _, conditions in known.values() for condition in conditions)))
+                await self._state.unchanged(
+                    list(
+                        dict.fromkeys(
+                            condition for _, conditions in known.values() for condition in conditions
+                        )
+                    )
+                )
             except Conflict as conflict:
                 failed = set(conflict.failed)
                 for name, (_, conditions) in list(known.items()):
--- a/roadhead/summary.py
+++ b/roadhead/summary.py
@@ -13,8 +13,9 @@
     """`links`: the controllers heard; `state_ok()`: whether the state service answers; `changes()`: of
     shares (shares/keeper.py)."""
 
-    def __init__(self, loop, settings, beat_s, member, links, state_ok, risk, troubles, counters,
-                 time_of_day, changes):
+    def __init__(
+        self, loop, settings, beat_s, member, links, state_ok, risk, troubles, counters, time_of_day, changes
+    ):
         self._loop = loop
         self.label = settings.label
         self._labels = [settings.label, *(other.label for other in settings.members)]
@@ -56,16 +57,18 @@
             behind.append(f"{self.label}: {len(waiting)} jobs taken over, not started yet")
         gate = self._member.gate
         if not gate.open:
-            behind.append(f"{self.label}: format {gate.force} in force, not {gate.knows}; "
-                          f"not seen new: {', '.join(gate.unseen()) or 'none'}")
+            behind.append(
+                f"{self.label}: format {gate.force} in force, not {gate.knows}; "
+                f"not seen new: {', '.join(gate.unseen()) or 'none'}"
+            )
         at = self._time_of_day()
-        behind += [f"{self.label}: {line}"
-                   for line in book.line.at_risk(lambda job: self._risk.endangered(job, at))]
+        behind += [
+            f"{self.label}: {line}" for line in book.line.at_risk(lambda job: self._risk.endangered(job, at))
+        ]
         failing = sum(machine.draining and bool(machine.errors) for machine in home.machines.values())
         rows = self._risk.rows(book.jobs.values(), self._time_of_day(), book.line.waits.by_class)
         behind += self._stalled_classes()
-        troubles = [f"{self.label}: {line}"
-                    for line in (*self._troubles.lines(), *self._counters.events())]
+        troubles = [f"{self.label}: {line}" for line in (*self._troubles.lines(), *self._counters.events())]
         return frames.SummaryNews(rows, failing, behind, troubles)
 
     def _stalled_classes(self):
@@ -109,8 +112,10 @@
         holds("not a member", not member.joined)
         holds("own lease has ended", member.joined and lapsed)
         holds("most workers are not heard", self._home.deaf())
-        holds("relieved of its machines, as workers could not reach it",
-              member.term is not None and self.label in member.term.relieved)
+        holds(
+            "relieved of its machines, as workers could not reach it",
+            member.term is not None and self.label in member.term.relieved,
+        )
         for label in self._labels[1:]:
             holds(f"{label} is not heard", label not in self._links)
 
@@ -122,20 +127,33 @@
         return {
             "term": term.number if term is not None else 0,
             "format": self._member.gate.told(self._time_of_day()),
-            "homes": [{
-                "label": label, "shares": counts.get(label),
-                "machines": sum(row[3] for row in self._fleet.fleet.get(label, ())),
-            } for label in homes],
-            "changes": [{"agoS": round(now - at, 1), "term": number, "shares": shares, "from": giver,
-                         "to": taker, "planned": planned}
-                        for at, number, shares, giver, taker, planned in self._changes()],
+            "homes": [
+                {
+                    "label": label,
+                    "shares": counts.get(label),
+                    "machines": sum(row[3] for row in self._fleet.fleet.get(label, ())),
+                }
+                for label in homes
+            ],
+            "changes": [
+                {
+                    "agoS": round(now - at, 1),
+                    "term": number,
+                    "shares": shares,
+                    "from": giver,
+                    "to": taker,
+                    "planned": planned,
+                }
+                for at, number, shares, giver, taker, planned in self._changes()
+            ],
         }
 
     def whole(self):
         """The parts of all controllers heard lately, put together."""
         now = self._loop.now()
-        parts = {label: part for label, (at, part) in self._parts.items()
-                 if now - at < HEARD_BEATS * self._beat_s}
+        parts = {
+            label: part for label, (at, part) in self._parts.items() if now - at < HEARD_BEATS * self._beat_s
+        }
         parts[self.label] = self.part()  # also while it is no member
         classes = {}
         for part in parts.values():
@@ -146,12 +164,19 @@
         names = ("open", "done", "late", "atRisk")
         unheard = sorted(set(self._labels) - parts.keys())
         return {
-            "classes": [{"class": klass, **dict(zip(names, counts, strict=True))}
-                        for klass, counts in sorted(classes.items())],
+            "classes": [
+                {"class": klass, **dict(zip(names, counts, strict=True))}
+                for klass, counts in sorted(classes.items())
+            ],
             "leastServed": min(
-                ({"class": klass, "share": round(counts[1] / (counts[0] + counts[1]), 3)}
-                 for klass, counts in sorted(classes.items()) if counts[0] + counts[1]),
-                key=lambda entry: entry["share"], default=None),
+                (
+                    {"class": klass, "share": round(counts[1] / (counts[0] + counts[1]), 3)}
+                    for klass, counts in sorted(classes.items())
+                    if counts[0] + counts[1]
+                ),
+                key=lambda entry: entry["share"],
+                default=None,
+            ),
             "machines": sum(row[3] for rows in self._fleet.fleet.values() for row in rows),
             "failing": sum(part.failing for part in parts.values()),
             "heard": sorted(parts),
--- a/roadhead/tenants/desk.py
+++ b/roadhead/tenants/desk.py
@@ -43,19 +43,29 @@
         """A new incarnation starts: its duties."""
         self._node = node
         self._removal = Removal(self._loop, node, self.table)
-        spreading = Spreading(self._loop, node.member, node.book,
-                              every_s=node.settings.deployment.workers.lease_s / 4)
+        spreading = Spreading(
+            self._loop, node.member, node.book, every_s=node.settings.deployment.workers.lease_s / 4
+        )
         return [self._removal.run, spreading.run]
 
     def share(self, node):
         """A new incarnation starts: its queue goes by guarantees and weights."""
         workers = node.settings.deployment.workers
         window_s = workers.lease_s
-        sharing = Sharing(self.teams, node.book.accounts, node.fleet.totals,
-                          BORROWING * window_s, WHOLE_FLEET * window_s)
+        sharing = Sharing(
+            self.teams, node.book.accounts, node.fleet.totals, BORROWING * window_s, WHOLE_FLEET * window_s
+        )
         self._preemption = Preemption(
-            self._loop, node.member, node.book, sharing, node.send, node.counters, node.dispatcher.changed,
-            patience_s=self._hosted.patience * workers.report_s, settle_s=workers.lease_s / 4)
+            self._loop,
+            node.member,
+            node.book,
+            sharing,
+            node.send,
+            node.counters,
+            node.dispatcher.changed,
+            patience_s=self._hosted.patience * workers.report_s,
+            settle_s=workers.lease_s / 4,
+        )
         node.dispatcher.queue.sharing = sharing
         if self._hosted.preempt:
             node.dispatcher.preemption = self._preemption
@@ -123,8 +133,13 @@
     # Requests
 
     def signed(self, request):
-        return self.secrets.signed(request.headers.get("roadhead-signature"), request.method,
-                                   request.target, request.body, self._time_of_day())
+        return self.secrets.signed(
+            request.headers.get("roadhead-signature"),
+            request.method,
+            request.target,
+            request.body,
+            self._time_of_day(),
+        )
 
     @staticmethod
     def neighbours(job_id):
@@ -158,8 +173,11 @@
             account = node.book.accounts.get(group)
             if account is not None:
                 waiting = self._waiting_of(group, account)
-                held_back = sum(count for team, count in node.book.line.waits.by_team.items()
-                                if self.teams.group(team) == group)
+                held_back = sum(
+                    count
+                    for team, count in node.book.line.waits.by_team.items()
+                    if self.teams.group(team) == group
+                )
                 refused = admission.full(tenant.limits, len(account.jobs) + held_back, waiting, spec.tasks)
                 if refused is not None:
                     return refused
@@ -191,6 +209,10 @@
                     teams[team.name] = [*held.held, held.tasks, len(held.jobs), held.waiting()]
             rows = node.risk.rows_of(jobs, self._time_of_day())
         warden = node.member.joined and node.member.term.warden(str(number)) == node.label
-        return messages.encode({
-            "teams": teams, "classes": rows, "warden": bool(warden and node.book.knows_all(str(number))),
-        })
+        return messages.encode(
+            {
+                "teams": teams,
+                "classes": rows,
+                "warden": bool(warden and node.book.knows_all(str(number))),
+            }
+        )
--- a/roadhead/tenants/keys.py
+++ b/roadhead/tenants/keys.py
@@ -63,8 +63,7 @@
             fresh = colon and abs(now - float(at)) <= WINDOW_S
         except ValueError:
             return False
-        return bool(fresh) and hmac.compare_digest(
-            mac.encode(), self._mac(method, target, body, at).encode())
+        return bool(fresh) and hmac.compare_digest(mac.encode(), self._mac(method, target, body, at).encode())
 
     def _mac(self, method, target, body, at):
         head = f"{method}\n{target}\n{at}\n".encode()
--- a/roadhead/tenants/preemption.py
+++ b/roadhead/tenants/preemption.py
@@ -80,7 +80,8 @@
                 if part > 0:
                     parts.setdefault(label, []).append((*need, part, spot, zone, list(types)))
                     left[label] = tuple(
-                        room - part * amount for room, amount in zip(left[label], need, strict=True))
+                        room - part * amount for room, amount in zip(left[label], need, strict=True)
+                    )
                     count -= part
                 if not count:
                     break
@@ -143,8 +144,11 @@
     def _on_fitting(job, binding, spot, zone, types):
         """Whether the task's machine would surely do: its own job asked for no less."""
         spec = job.spec
-        return ((spot or not spec.spot) and (not zone or zone == binding.zone)
-                and (not types or (spec.types is not None and set(spec.types) <= set(types))))
+        return (
+            (spot or not spec.spot)
+            and (not zone or zone == binding.zone)
+            and (not types or (spec.types is not None and set(spec.types) <= set(types)))
+        )
 
     def _free(self, need, count, spot, zone, types, victims):
         left = {}  # team -> what it holds beyond its guarantee
--- a/roadhead/tenants/records.py
+++ b/roadhead/tenants/records.py
@@ -142,8 +142,9 @@
             size = len(msgspec.json.encode(version))
             if size <= largest:
                 return version
-        raise Contradiction([f"the record would take {size} bytes, the state service takes {largest}: "
-                             "fewer teams or keys"])
+        raise Contradiction(
+            [f"the record would take {size} bytes, the state service takes {largest}: fewer teams or keys"]
+        )
 
     def changed(self, request=None, **fields):
         """The next version."""
@@ -215,10 +216,13 @@
 
 def from_record(record):
     """A tenant from its stored record; fields that a newer version wrote are ignored."""
-    teams = [{name: team[name] for name in Team.__struct_fields__ if name in team}
-             for team in record.get("teams", ())]
-    limits = {name: value for name, value in record.get("limits", {}).items()
-              if name in Limits.__struct_fields__}
+    teams = [
+        {name: team[name] for name in Team.__struct_fields__ if name in team}
+        for team in record.get("teams", ())
+    ]
+    limits = {
+        name: value for name, value in record.get("limits", {}).items() if name in Limits.__struct_fields__
+    }
     return msgspec.convert({**record, "teams": teams, "limits": limits}, Tenant)
 
 
--- a/roadhead/tenants/removal.py
+++ b/roadhead/tenants/removal.py
@@ -39,8 +39,7 @@
         self._most = max(1, (self._state.batch - 1) // 2)
         self._wake = Signal()
         # Tenants that are to go, whoever carries it out.
-        self._going = {number for number, entry in table.entries.items()
-                       if entry.tenant.state == REMOVING}
+        self._going = {number for number, entry in table.entries.items() if entry.tenant.state == REMOVING}
         self._quiet_since = {}  # tenant's number -> since when none of its jobs was open
 
     def note(self, tenant):
@@ -57,8 +56,11 @@
 
     def _mine(self):
         member = self._node.member
-        return [number for number in sorted(self._going)
-                if pick(member.term.members, f"removal {number}") == member.label]
+        return [
+            number
+            for number in sorted(self._going)
+            if pick(member.term.members, f"removal {number}") == member.label
+        ]
 
     async def run(self):
         """The duty: one piece of each removal that falls to this controller, again and again."""
@@ -109,8 +111,9 @@
         while more:
             items, more, _revision = await self._state.page(place + ids.prefix(number), after)
             # Ids of another length are not a tenant's: they were there before there were tenants.
-            found = [item for item in items
-                     if wanted(item[1]) and ids.from_job(item[0][len(place):]) is not None]
+            found = [
+                item for item in items if wanted(item[1]) and ids.from_job(item[0][len(place) :]) is not None
+            ]
             if found:
                 return found
             after = items[-1][0] if items else after
@@ -121,14 +124,14 @@
         items = items[: self._most]
         writes = []
         for key, record, _stamp in items:
-            job_id = key[len(KEY):]
+            job_id = key[len(KEY) :]
             writes += [{"put": key, "data": closing(record)}, {"put": CANCEL + job_id, "data": True}]
         writes.append({"put": CANCELS, "data": job_id})
         try:
             await self._state.multi([(key, stamp) for key, _record, stamp in items], writes)
         except Conflict:
             return len(writes)  # progress was written meanwhile
-        jobs = [key[len(KEY):] for key, _record, _stamp in items]
+        jobs = [key[len(KEY) :] for key, _record, _stamp in items]
         for job_id in jobs:
             self._node.book.cancelled(job_id)
         self._node.cancelled(jobs)
@@ -142,14 +145,16 @@
         # Only while the tenant is being removed, by the record itself: never on hearsay.
         await self._state.multi(
             [(key_of(entry.tenant.number), entry.stamp), *((key, stamp) for key, _, stamp in items)],
-            [{"drop": key} for key, _record, _stamp in items])
+            [{"drop": key} for key, _record, _stamp in items],
+        )
         return len(items)
 
     async def _bury(self, entry):
         tenant = transit(entry.tenant, "bury")
         revision = await self._state.multi(
             [(key_of(tenant.number), entry.stamp)],
-            [{"put": key_of(tenant.number), "data": tenant.to_record()}])
+            [{"put": key_of(tenant.number), "data": tenant.to_record()}],
+        )
         self._table.take(key_of(tenant.number), tenant.to_record(), revision)
         self._quiet_since.pop(tenant.number, None)
         log.info("tenant %d is gone", tenant.number)
--- a/roadhead/tenants/settings.py
+++ b/roadhead/tenants/settings.py
@@ -68,11 +68,12 @@
     except (msgspec.DecodeError, ValueError) as error:
         raise SettingsError([str(error)]) from None
     faults = []
-    addresses = [("gateway.tenants", hosted.gateway.tenants),
-                 ("gateway.administration", hosted.gateway.administration),
-                 ("cluster.state", hosted.cluster.state),
-                 *((f"cluster.controllers.{label}", address)
-                   for label, address in hosted.cluster.controllers.items())]
+    addresses = [
+        ("gateway.tenants", hosted.gateway.tenants),
+        ("gateway.administration", hosted.gateway.administration),
+        ("cluster.state", hosted.cluster.state),
+        *((f"cluster.controllers.{label}", address) for label, address in hosted.cluster.controllers.items()),
+    ]
     for name, address in addresses:
         faults += address_fault(name, address)
     fronts = list(hosted.cluster.controllers.values())
@@ -83,19 +84,28 @@
     if hosted.gateway.tenants == hosted.gateway.administration:
         faults.append("gateway.administration: the tenants' address")
     for name, value, most in (
-        ("slots", hosted.slots, 200), ("state_share", hosted.state_share, 0.5),
-        ("gateways", hosted.gateways, 100), ("stale_s", hosted.stale_s, 3600.0),
-        ("overlap_s", hosted.overlap_s, 1e8), ("patience", hosted.patience, 1000.0),
+        ("slots", hosted.slots, 200),
+        ("state_share", hosted.state_share, 0.5),
+        ("gateways", hosted.gateways, 100),
+        ("stale_s", hosted.stale_s, 3600.0),
+        ("overlap_s", hosted.overlap_s, 1e8),
+        ("patience", hosted.patience, 1000.0),
         ("gateway.connections", hosted.gateway.connections, 1e6),
-        ("cluster.rps", hosted.cluster.rps, 1e9), ("cluster.write_rps", hosted.cluster.write_rps, 1e9),
-        ("cluster.value_kb", hosted.cluster.value_kb, 1e9), ("cluster.txn_ops", hosted.cluster.txn_ops, 1e9),
+        ("cluster.rps", hosted.cluster.rps, 1e9),
+        ("cluster.write_rps", hosted.cluster.write_rps, 1e9),
+        ("cluster.value_kb", hosted.cluster.value_kb, 1e9),
+        ("cluster.txn_ops", hosted.cluster.txn_ops, 1e9),
     ):
         if not 0 < value <= most:
             faults.append(f"{name}: must be above 0 and at most {most:g}, is {value:g}")
     cluster = hosted.cluster
-    faults += [fault.replace("deployment.state.", "cluster.") for fault in state_faults(
-        StateLimits(cluster.rps, cluster.write_rps, cluster.value_kb, cluster.txn_ops, cluster.next),
-        list(cluster.controllers))]
+    faults += [
+        fault.replace("deployment.state.", "cluster.")
+        for fault in state_faults(
+            StateLimits(cluster.rps, cluster.write_rps, cluster.value_kb, cluster.txn_ops, cluster.next),
+            list(cluster.controllers),
+        )
+    ]
     if hosted.master:
         faults.append("master: belongs into secret_file")
     if faults:
--- a/roadhead/tenants/table.py
+++ b/roadhead/tenants/table.py
@@ -32,7 +32,7 @@
 
     def take(self, key, record, stamp):
         """A record read or heard of; an older one than is known changes nothing."""
-        old = self.entries.get(int(key[len(TENANT):]))
+        old = self.entries.get(int(key[len(TENANT) :]))
         if old is not None and stamp <= old.stamp:
             return
         try:
--- a/roadhead/tenants/teams.py
+++ b/roadhead/tenants/teams.py
@@ -46,8 +46,10 @@
         if team is None or entry.tenant.state != ACTIVE:
             return None
         limits = entry.tenant.limits
-        return ((name, (team.cpus_max, team.gpus_max)),
-                (str(entry.tenant.number), (limits.cpus, limits.gpus)))
+        return (
+            (name, (team.cpus_max, team.gpus_max)),
+            (str(entry.tenant.number), (limits.cpus, limits.gpus)),
+        )
 
     def weights(self, name):
         """(the tenant's, the team's)."""
@@ -65,8 +67,10 @@
 
 def dominant(amounts, totals):
     """The largest part that the amounts are of the fleet's (cpus, gpus, memory)."""
-    return max((amount / total if total > 0 else 1.0 if amount > 0 else 0.0)
-               for amount, total in zip(amounts, totals, strict=True))
+    return max(
+        (amount / total if total > 0 else 1.0 if amount > 0 else 0.0)
+        for amount, total in zip(amounts, totals, strict=True)
+    )
 
 
 class Sharing:
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -200,8 +200,20 @@
     """
 
     kind, layout = 5, "sqqsss?dddTd"
-    fields = ("machine", "serial", "taken", "type", "zone", "home", "spot", "cpus", "gpus",
-              "memory", "images", "lapse_s")
+    fields = (
+        "machine",
+        "serial",
+        "taken",
+        "type",
+        "zone",
+        "home",
+        "spot",
+        "cpus",
+        "gpus",
+        "memory",
+        "images",
+        "lapse_s",
+    )
 
 
 class Return(Frame):
@@ -223,8 +235,22 @@
     whether they may start; `term` is read by nobody any more."""
 
     kind, layout = 8, "qsqsRqdddsdd??"
-    fields = ("term", "machine", "serial", "job", "tasks", "length", "cpus", "gpus",
-              "memory", "image", "image_gb", "save_s", "saves", "last")
+    fields = (
+        "term",
+        "machine",
+        "serial",
+        "job",
+        "tasks",
+        "length",
+        "cpus",
+        "gpus",
+        "memory",
+        "image",
+        "image_gb",
+        "save_s",
+        "saves",
+        "last",
+    )
     row = "qq"  # index attempt
 
 
--- a/roadhead/wire/http.py
+++ b/roadhead/wire/http.py
@@ -11,13 +11,29 @@
 MAX_HEAD = 8192
 MAX_BODY = 65536
 REASONS = {
-    200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 400: "Bad Request",
-    401: "Unauthorized", 403: "Forbidden", 404: "Not Found", 405: "Method Not Allowed",
-    406: "Not Acceptable", 408: "Request Timeout",
-    409: "Conflict", 410: "Gone", 412: "Precondition Failed", 415: "Unsupported Media Type",
-    428: "Precondition Required", 413: "Content Too Large", 421: "Misdirected Request",
-    422: "Unprocessable Content", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
-    500: "Internal Server Error", 503: "Service Unavailable",
+    200: "OK",
+    201: "Created",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    406: "Not Acceptable",
+    408: "Request Timeout",
+    409: "Conflict",
+    410: "Gone",
+    412: "Precondition Failed",
+    415: "Unsupported Media Type",
+    428: "Precondition Required",
+    413: "Content Too Large",
+    421: "Misdirected Request",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
 }
 
 
@@ -138,8 +154,7 @@
     return head.encode("latin-1") + b"\r\n" + body
 
 
-def response_bytes(status, body=b"", close=False, retry_after=None, kind="application/cbor",
-                   headers=()):
+def response_bytes(status, body=b"", close=False, retry_after=None, kind="application/cbor", headers=()):
     head = (
         f"HTTP/1.1 {status} {REASONS.get(status, 'Status')}\r\n"
         f"Content-Type: {kind}\r\nContent-Length: {len(body)}\r\n"
@@ -237,8 +252,7 @@
         self._max_idle = max_idle
         self._max_body = max_body
 
-    async def request(self, method, target, body=b"", timeout=4.0, headers=(),
-                      kind="application/cbor"):
+    async def request(self, method, target, body=b"", timeout=4.0, headers=(), kind="application/cbor"):
         """The response as (status, body, headers). Raises NoAnswer."""
         loop = self._loop
         deadline = loop.now() + timeout
--- a/roadhead/wire/messages.py
+++ b/roadhead/wire/messages.py
@@ -52,12 +52,30 @@
     return cbor2.dumps(msgspec.to_builtins(struct))
 
 
-class JobSpec(Struct, frozen=True, omit_defaults=True, rename={
-    "klass": "jobclass", "team": "crew", "kind": "shape", "tasks": "legs", "cpus": "vcpus",
-    "memory": "ramGb", "image": "kit", "image_gb": "sizeGb", "types": "rigs", "zone": "paddock",
-    "one_zone": "together", "spread": "scatter", "spot": "loaners", "estimate_s": "expectS",
-    "checkpoint_s": "musterS", "save_s": "stowS", "due_s": "dueS",
-}):
+class JobSpec(
+    Struct,
+    frozen=True,
+    omit_defaults=True,
+    rename={
+        "klass": "jobclass",
+        "team": "crew",
+        "kind": "shape",
+        "tasks": "legs",
+        "cpus": "vcpus",
+        "memory": "ramGb",
+        "image": "kit",
+        "image_gb": "sizeGb",
+        "types": "rigs",
+        "zone": "paddock",
+        "one_zone": "together",
+        "spread": "scatter",
+        "spot": "loaners",
+        "estimate_s": "expectS",
+        "checkpoint_s": "musterS",
+        "save_s": "stowS",
+        "due_s": "dueS",
+    },
+):
     id: str
     klass: str
     team: str
@@ -91,8 +109,16 @@
             raise Invalid("urgency")
         if not 1 <= self.tasks <= MAX_TASKS:
             raise Invalid("legs")
-        amounts = (self.cpus, self.gpus, self.memory, self.image_gb, self.estimate_s,
-                   self.checkpoint_s, self.save_s, self.due_s or 0.0)
+        amounts = (
+            self.cpus,
+            self.gpus,
+            self.memory,
+            self.image_gb,
+            self.estimate_s,
+            self.checkpoint_s,
+            self.save_s,
+            self.due_s or 0.0,
+        )
         for amount in amounts:
             if not (math.isfinite(amount) and 0 <= amount < MAX_AMOUNT):
                 raise Invalid("amount out of range")
@@ -112,11 +138,21 @@
     saved: bool | None = None
 
 
-class Report(Struct, rename={
-    "machine": "drover", "address": "endpoint", "type": "rig", "zone": "paddock",
-    "spot": "loaners", "session": "stint", "sequence": "tally", "token": "brand",
-    "notice_s": "recallS", "tasks": "legs",
-}):
+class Report(
+    Struct,
+    rename={
+        "machine": "drover",
+        "address": "endpoint",
+        "type": "rig",
+        "zone": "paddock",
+        "spot": "loaners",
+        "session": "stint",
+        "sequence": "tally",
+        "token": "brand",
+        "notice_s": "recallS",
+        "tasks": "legs",
+    },
+):
     machine: str
     address: str
     type: str
@@ -134,10 +170,18 @@
                 raise Invalid("count out of range")
 
 
-class MachineType(Struct, rename={
-    "cpus": "vcpus", "memory": "ramGb", "cache_gb": "cacheGb", "fetch_gb_per_s": "fetchGbPerS",
-    "spot_price": "marketPrice", "boot_s": "startupS", "zones": "paddocks",
-}):
+class MachineType(
+    Struct,
+    rename={
+        "cpus": "vcpus",
+        "memory": "ramGb",
+        "cache_gb": "cacheGb",
+        "fetch_gb_per_s": "fetchGbPerS",
+        "spot_price": "marketPrice",
+        "boot_s": "startupS",
+        "zones": "paddocks",
+    },
+):
     name: str
     cpus: float
     memory: float
@@ -154,9 +198,16 @@
     types: list[MachineType]
 
 
-class Listed(Struct, rename={
-    "address": "endpoint", "type": "rig", "zone": "paddock", "spot": "loaners", "age_s": "ageS",
-}):
+class Listed(
+    Struct,
+    rename={
+        "address": "endpoint",
+        "type": "rig",
+        "zone": "paddock",
+        "spot": "loaners",
+        "age_s": "ageS",
+    },
+):
     id: str
     address: str
     type: str
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -82,7 +82,8 @@
     """Listed tests that a run of the whole suite did not find; of a part of it nothing can be said."""
     option = config.option
     whole = config.args_source is pytest.Config.ArgsSource.TESTPATHS and not (
-        option.keyword or option.markexpr or option.collectonly or option.deselect or option.ignore)
+        option.keyword or option.markexpr or option.collectonly or option.deselect or option.ignore
+    )
     return [test for test in config.stash[RED] if whole and test not in config.stash[SEEN]]
 
 
@@ -100,5 +101,6 @@
     absent = missing(config)
     for red in listed.values():
         ended = {"skipped": "fails, as known", "failed": "PASSES: take it off the list"}.get(
-            config.stash[SEEN].get(red.test), "NOT FOUND" if red.test in absent else "not run")
+            config.stash[SEEN].get(red.test), "NOT FOUND" if red.test in absent else "not run"
+        )
         terminalreporter.write_line(f"{red.test}: {ended} ({red.cause}, issue {red.issue})")
