--- a/tests/hunt.py
+++ b/tests/hunt.py
@@ -27,30 +27,52 @@
 def drawn(seed):
     """The text of a day."""
     rng = random.Random(seed)
-    lines = [f"seed {seed}", "gateways 2", f"slots {rng.choice((3, 6, 24))}", f"until {ENDS_S}",
-             f"capacity {rng.choice((4, 8, 12))}", f"txn_ops {rng.choice((6, 16))}"]
+    lines = [
+        f"seed {seed}",
+        "gateways 2",
+        f"slots {rng.choice((3, 6, 24))}",
+        f"until {ENDS_S}",
+        f"capacity {rng.choice((4, 8, 12))}",
+        f"txn_ops {rng.choice((6, 16))}",
+    ]
     for name in TENANTS:
         cpus = rng.choice((0, 6, 10))
-        lines.append(f"at 2 tenant {name} team=crew:cpus={rng.choice((0, 2, 4))}:weight={rng.choice((1, 3))} "
-                     f"team=other:cpus_max={rng.choice((0, 3))}" + (f" cpus={cpus}" if cpus else ""))
+        lines.append(
+            f"at 2 tenant {name} team=crew:cpus={rng.choice((0, 2, 4))}:weight={rng.choice((1, 3))} "
+            f"team=other:cpus_max={rng.choice((0, 3))}" + (f" cpus={cpus}" if cpus else "")
+        )
     for number in range(rng.randrange(6, 14)):
         lines.append(
             f"at {rng.uniform(8, 150):.1f} submit tenant={rng.choice(TENANTS)} id=j{number}x "
             f"crew={rng.choice(('crew', 'crew', 'other'))} count={rng.randrange(1, 6)} "
             f"every={rng.choice((0.02, 1, 4))} legs={rng.randrange(1, 8)} vcpus={rng.choice((1, 1, 2))} "
             f"runS={rng.choice((2, 8, 20))} urgency={rng.choice(('high', 'standard', 'low'))} "
-            f"musterS={rng.choice((0, 5))} stowS={rng.choice((0, 1))}")
+            f"musterS={rng.choice((0, 5))} stowS={rng.choice((0, 1))}"
+        )
     for _ in range(rng.randrange(6, 14)):
         at, node = rng.uniform(6, QUIET_S), rng.randrange(3)
         length = rng.choice((3, 8, 14, 25))
-        lines.append(f"at {at:.2f} " + rng.choice((
-            f"crash {node} {length}", f"cut {node} state {length} {rng.choice(('lose', 'hold'))}",
-            f"cut {node} workers {length} hold", f"cut {node} {(node + 1) % 3} {length} hold",
-            f"stall {node} {length}", f"outage {length}", f"lose state {rng.randrange(1, 5)}",
-            f"lose-workers {rng.randrange(1, 3)}", f"late-write {rng.choice((8, 40))}",
-            f"late-launch {length}", f"die {rng.randrange(1, 3)}", f"notice 1 {length}",
-            f"crash-gateway {rng.randrange(2)} {length}", f"hang 0 {length}",
-        )))
+        lines.append(
+            f"at {at:.2f} "
+            + rng.choice(
+                (
+                    f"crash {node} {length}",
+                    f"cut {node} state {length} {rng.choice(('lose', 'hold'))}",
+                    f"cut {node} workers {length} hold",
+                    f"cut {node} {(node + 1) % 3} {length} hold",
+                    f"stall {node} {length}",
+                    f"outage {length}",
+                    f"lose state {rng.randrange(1, 5)}",
+                    f"lose-workers {rng.randrange(1, 3)}",
+                    f"late-write {rng.choice((8, 40))}",
+                    f"late-launch {length}",
+                    f"die {rng.randrange(1, 3)}",
+                    f"notice 1 {length}",
+                    f"crash-gateway {rng.randrange(2)} {length}",
+                    f"hang 0 {length}",
+                )
+            )
+        )
     for name in TENANTS[1:]:
         at = rng.uniform(20, 110)
         if rng.random() < 0.6:
@@ -67,8 +89,17 @@
 def drawn_pipelines(seed):
     """The text of a day of jobs that need others, whose service lowers its limits on the way."""
     rng = random.Random(seed)
-    lines = [f"seed {seed}", "until 700", f"capacity {rng.choice((3, 6, 10))}", "rps 150", "write_rps 20",
-             "next_value_kb 2", "next_txn_ops 5", "next_write_rps 15", f"cpus_max {rng.choice((0, 0, 8))}"]
+    lines = [
+        f"seed {seed}",
+        "until 700",
+        f"capacity {rng.choice((3, 6, 10))}",
+        "rps 150",
+        "write_rps 20",
+        "next_value_kb 2",
+        "next_txn_ops 5",
+        "next_write_rps 15",
+        f"cpus_max {rng.choice((0, 0, 8))}",
+    ]
     count, times = rng.randrange(10, 50), []
     for number in range(1, count + 1):
         times.append(max([rng.uniform(4, 120), *times[-1:]]) if number % 5 else (times or [4])[-1])
@@ -80,7 +111,8 @@
             f"runS={rng.choice((2, 6, 15))} expectS=6 urgency={rng.choice(('high', 'standard', 'low'))} "
             f"musterS={rng.choice((0, 5))} stowS={rng.choice((0, 1))}"
             + (f" dueS={rng.choice((30, 90))}" if rng.random() < 0.3 else "")
-            + (f" upstream={','.join(map(str, named))}" if named else ""))
+            + (f" upstream={','.join(map(str, named))}" if named else "")
+        )
     for _ in range(rng.randrange(0, 5)):
         number = rng.randrange(1, count + 1)
         lines.append(f"at {times[number - 1] + rng.choice((1, 1, 4, 20)):.2f} cancel {number}")
@@ -90,12 +122,26 @@
     for _ in range(rng.randrange(4, 14)):
         at, node = rng.uniform(6, QUIET_S), rng.randrange(3)
         length = rng.choice((0.1, 0.4, 3, 8, 14, 25))
-        lines.append(f"at {at:.2f} " + rng.choice((
-            f"crash {node} {length}", f"crash {node} 0.1", f"cut {node} state {length} hold",
-            f"cut {node} workers {length} hold", f"cut {node} {(node + 1) % 3} {length} lose",
-            f"stall {node} {length}", f"outage {length}", f"lose state {rng.randrange(1, 5)}",
-            f"late-write {rng.choice((8, 40))}", f"late-launch {length}", f"die {rng.randrange(1, 3)}",
-            f"leave {node} {length}", f"hang 0 {length}")))
+        lines.append(
+            f"at {at:.2f} "
+            + rng.choice(
+                (
+                    f"crash {node} {length}",
+                    f"crash {node} 0.1",
+                    f"cut {node} state {length} hold",
+                    f"cut {node} workers {length} hold",
+                    f"cut {node} {(node + 1) % 3} {length} lose",
+                    f"stall {node} {length}",
+                    f"outage {length}",
+                    f"lose state {rng.randrange(1, 5)}",
+                    f"late-write {rng.choice((8, 40))}",
+                    f"late-launch {length}",
+                    f"die {rng.randrange(1, 3)}",
+                    f"leave {node} {length}",
+                    f"hang 0 {length}",
+                )
+            )
+        )
     lines.append(f"at {rng.uniform(10, 150):.1f} lower")
     return "\n".join(lines)
 
@@ -109,8 +155,15 @@
     others throughout; tasks short and several times `cancel_s` long."""
     rng = random.Random(seed)
     count = rng.choice((3, 3, 5))
-    lines = [f"seed {seed}", f"controllers {count}", "until 800", f"settled {MEETINGS_END_S}",
-             f"capacity {rng.choice((4, 6, 10))}", f"cpus_max {rng.choice((0, 0, 0, 8))}", "at 5 storm 3 330"]
+    lines = [
+        f"seed {seed}",
+        f"controllers {count}",
+        "until 800",
+        f"settled {MEETINGS_END_S}",
+        f"capacity {rng.choice((4, 6, 10))}",
+        f"cpus_max {rng.choice((0, 0, 0, 8))}",
+        "at 5 storm 3 330",
+    ]
     jobs = rng.randrange(14, 30)
     times = sorted(rng.uniform(1, 170) for _ in range(jobs))
     for number, at in enumerate(times, 1):
@@ -119,7 +172,8 @@
             f"at {at:.2f} submit legs={rng.choice((1, 2, 3, 3, 6, 12))} "
             f"runS={rng.choice((3, 15, 40, 100, 160))} urgency={rng.choice(('high', 'standard', 'low'))} "
             f"musterS={rng.choice((0, 0, 10))} stowS={rng.choice((0, 2))}"
-            + (f" upstream={','.join(map(str, named))}" if named else ""))
+            + (f" upstream={','.join(map(str, named))}" if named else "")
+        )
     spans = [quarter * bound / 4 for bound in (LEASE_S, CANCEL_S) for quarter in range(1, 6)]
     for begin in (rng.uniform(25, 50), rng.uniform(110, 135)):
         node = rng.randrange(count)
@@ -127,20 +181,34 @@
         for _ in range(rng.randrange(2, 5)):
             at, length = begin + rng.choice(spans) / 2, rng.choice(spans)
             length = min(length, MEETINGS_END_S - 20 - at)
-            lines += [f"at {at:.2f} {text}" for text in rng.choice((
-                [f"refuse {node} {length}"], [f"refuse {node} {length}", f"cut {node} peers {length / 2}"],
-                [f"outage {length}"], [f"outage {length}"], [f"slow-state 3 {length}"],
-                [f"cut {node} {other} {length} {rng.choice(('lose', 'hold'))}"],
-                [f"cut {node} peers {length} {rng.choice(('lose', 'hold'))}"],
-                [f"cut {node} state {length} hold", f"cut {node} peers {length} hold"],
-                [f"cut {node} workers {length} hold"], [f"cut {node} even-workers {length} hold"],
-                [f"crash {node} {rng.choice((0.1, 0.5, 3, length))}"],
-                [f"crash {number} {rng.choice((0.1, 3, length))}" for number in range(count)],
-                [f"leave {node} 0.2"], [f"leave {node} 0.2", f"leave {other} 0.2"],
-                [f"stall {node} {length}"], [f"late-writes {rng.choice((0.1, 0.5))} {length}"],
-                [f"late-reports 0.5 {length}"], [f"deaf {rng.choice((0.3, 1))} {length}"],
-                [f"late-launch {length}"], [f"hang 0 {length}"], ["die 2"],
-            ))]
+            lines += [
+                f"at {at:.2f} {text}"
+                for text in rng.choice(
+                    (
+                        [f"refuse {node} {length}"],
+                        [f"refuse {node} {length}", f"cut {node} peers {length / 2}"],
+                        [f"outage {length}"],
+                        [f"outage {length}"],
+                        [f"slow-state 3 {length}"],
+                        [f"cut {node} {other} {length} {rng.choice(('lose', 'hold'))}"],
+                        [f"cut {node} peers {length} {rng.choice(('lose', 'hold'))}"],
+                        [f"cut {node} state {length} hold", f"cut {node} peers {length} hold"],
+                        [f"cut {node} workers {length} hold"],
+                        [f"cut {node} even-workers {length} hold"],
+                        [f"crash {node} {rng.choice((0.1, 0.5, 3, length))}"],
+                        [f"crash {number} {rng.choice((0.1, 3, length))}" for number in range(count)],
+                        [f"leave {node} 0.2"],
+                        [f"leave {node} 0.2", f"leave {other} 0.2"],
+                        [f"stall {node} {length}"],
+                        [f"late-writes {rng.choice((0.1, 0.5))} {length}"],
+                        [f"late-reports 0.5 {length}"],
+                        [f"deaf {rng.choice((0.3, 1))} {length}"],
+                        [f"late-launch {length}"],
+                        [f"hang 0 {length}"],
+                        ["die 2"],
+                    )
+                )
+            ]
         for _ in range(rng.randrange(2, 7)):
             number = rng.randrange(1, jobs + 1)
             at = max(times[number - 1] + 1, begin + rng.uniform(0, 20))
@@ -160,10 +228,15 @@
                 for back in (None, 0.1, LEASE_S / 4, CANCEL_S):
                     for down in (0.2, quarter, LEASE_S):
                         at = max(40.1, 40 + lost + confirmed)
-                        lines = ["at 1 submit count=6 legs=3 runS=160 expectS=160", "at 40 refuse 0 150",
-                                 f"at {40 + lost} cut 0 1 {length}", f"at {40 + lost} cut 0 2 {length}",
-                                 f"at {at} cancel 1,2,3,4 1", f"at {at + down} outage {2.5 * CANCEL_S}",
-                                 "until 190"]
+                        lines = [
+                            "at 1 submit count=6 legs=3 runS=160 expectS=160",
+                            "at 40 refuse 0 150",
+                            f"at {40 + lost} cut 0 1 {length}",
+                            f"at {40 + lost} cut 0 2 {length}",
+                            f"at {at} cancel 1,2,3,4 1",
+                            f"at {at + down} outage {2.5 * CANCEL_S}",
+                            "until 190",
+                        ]
                         if back is not None:
                             lines.append(f"at {at + 0.15} crash 1 {back}")
                         yield (lost, length, confirmed, back, down), "\n".join(lines)
@@ -191,9 +264,13 @@
     owns most of the jobs loses the state service in second 40, and the other controllers so many seconds
     after; not its workers, users or the cloud."""
     cases = itertools.product(
-        (3, 5), (-LEASE_S / 4, 0, LEASE_S / 6, LEASE_S),
-        (LEASE_S / 3, 3 * LEASE_S / 4, CANCEL_S - LEASE_S, CANCEL_S + 4), ("both", "state", "peers"),
-        LEADER_TROUBLES, (6, 2.5 * CANCEL_S))
+        (3, 5),
+        (-LEASE_S / 4, 0, LEASE_S / 6, LEASE_S),
+        (LEASE_S / 3, 3 * LEASE_S / 4, CANCEL_S - LEASE_S, CANCEL_S + 4),
+        ("both", "state", "peers"),
+        LEADER_TROUBLES,
+        (6, 2.5 * CANCEL_S),
+    )
     for number, which in enumerate(cases, 1):
         yield which, leader_cut(number, *which)
 
@@ -205,15 +282,26 @@
     ends = [LEADER_CUT_AT + length + LEASE_S / 2 * (first == other) for other in ("peers", "state")]
     ends[1] = max(ends[1], begins[1] + LEASE_S / 4)
     booting = trouble == "machines boot"
-    lines = [f"controllers {count}", f"seed {seed}", f"boot_s {36 if booting else 5}",
-             f"capacity {16 if booting else 6}", "until 900"]
+    lines = [
+        f"controllers {count}",
+        f"seed {seed}",
+        f"boot_s {36 if booting else 5}",
+        f"capacity {16 if booting else 6}",
+        "until 900",
+    ]
     lines += [f"at 0.1 crash {other} 8" for other in range(1, count)]
-    lines += [f"at 1 submit count=4 legs={40 if run_s < CANCEL_S else 12} runS={run_s}",
-              f"at 30 submit count=4 legs=12 runS={run_s}"]
-    lines += [f"at {begin} cut 0 {whom} {end - begin} {mode}"
-              for whom, begin, end in zip(("state", "peers"), begins, ends, strict=True)]
-    lines += [f"at {LEADER_CUT_AT + after} {what.format(lease=LEASE_S, cancel=CANCEL_S)}"
-              for after, what in LEADER_TROUBLES[trouble]]
+    lines += [
+        f"at 1 submit count=4 legs={40 if run_s < CANCEL_S else 12} runS={run_s}",
+        f"at 30 submit count=4 legs=12 runS={run_s}",
+    ]
+    lines += [
+        f"at {begin} cut 0 {whom} {end - begin} {mode}"
+        for whom, begin, end in zip(("state", "peers"), begins, ends, strict=True)
+    ]
+    lines += [
+        f"at {LEADER_CUT_AT + after} {what.format(lease=LEASE_S, cancel=CANCEL_S)}"
+        for after, what in LEADER_TROUBLES[trouble]
+    ]
     return "\n".join(lines)
 
 
@@ -275,8 +363,11 @@
 def played_pipelines(seed, draw=drawn_pipelines):
     """(seed, faults) of a day: whatever was accepted ends, as cancelled only with one of its ancestors."""
     world = World(draw(seed)).run()
-    faults = world.check() + [f"{job} is {user.told}" for job, user in world.users.items()
-                              if user.accepted and user.told not in ("done", "cancelled")]
+    faults = world.check() + [
+        f"{job} is {user.told}"
+        for job, user in world.users.items()
+        if user.accepted and user.told not in ("done", "cancelled")
+    ]
     for job, user in world.users.items():
         if user.told == "done" and world.cancelled_above(job):
             faults.append(f"{job} is done, and one that it needs cancelled")
@@ -302,8 +393,13 @@
     if args.leader:
         table_of_leaders(args.jobs)
         return
-    draw, play = ((drawn_meetings, played_meetings) if args.meetings else
-                  (drawn_pipelines, played_pipelines) if args.pipelines else (drawn, played))
+    draw, play = (
+        (drawn_meetings, played_meetings)
+        if args.meetings
+        else (drawn_pipelines, played_pipelines)
+        if args.pipelines
+        else (drawn, played)
+    )
     if args.show is not None:
         print(draw(args.show))
         return
--- a/tests/larger_site.py
+++ b/tests/larger_site.py
@@ -31,14 +31,29 @@
         **{name: value for name, value in site.items() if name != "day"},
         "name": f"larger-{len(names)}-{controllers}",
         "nodes": {**site["nodes"], "count": controllers, "zones": names, "restart_delay_s": back_s},
-        "capacity": [{"type": kind, "zone": zone, "count": round(times * total * part * (1 - cheap)),
-                      "spot": round(times * total * part * cheap)}
-                     for kind, total in totals.items() for zone, part in parts.items()],
-        "machines": [{"type": kind, "zone": zone, "spot": spot, "count": round(times * count * part)}
-                     for (kind, spot), count in up.items() for zone, part in parts.items()],
-        "jobs": [{**job, "initial": round(times * job.get("initial", 0)),
-                  "arrivals": {**job["arrivals"], "rate": times * job["arrivals"]["rate"]}}
-                 for job in site["jobs"]],
+        "capacity": [
+            {
+                "type": kind,
+                "zone": zone,
+                "count": round(times * total * part * (1 - cheap)),
+                "spot": round(times * total * part * cheap),
+            }
+            for kind, total in totals.items()
+            for zone, part in parts.items()
+        ],
+        "machines": [
+            {"type": kind, "zone": zone, "spot": spot, "count": round(times * count * part)}
+            for (kind, spot), count in up.items()
+            for zone, part in parts.items()
+        ],
+        "jobs": [
+            {
+                **job,
+                "initial": round(times * job.get("initial", 0)),
+                "arrivals": {**job["arrivals"], "rate": times * job["arrivals"]["rate"]},
+            }
+            for job in site["jobs"]
+        ],
     }
 
 
@@ -60,29 +75,43 @@
 
     return {
         "all-fail": [
-            fault(120.0, "machine_die", count=machines // 2), crash(120.4), crash(121.0), crash(123.0),
-            fault(230.0, "machine_die", count=machines // 2), fault(230.5, "state_outage", for_s=20.0),
-            crash(231.0), crash(251.0),
+            fault(120.0, "machine_die", count=machines // 2),
+            crash(120.4),
+            crash(121.0),
+            crash(123.0),
+            fault(230.0, "machine_die", count=machines // 2),
+            fault(230.5, "state_outage", for_s=20.0),
+            crash(231.0),
+            crash(251.0),
         ],
         "cheap-wave": [
             fault(60.0, "job_burst", **{"class": last}, factor=5.0, for_s=90.0),
-            fault(120.0, "spot_taken", share=0.9, notice_s=0.0, over_s=5.0), crash(123.0, 1), crash(124.0, 1),
+            fault(120.0, "spot_taken", share=0.9, notice_s=0.0, over_s=5.0),
+            crash(123.0, 1),
+            crash(124.0, 1),
             fault(180.0, "machine_sick", count=machines // 10, for_s=120.0),
             fault(240.0, "spot_taken", share=0.5, notice_s=12.0, over_s=20.0),
         ],
         "zones": [
             fault(90.0, "zone_cut", zone=zones[0], for_s=cancel_s, mode="hold"),
-            crash(96.0, 1), crash(97.0, 1),
+            crash(96.0, 1),
+            crash(97.0, 1),
             fault(170.0, "machine_hang", count=machines // 2, for_s=lease_s - 2.0),
             cut(175.0, cancel_s + lease_s, from_state=True, from_peers=True),
             fault(250.0, "zone_cut", zone=zones[-1], for_s=lease_s, mode="hold"),
         ],
         "restarts": [
-            fault(50.0, "node_roll", every_s=8.0), fault(100.0, "late_writes", share=0.2, for_s=60.0),
+            fault(50.0, "node_roll", every_s=8.0),
+            fault(100.0, "late_writes", share=0.2, for_s=60.0),
             fault(100.0, "late_reports", share=0.3, for_s=60.0),
-            crash(130.0), crash(130.7), crash(132.5), crash(138.0, 2),
+            crash(130.0),
+            crash(130.7),
+            crash(132.5),
+            crash(138.0, 2),
             fault(150.0, "job_burst", **{"class": first}, factor=5.0, for_s=60.0),
-            fault(200.0, "state_slow", factor=15.0, for_s=40.0), crash(215.0), crash(215.8),
+            fault(200.0, "state_slow", factor=15.0, for_s=40.0),
+            crash(215.0),
+            crash(215.8),
         ],
     }
 
@@ -100,8 +129,11 @@
 
 def document(tables):
     """TOML of a site: plain values, tables, and lists of tables."""
-    lines = [f"{name} = {written(value)}" for name, value in tables.items()
-             if not isinstance(value, dict) and not (isinstance(value, list) and value)]
+    lines = [
+        f"{name} = {written(value)}"
+        for name, value in tables.items()
+        if not isinstance(value, dict) and not (isinstance(value, list) and value)
+    ]
     for name, value in tables.items():
         if isinstance(value, dict):
             lines += ["", f"[{name}]", *(f"{key} = {written(part)}" for key, part in value.items())]
@@ -121,8 +153,9 @@
     parser.add_argument("--cheap", type=float, default=0.9)
     parser.add_argument("--back", type=float, default=0.1)
     args = parser.parse_args()
-    site = larger(tomllib.loads(args.site.read_text()), args.times, args.zones, args.controllers, args.cheap,
-                  args.back)
+    site = larger(
+        tomllib.loads(args.site.read_text()), args.times, args.zones, args.controllers, args.cheap, args.back
+    )
     args.directory.mkdir(parents=True, exist_ok=True)
     (args.directory / "site.toml").write_text(document(site))
     shutil.copy(args.site.parent / site["wire"], args.directory / site["wire"])
--- a/tests/measure_flood.py
+++ b/tests/measure_flood.py
@@ -40,18 +40,31 @@
 
 
 def virtual(machines, seed):
-    sizes = {"zone": machines // 2, "sure": int(1.7 * machines), "warm": machines // 3,
-             "legs": max(1, machines // 8)}
+    sizes = {
+        "zone": machines // 2,
+        "sure": int(1.7 * machines),
+        "warm": machines // 3,
+        "legs": max(1, machines // 8),
+    }
     for flood in ("", FLOOD):
         world = World(f"{QUIET.format(**sizes)}{flood}\nseed {seed}").run()
         users = [user for user in world.users.values() if user.tenant == "quiet"]
-        waits = [world.started.get(f"{user.id}/{index}", 1e9) - user.submitted_at
-                 for user in users if user.own.startswith("d") for index in range(user.job["legs"])]
-        accepted = sum(user.first_accepted_at - user.submitted_at < 1 for user in users
-                       if user.first_accepted_at is not None) / len(users)
-        print(f"{'beside the flood' if flood else 'alone'}: accepted within 1 s {accepted:.3f}, "
-              f"{world.counter('tasks_preempted')} tasks preempted, {len(world.cloud.rented)} machines, "
-              f"rules broken: {world.broken or 'none'}")
+        waits = [
+            world.started.get(f"{user.id}/{index}", 1e9) - user.submitted_at
+            for user in users
+            if user.own.startswith("d")
+            for index in range(user.job["legs"])
+        ]
+        accepted = sum(
+            user.first_accepted_at - user.submitted_at < 1
+            for user in users
+            if user.first_accepted_at is not None
+        ) / len(users)
+        print(
+            f"{'beside the flood' if flood else 'alone'}: accepted within 1 s {accepted:.3f}, "
+            f"{world.counter('tasks_preempted')} tasks preempted, {len(world.cloud.rented)} machines, "
+            f"rules broken: {world.broken or 'none'}"
+        )
         yield p95(waits)
 
 
@@ -65,13 +78,24 @@
             cluster.tenant()
             headers = [("Authorization", f"Bearer {cluster._secrets.root_key()}")]
             address = cluster.plan["administration"]
-            status, _answer = cluster._insist(address, "PATCH", f"/admin/v1/tenants/{local.TENANT}", {
-                "teams": [{"name": local.TEAM, "cpus": 12}]}, headers=[*headers, ("If-Match", '"2"')])
+            status, _answer = cluster._insist(
+                address,
+                "PATCH",
+                f"/admin/v1/tenants/{local.TENANT}",
+                {"teams": [{"name": local.TEAM, "cpus": 12}]},
+                headers=[*headers, ("If-Match", '"2"')],
+            )
             assert status == 200
-            cluster._insist(address, "POST", "/admin/v1/tenants", {
-                "name": "loud", "teams": [{"name": "crew"}], "limits": {"submissions": 2}}, headers=headers)
+            cluster._insist(
+                address,
+                "POST",
+                "/admin/v1/tenants",
+                {"name": "loud", "teams": [{"name": "crew"}], "limits": {"submissions": 2}},
+                headers=headers,
+            )
             _status, answer = cluster._insist(
-                address, "POST", "/admin/v1/tenants/loud/keys", {"scopes": ["submit"]}, headers=headers)
+                address, "POST", "/admin/v1/tenants/loud/keys", {"scopes": ["submit"]}, headers=headers
+            )
             loud = [("Authorization", f"Bearer {answer['key']}")]
             # Machines come for what waits: both runs begin with a fleet that is there.
             cluster.submit(*job("warm", "sleep 8", tasks=24))
@@ -84,7 +108,10 @@
 
 def job(own, command, **fields):
     return Submission(id=own, team=local.TEAM, klass="c", expected_s=8.0, due_s=20.0, **fields), [
-        "sh", "-c", command]
+        "sh",
+        "-c",
+        command,
+    ]
 
 
 def played(cluster, name, jobs, loud):
@@ -93,8 +120,14 @@
     for number in range(jobs):
         if loud:
             for burst in range(25):
-                body = {"id": f"f{number}-{burst}", "team": "crew", "class": "c", "priority": "critical",
-                        "tasks": 20_000 if not number else 1, "expected_s": 5.0}
+                body = {
+                    "id": f"f{number}-{burst}",
+                    "team": "crew",
+                    "class": "c",
+                    "priority": "critical",
+                    "tasks": 20_000 if not number else 1,
+                    "expected_s": 5.0,
+                }
                 status, _ = cluster._request(cluster.plan["tenants"], "POST", "/v1/jobs", body, loud)
                 if status == 201:
                     upload(cluster, body["id"])
@@ -116,9 +149,13 @@
 def upload(cluster, own):
     """What the flood's tasks run, so that they do hold their machines."""
     number = local.ids.to_job(2, own)
-    cluster._insist(cluster.plan["cloud"], "POST", f"/uploads/{number}", {
-        "name": own, "command": ["sleep", "5"], "vcpus": 1.0, "musterS": 0.0, "stowS": 0.0, "runS": 0.0},
-        cbor=True)
+    cluster._insist(
+        cluster.plan["cloud"],
+        "POST",
+        f"/uploads/{number}",
+        {"name": own, "command": ["sleep", "5"], "vcpus": 1.0, "musterS": 0.0, "stowS": 0.0, "runS": 0.0},
+        cbor=True,
+    )
 
 
 def main():
@@ -129,8 +166,9 @@
     parser.add_argument("--jobs", type=int, default=40)
     args = parser.parse_args()
     alone, beside = loopback(args.jobs) if args.loopback else virtual(args.machines, args.seed)
-    print(f"p95 of the start: alone {alone:.2f} s, beside the flood {beside:.2f} s, "
-          f"ratio {beside / alone:.2f}")
+    print(
+        f"p95 of the start: alone {alone:.2f} s, beside the flood {beside:.2f} s, ratio {beside / alone:.2f}"
+    )
 
 
 if __name__ == "__main__":
--- a/tests/production.py
+++ b/tests/production.py
@@ -24,8 +24,10 @@
     if not (folder / "roadhead").is_dir():
         archive = subprocess.run(["git", "archive", commit], cwd=ROOT, capture_output=True, check=False)
         if archive.returncode:
-            raise RuntimeError(f"production {commit} is not in this repository's history, so the way from it "
-                               f"can't be tested: {archive.stderr.decode().strip()}")
+            raise RuntimeError(
+                f"production {commit} is not in this repository's history, so the way from it "
+                f"can't be tested: {archive.stderr.decode().strip()}"
+            )
         made = folder.with_name(f"{commit}.{os.getpid()}")
         made.mkdir(parents=True, exist_ok=True)
         subprocess.run(["tar", "-x", "-C", made], input=archive.stdout, check=True)
@@ -39,6 +41,7 @@
 @cache
 def load():
     """(Node, Tuning, parse) of that version."""
+
     def ours(name):
         return name == "roadhead" or name.startswith("roadhead.")
 
--- a/tests/profile_size.py
+++ b/tests/profile_size.py
@@ -68,8 +68,13 @@
 
 def scenario(args):
     rng = random.Random(args.seed)
-    lines = [f"seed {args.seed}", f"until {args.until}", f"capacity {max(1, args.machines // 2)}",
-             "boot_s 20", "fetch_s 3"]
+    lines = [
+        f"seed {args.seed}",
+        f"until {args.until}",
+        f"capacity {max(1, args.machines // 2)}",
+        "boot_s 20",
+        "fetch_s 3",
+    ]
     times = [0.5 + 3 * rng.random() for _ in range(args.initial)]
     at = 5.0
     while (at := at + rng.expovariate(args.rate)) < args.until:
@@ -99,13 +104,18 @@
     args = parser.parse_args()
     played = MeasuredWorld(scenario(args)).run()
     controllers = len(played.labels)
-    print(f"{len(played.jobs)} jobs, {sum(job['legs'] for job in played.jobs.values())} tasks, "
-          f"{len(played.completed)} completed, {len(played.cloud.rented)} machines, "
-          f"rules broken: {played.broken or 'none'}")
-    print("share of a core, a controller:", [
-        round(played.spent[stretch] / STRETCH_S / controllers, 3)
-        for stretch in range(int(args.until // STRETCH_S))
-    ])
+    print(
+        f"{len(played.jobs)} jobs, {sum(job['legs'] for job in played.jobs.values())} tasks, "
+        f"{len(played.completed)} completed, {len(played.cloud.rented)} machines, "
+        f"rules broken: {played.broken or 'none'}"
+    )
+    print(
+        "share of a core, a controller:",
+        [
+            round(played.spent[stretch] / STRETCH_S / controllers, 3)
+            for stretch in range(int(args.until // STRETCH_S))
+        ],
+    )
     print("long turns:", dict(played.long_turns) or "none")
     pstats.Stats(played.profile, stream=sys.stdout).sort_stats("tottime").print_stats(30)
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -22,7 +22,10 @@
 SUMMARY = {
     "classes": [{"class": "letters", "open": 3, "done": 7, "late": 1, "atRisk": 2}],
     "leastServed": {"class": "letters", "share": 0.7},
-    "machines": 4, "failing": 1, "heard": ["a", "b"], "behind": ["c: not heard"],
+    "machines": 4,
+    "failing": 1,
+    "heard": ["a", "b"],
+    "behind": ["c: not heard"],
     "troubles": ["a: stood still: once at 03:12:00, 6.0 s"],
 }
 
@@ -61,7 +64,10 @@
 def test_status_submit_and_summary(server, tmp_path, capsys):
     assert cli.main(["status", server, "req-000001"]) == 0
     assert json.loads(capsys.readouterr().out) == {
-        "id": "req-000001", "status": "running", "done": 1, "running": 2,
+        "id": "req-000001",
+        "status": "running",
+        "done": 1,
+        "running": 2,
     }
     job = tmp_path / "job.json"
     job.write_text('{"id": "req-000002"}')
@@ -126,19 +132,39 @@
 
 def test_a_controller_starts_with_what_it_needs_and_no_more():
     """Nothing of hosting, local clusters or their libraries, without a hosted file."""
-    code = ("import sys, run, roadhead.cli, roadhead.node, roadhead.settings; roadhead.cli._parser(False); "
-            "print(*sorted(sys.modules))")
-    out = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True,
-                         env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}).stdout.split()
+    code = (
+        "import sys, run, roadhead.cli, roadhead.node, roadhead.settings; roadhead.cli._parser(False); "
+        "print(*sorted(sys.modules))"
+    )
+    out = subprocess.run(
+        [sys.executable, "-c", code],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+    ).stdout.split()
     assert "roadhead.node" in out
-    unwanted = ("roadhead.tenants", "roadhead.gateway", "roadhead.local",
-                "blake3", "immutables", "lmdb", "tqdm")
+    unwanted = (
+        "roadhead.tenants",
+        "roadhead.gateway",
+        "roadhead.local",
+        "blake3",
+        "immutables",
+        "lmdb",
+        "tqdm",
+    )
     assert [name for name in out if name.startswith(unwanted)] == []
 
 
 def test_help_needs_no_libraries():
-    out = subprocess.run([sys.executable, "-S", "-c", "import roadhead.cli; roadhead.cli.main(['--help'])"],
-                         cwd=ROOT, capture_output=True, text=True, env={})
+    out = subprocess.run(
+        [sys.executable, "-S", "-c", "import roadhead.cli; roadhead.cli.main(['--help'])"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        env={},
+    )
     assert out.returncode == 0 and "summary" in out.stdout and "shares" in out.stdout, out.stderr
 
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -84,15 +84,33 @@
 
 
 def report(number, tasks=(), sequence=1):
-    return messages.Report(f"n-{number:06d}", "10.1.0.1:9000", "box", "a", True, 1, sequence, 7, [
-        messages.TaskReport(f"req-{number}/{index}", 1, "running") for index in range(tasks)
-    ])
+    return messages.Report(
+        f"n-{number:06d}",
+        "10.1.0.1:9000",
+        "box",
+        "a",
+        True,
+        1,
+        sequence,
+        7,
+        [messages.TaskReport(f"req-{number}/{index}", 1, "running") for index in range(tasks)],
+    )
 
 
 def home_of(machines, tasks):
     """A home of that many machines, each with that many running tasks of one CPU."""
-    home = Home(Sim(1), "here", Member(), Deployment(), 10.0, random.Random(1),
-                lambda _label, _frame: True, lambda _machine: None, lambda _job: None, Counters())
+    home = Home(
+        Sim(1),
+        "here",
+        Member(),
+        Deployment(),
+        10.0,
+        random.Random(1),
+        lambda _label, _frame: True,
+        lambda _machine: None,
+        lambda _job: None,
+        Counters(),
+    )
     home.known.types = {"box": KIND}
     home.begin(True)
     home.rooms.window_s = 12.0
@@ -105,10 +123,14 @@
 
 
 def demand(rows):
-    return frames.Demand(0, [
-        (2, 1.0 + number / 100, 0.0, 3.0, 50, True, "", [], 10.0, "c", 50.0, True, 100.0 + number)
-        for number in range(rows)
-    ], ["img"])
+    return frames.Demand(
+        0,
+        [
+            (2, 1.0 + number / 100, 0.0, 3.0, 50, True, "", [], 10.0, "c", 50.0, True, 100.0 + number)
+            for number in range(rows)
+        ],
+        ["img"],
+    )
 
 
 @pytest.mark.parametrize("tasks", [4, 0])
@@ -141,16 +163,21 @@
 
 
 def listed(machines):
-    return [messages.Listed(f"n-{number:06d}", "10.1.0.1:9000", "box", "a", True, "running", 60.0)
-            for number in range(machines)]
+    return [
+        messages.Listed(f"n-{number:06d}", "10.1.0.1:9000", "box", "a", True, "running", 60.0)
+        for number in range(machines)
+    ]
 
 
 def costs(machines):
     """Calls of a report, a list, a beat, and a look whether all is known, at that many machines."""
     home = home_of(machines, 0)
-    return (calls(home.hearing.take_report, report(0, 0, sequence=2)),
-            calls(home.covered, listed(machines), 100.0),
-            calls(home.tick, 0.0) + calls(home.news), calls(home.sureness.clean))
+    return (
+        calls(home.hearing.take_report, report(0, 0, sequence=2)),
+        calls(home.covered, listed(machines), 100.0),
+        calls(home.tick, 0.0) + calls(home.news),
+        calls(home.sureness.clean),
+    )
 
 
 def test_what_a_home_does_for_a_machine_costs_the_same_in_any_fleet():
@@ -167,16 +194,23 @@
     jobs = [f"req-{number}" for number in range(20)]
     frame = frames.Sync(1, 1, jobs, [(f"n-{number:06d}", f"req-{number}", 0, 1) for number in range(20)])
     few, many = home_of(100, 4), home_of(400, 4)
-    assert 0 < calls(many.commanding.on_sync, "there", 1, frame) <= (
-        calls(few.commanding.on_sync, "there", 1, frame) + 2)
+    assert (
+        0
+        < calls(many.commanding.on_sync, "there", 1, frame)
+        <= (calls(few.commanding.on_sync, "there", 1, frame) + 2)
+    )
     few, many = home_of(100, 4), home_of(400, 4)
-    assert 0 < calls(many.commanding.spec, "req-7", NEEDS, False) <= (
-        calls(few.commanding.spec, "req-7", NEEDS, False) + 2)
+    assert (
+        0
+        < calls(many.commanding.spec, "req-7", NEEDS, False)
+        <= (calls(few.commanding.spec, "req-7", NEEDS, False) + 2)
+    )
     assert 0 < calls(many.commanding.cancel, ["req-7"]) <= calls(few.commanding.cancel, ["req-7"]) + 2
 
 
 def test_hearing_all_machines_again_costs_in_proportion_while_syncs_wait():
     """After a change of the term each machine that is heard could be the last that a sync waits for."""
+
     def again(machines):
         home = home_of(machines, 0)
         for machine in home.machines.values():
@@ -214,20 +248,50 @@
 
 def dispatcher_of(jobs, listings):
     def job(number):
-        return Job(messages.JobSpec(
-            f"req-{number}", "c", "crew", "batch", "standard", 50, 1.0, 0.0, 3.0, 1.0, False, False,
-            True, 10.0, 0.0, 0.0, f"img-{number % 9}"), ("here", 1), 0.0)
+        return Job(
+            messages.JobSpec(
+                f"req-{number}",
+                "c",
+                "crew",
+                "batch",
+                "standard",
+                50,
+                1.0,
+                0.0,
+                3.0,
+                1.0,
+                False,
+                False,
+                True,
+                10.0,
+                0.0,
+                0.0,
+                f"img-{number % 9}",
+            ),
+            ("here", 1),
+            0.0,
+        )
 
     sim = Sim(1)
     dispatcher = Dispatcher(
-        sim, "here", Member(), Book([job(number) for number in range(jobs)]),
-        {"c": ([60.0], [], [])}, random.Random(1), lambda _label, _frame: True, Counters(),
-        gap_s=0.25, window_s=12.0, default_aim_s=180.0)
+        sim,
+        "here",
+        Member(),
+        Book([job(number) for number in range(jobs)]),
+        {"c": ([60.0], [], [])},
+        random.Random(1),
+        lambda _label, _frame: True,
+        Counters(),
+        gap_s=0.25,
+        window_s=12.0,
+        default_aim_s=180.0,
+    )
     dispatcher.queue.time_of_day = lambda: 10.0
     dispatcher.queue.capacity = lambda: 100.0
     for number in range(listings):
-        dispatcher.on_grant(frames.Grant(
-            f"n-{number:06d}", 1, 0, "box", "a", "here", True, 1.0, 0.0, 4.0, [], 10.0))
+        dispatcher.on_grant(
+            frames.Grant(f"n-{number:06d}", 1, 0, "box", "a", "here", True, 1.0, 0.0, 4.0, [], 10.0)
+        )
     return dispatcher
 
 
@@ -245,17 +309,43 @@
         self.loop = Sim(1)
         self.desk = Desk(self.loop, Hosted(), lambda: 1e9)
         for number in range(1, tenants + 1):
-            record = records.Tenant(number, f"tenant-{number}", teams=[
-                records.Team(f"team{team}", cpus=1.0) for team in range(10)])
+            record = records.Tenant(
+                number,
+                f"tenant-{number}",
+                teams=[records.Team(f"team{team}", cpus=1.0) for team in range(10)],
+            )
             self.desk.table.take(records.key_of(number), record.to_record(), number)
         self.member = Member()
         self.member.term = HostedTerm()
         self.member.watched_at = 0.0
         self.book = RealBook(
-            self.loop, self.member, lambda *_: None, lambda _label, _frame: True, lambda: None, Counters(),
-            lambda: 1e9, 12.0, None, self.desk.teams, None, None,
-            lambda book: Line(self.loop, self.member, None, book, lambda _label, _frame: True, {},
-                              lambda: 1e9, 12.0, 1.0, None, Counters()), None)
+            self.loop,
+            self.member,
+            lambda *_: None,
+            lambda _label, _frame: True,
+            lambda: None,
+            Counters(),
+            lambda: 1e9,
+            12.0,
+            None,
+            self.desk.teams,
+            None,
+            None,
+            lambda book: Line(
+                self.loop,
+                self.member,
+                None,
+                book,
+                lambda _label, _frame: True,
+                {},
+                lambda: 1e9,
+                12.0,
+                1.0,
+                None,
+                Counters(),
+            ),
+            None,
+        )
         self.book.on_term(None, self.member.term)
         self.book.scanned = 1
         self.desk._node = self
@@ -266,8 +356,24 @@
 
     def spec(self, number):
         return messages.JobSpec(
-            ids.to_job(1 + number % 5, f"j{number}"), "c", ids.to_team(1 + number % 5, f"team{number % 10}"),
-            "batch", "standard", 5, 1.0, 0.0, 3.0, 1.0, False, False, True, 10.0, 0.0, 0.0, "img")
+            ids.to_job(1 + number % 5, f"j{number}"),
+            "c",
+            ids.to_team(1 + number % 5, f"team{number % 10}"),
+            "batch",
+            "standard",
+            5,
+            1.0,
+            0.0,
+            3.0,
+            1.0,
+            False,
+            False,
+            True,
+            10.0,
+            0.0,
+            0.0,
+            "img",
+        )
 
 
 class HostedTerm(Term):
@@ -319,6 +425,7 @@
 
 def test_memory_of_tenants_and_open_jobs_is_in_proportion():
     """Figures stand in docs/tenants.md; here only that they hold at two sizes."""
+
     def grown(tenants, jobs):
         tracemalloc.start()
         node = HostedNode(tenants, jobs)
@@ -350,8 +457,10 @@
 
 def requests_of_a_takeover(tenants):
     """Requests to the state service while a controller is dropped, with so many idle tenants."""
-    world = World("gateways 1\nat 5 tenant busy team=crew\nat 8 submit tenant=busy legs=4 runS=200 count=9\n"
-                  "at 30 crash 0 60\nuntil 50")
+    world = World(
+        "gateways 1\nat 5 tenant busy team=crew\nat 8 submit tenant=busy legs=4 runS=200 count=9\n"
+        "at 30 crash 0 60\nuntil 50"
+    )
     for number in range(10, 10 + tenants):
         record = records.Tenant(number, f"tenant-{number}", teams=[records.Team("team")]).to_record()
         world.state.put(records.key_of(number), record)
@@ -380,8 +489,7 @@
     def one_more(jobs):
         dispatcher = dispatcher_of(jobs, 1)
         dispatcher._place()
-        dispatcher.on_grant(frames.Grant(
-            "n-000777", 2, 0, "box", "a", "here", True, 1.0, 0.0, 4.0, [], 10.0))
+        dispatcher.on_grant(frames.Grant("n-000777", 2, 0, "box", "a", "here", True, 1.0, 0.0, 4.0, [], 10.0))
         return calls(dispatcher._place)
 
     assert 0 < one_more(500) <= one_more(50) + 20
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -66,10 +66,16 @@
     assert code == 0 and "test_gone: not run" in output, output
 
 
-@pytest.mark.parametrize("line", [
-    "tests/test_some.py::test_fails", "tests/test_some.py::test_fails, 41", "test_fails, low, 41",
-    "tests/test_some.py::test_fails, low, many", "tests/test_some.py::test_fails, , 41",
-])
+@pytest.mark.parametrize(
+    "line",
+    [
+        "tests/test_some.py::test_fails",
+        "tests/test_some.py::test_fails, 41",
+        "test_fails, low, 41",
+        "tests/test_some.py::test_fails, low, many",
+        "tests/test_some.py::test_fails, , 41",
+    ],
+)
 def test_a_malformed_line_fails(tmp_path, line):
     with pytest.raises(ValueError, match="not 'test, cause, issue'"):
         known_red(line)
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -92,8 +92,12 @@
     assert cli.main(["tenants", "root-key", "--hosted", hosted]) == 0
     monkeypatch.setenv(commands.KEY_VARIABLE, capsys.readouterr().out.strip())
     address = ["--address", cluster.plan["administration"]]
-    assert cli.main(["tenants", "create", "kestrel", *address, "--team", "crew:cpus=2:weight=3",
-                     "--open-jobs", "7"]) == 0
+    assert (
+        cli.main(
+            ["tenants", "create", "kestrel", *address, "--team", "crew:cpus=2:weight=3", "--open-jobs", "7"]
+        )
+        == 0
+    )
     assert cli.main(["tenants", "change", "kestrel", *address, "--cpus", "4"]) == 0
     capsys.readouterr()
     assert cli.main(["tenants", "show", "kestrel", *address, "--json"]) == 0
@@ -119,11 +123,20 @@
         cluster.tenant()
         headers = [("Authorization", f"Bearer {cluster._secrets.root_key()}")]
         address = cluster.plan["administration"]
-        cluster._insist(address, "POST", "/admin/v1/tenants", {
-            "name": "loud", "teams": [{"name": "crew"}], "limits": {"submissions": 2, "open_jobs": 10},
-        }, headers=headers)
+        cluster._insist(
+            address,
+            "POST",
+            "/admin/v1/tenants",
+            {
+                "name": "loud",
+                "teams": [{"name": "crew"}],
+                "limits": {"submissions": 2, "open_jobs": 10},
+            },
+            headers=headers,
+        )
         _status, answer = cluster._insist(
-            address, "POST", "/admin/v1/tenants/loud/keys", {"scopes": ["submit", "read"]}, headers=headers)
+            address, "POST", "/admin/v1/tenants/loud/keys", {"scopes": ["submit", "read"]}, headers=headers
+        )
         loud = [("Authorization", f"Bearer {answer['key']}")]
         statuses = []
         for number in range(150):
@@ -139,11 +152,19 @@
         cluster.stop()
 
 
-@pytest.mark.parametrize("text", [
-    "", "[[job]]\nid = 'a'", "[[job]]\nid = 'a'\ncommand = 'x'", "[[job]]\nid = 'A'\ncommand = ['x']",
-    "[[job]]\nid = 'a'\ncommand = ['x']\ntasks = 0", "[[job]]\nid = 'a'\ncommand = ['x']\ncolour = 1", "[[",
-    "[[job]]\nid = 'a'\ncommand = ['x']\n[[job]]\nid = 'a'\ncommand = ['x']",
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "[[job]]\nid = 'a'",
+        "[[job]]\nid = 'a'\ncommand = 'x'",
+        "[[job]]\nid = 'A'\ncommand = ['x']",
+        "[[job]]\nid = 'a'\ncommand = ['x']\ntasks = 0",
+        "[[job]]\nid = 'a'\ncommand = ['x']\ncolour = 1",
+        "[[",
+        "[[job]]\nid = 'a'\ncommand = ['x']\n[[job]]\nid = 'a'\ncommand = ['x']",
+    ],
+)
 def test_bad_job_files_are_told_before_anything_starts(text, tmp_path, capsys):
     file = tmp_path / "jobs.toml"
     file.write_text(text)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -90,9 +90,11 @@
 
 def test_marks_that_no_owner_dropped_go():
     """Their owner ended before it could: the first member, which read them as it joined, does in the end."""
-    world = World("cancel_s 14\nat 1 submit legs=4 runS=100\nat 20 crash 0 0.1\nat 20 crash 1 0.1\n"
-                  "at 20 crash 2 0.1\nat 20.4 cancel 1\nat 24 crash 0 0.1\n"
-                  "at 180 submit legs=1\nuntil 220")
+    world = World(
+        "cancel_s 14\nat 1 submit legs=4 runS=100\nat 20 crash 0 0.1\nat 20 crash 1 0.1\n"
+        "at 20 crash 2 0.1\nat 20.4 cancel 1\nat 24 crash 0 0.1\n"
+        "at 180 submit legs=1\nuntil 220"
+    )
     world.sim.call_at(22, lambda: world.state.put("c/x/req-000001", True))  # as one left behind
     world.sim.call_at(60, lambda: marks.append("c/x/req-000001" in world.state.data))
     marks = []
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -30,8 +30,27 @@
 
 def spec(number, upstream=None, due_s=None, urgency="standard", estimate_s=10.0):
     names = [f"req-{other}" for other in upstream] if upstream else None
-    return messages.JobSpec(f"req-{number}", "c", "crew", "batch", urgency, 2, 1.0, 0.0, 1.0, 1.0, False,
-                            False, True, estimate_s, 0.0, 0.0, "img", due_s=due_s, upstream=names)
+    return messages.JobSpec(
+        f"req-{number}",
+        "c",
+        "crew",
+        "batch",
+        urgency,
+        2,
+        1.0,
+        0.0,
+        1.0,
+        1.0,
+        False,
+        False,
+        True,
+        estimate_s,
+        0.0,
+        0.0,
+        "img",
+        due_s=due_s,
+        upstream=names,
+    )
 
 
 class Model:
@@ -50,8 +69,9 @@
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
-@given(st.lists(st.tuples(st.lists(st.integers(1, 12), max_size=4), st.integers(0, 9)),
-                min_size=1, max_size=40))
+@given(
+    st.lists(st.tuples(st.lists(st.integers(1, 12), max_size=4), st.integers(0, 9)), min_size=1, max_size=40)
+)
 def test_what_waits_is_what_a_simple_model_says(drawn):
     """Jobs come and end in any order, through `Waits` with its consequences drawn as an owner does."""
     model, waits, ended, free, jobs = Model(), Waits(), {}, set(), []
@@ -180,8 +200,16 @@
         return record
 
     above = Ancestry(
-        loop, store, lambda _name: None, lambda name, _record: learned.append(name), None, whole,
-        lambda record: record["spec"].get("upstream", ()), lambda _record: "closed", ("j/",))
+        loop,
+        store,
+        lambda _name: None,
+        lambda name, _record: learned.append(name),
+        None,
+        whole,
+        lambda record: record["spec"].get("upstream", ()),
+        lambda _record: "closed",
+        ("j/",),
+    )
 
     async def ask():
         try:
@@ -215,8 +243,12 @@
 
 
 def test_a_tenants_record_fits_the_smaller_limit_or_says_so():
-    tenant = records.Tenant(1, "kestrel", teams=[records.Team(f"team{n}", 1.0, 2.0) for n in range(8)],
-                            requests={f"a-request-of-somebody-{n}" * 6: n for n in range(8)})
+    tenant = records.Tenant(
+        1,
+        "kestrel",
+        teams=[records.Team(f"team{n}", 1.0, 2.0) for n in range(8)],
+        requests={f"a-request-of-somebody-{n}" * 6: n for n in range(8)},
+    )
     assert tenant.fitting(8192) is tenant
     smaller = tenant.fitting(600)
     assert smaller.teams == tenant.teams and not smaller.requests
@@ -251,12 +283,18 @@
 def unknown_taken_for_done(patch):
     """An heir takes what it has not heard of for done."""
     real = Waits.add
-    patch.setattr(Waits, "add", lambda self, job, ended: real(
-        self, job, (lambda name: ended(name) or DONE) if job.foreign else ended))
+    patch.setattr(
+        Waits,
+        "add",
+        lambda self, job, ended: real(
+            self, job, (lambda name: ended(name) or DONE) if job.foreign else ended
+        ),
+    )
 
 
 def released_without_the_homes(patch):
     """An inherited job starts once what it needs is done, though its owner of before may have started it."""
+
     def released(self, job):
         job.unsynced = set()
         self._begin(job)
@@ -266,6 +304,7 @@
 
 def never_derived(patch):
     """A job counts as its own record says alone."""
+
     async def derive(self, record):
         return record, []
 
@@ -276,8 +315,9 @@
 def only_the_next_above(patch):
     """Only the jobs that it names are looked at, not those before them."""
     real = Ancestry._note
-    patch.setattr(Ancestry, "_note", lambda self, name, record, stamp: real(
-        self, name, {**record, "rel": 1.0}, stamp))
+    patch.setattr(
+        Ancestry, "_note", lambda self, name, record, stamp: real(self, name, {**record, "rel": 1.0}, stamp)
+    )
     patch.setattr(Line, "_cancel", lambda self, job: None)
 
 
@@ -295,6 +335,7 @@
 
 def accepted_unseen(patch):
     """A submission that names a job never accepted is taken."""
+
     async def admission(self, _spec, _own):
         return None, False
 
@@ -304,8 +345,13 @@
 def opened_by_those_alive(patch):
     """The gate counts only who is there."""
     real = gate.following
-    patch.setattr(gate, "following", lambda record, labels, present, knows, now: real(
-        record, [label for label in labels if label in present], present, knows, now))
+    patch.setattr(
+        gate,
+        "following",
+        lambda record, labels, present, knows, now: real(
+            record, [label for label in labels if label in present], present, knows, now
+        ),
+    )
 
 
 def taken_before_the_gate(patch):
@@ -319,9 +365,18 @@
 
 
 def chains(*more):
-    return "\n".join(("capacity 6", "at 1 submit legs=4 runS=60", "at 2 submit legs=1 upstream=1",
-                      "at 2 submit legs=1 upstream=2", "at 2 submit legs=1 upstream=2,3",
-                      "at 2 submit count=6 legs=1 upstream=4", *more, "until 140"))
+    return "\n".join(
+        (
+            "capacity 6",
+            "at 1 submit legs=4 runS=60",
+            "at 2 submit legs=1 upstream=1",
+            "at 2 submit legs=1 upstream=2",
+            "at 2 submit legs=1 upstream=2,3",
+            "at 2 submit count=6 legs=1 upstream=4",
+            *more,
+            "until 140",
+        )
+    )
 
 
 OLD_BACK = """
@@ -337,20 +392,24 @@
 """
 
 
-@pytest.mark.parametrize(("sabotage", "world"), [
-    (starts_at_once, "pipeline"),
-    (one_is_enough, "pipeline"),
-    (unknown_taken_for_done, "pipeline-takeover"),
-    (released_without_the_homes, "pipeline-owner-away"),
-    (never_derived, chains("at 20 cancel 1")),
-    (only_the_next_above, chains("at 20 cancel 1")),
-    (facts_never_old, chains("at 20 cancel 1")),
-    (cancellations_not_counted, chains("at 20 cancel 1")),
-    (accepted_unseen, "pipeline-refused"),
-    (opened_by_those_alive, OLD_BACK.format(pipelines(25, 4))),
-    (taken_before_the_gate, OLD_BACK.format(pipelines(25, 4))),
-    (sizes_of_today, "pipeline-lowered"),
-], ids=lambda value: value.__name__ if callable(value) else "")
+@pytest.mark.parametrize(
+    ("sabotage", "world"),
+    [
+        (starts_at_once, "pipeline"),
+        (one_is_enough, "pipeline"),
+        (unknown_taken_for_done, "pipeline-takeover"),
+        (released_without_the_homes, "pipeline-owner-away"),
+        (never_derived, chains("at 20 cancel 1")),
+        (only_the_next_above, chains("at 20 cancel 1")),
+        (facts_never_old, chains("at 20 cancel 1")),
+        (cancellations_not_counted, chains("at 20 cancel 1")),
+        (accepted_unseen, "pipeline-refused"),
+        (opened_by_those_alive, OLD_BACK.format(pipelines(25, 4))),
+        (taken_before_the_gate, OLD_BACK.format(pipelines(25, 4))),
+        (sizes_of_today, "pipeline-lowered"),
+    ],
+    ids=lambda value: value.__name__ if callable(value) else "",
+)
 def test_a_guard_taken_out_is_noticed(sabotage, world):
     """Luck decides who owns what, so a few seeds are tried; unbroken, the same one is clean."""
     rolled = "upgrade" in world
@@ -391,8 +450,10 @@
             marked.append(job)
 
     book.recorder = Marked()
-    specs = [messages.msgspec.structs.replace(node.spec(number), upstream=["req-7"] if number % 2 else None)
-             for number in range(200)]
+    specs = [
+        messages.msgspec.structs.replace(node.spec(number), upstream=["req-7"] if number % 2 else None)
+        for number in range(200)
+    ]
     book.adopt([(Job(each, ("gone", 1), 0.0).record(1 << 15)[0], 5) for each in specs])
     assert len(marked) == len(book.jobs) == 100 and len(book.line.waits.jobs) == 100
     assert [len(frame.jobs) for frame in sent] == [100, 100]  # a home each
@@ -431,8 +492,9 @@
 
 
 def test_a_description_larger_than_a_value_is_never_taken():
-    world = World("at 1 submit count=2 legs=1\nat 2 submit legs=1 kit=" + "x" * 150 + "\nuntil 40\n"
-                  "expect told done all")
+    world = World(
+        "at 1 submit count=2 legs=1\nat 2 submit legs=1 kit=" + "x" * 150 + "\nuntil 40\nexpect told done all"
+    )
     world.run()
     assert world.check() == []
     node = world.nodes[0]
@@ -445,8 +507,10 @@
 
 def test_lower_limits_found_by_one_are_known_to_all_at_once():
     """Also to one that was away then; and the summary says so."""
-    world = World("next_write_rps 30\nnext_value_kb 2\nnext_txn_ops 5\nat 1 submit legs=2 runS=4\n"
-                  "at 20.5 crash 2 6\nuntil 40")
+    world = World(
+        "next_write_rps 30\nnext_value_kb 2\nnext_txn_ops 5\nat 1 submit legs=2 runS=4\n"
+        "at 20.5 crash 2 6\nuntil 40"
+    )
     lowered = []
 
     def look():
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -221,31 +221,34 @@
     patch.setattr(Switchboard, "tell_term", lambda self, label: None)
 
 
-@pytest.mark.parametrize(("sabotage", "scenario"), [
-    (terms_are_not_told, "refused-leader-told"),
-    (back_is_sure_soon, "back-before-sure"),
-    (takes_on_what_boots_later, "meeting-boots-at-the-cut"),
-    (covers_what_it_left, "meeting-lapsed-heir"),
-    (cancelled_count_for_nothing, "limit-cancelled"),
-    (links_tell_only_what_is_new, "meeting-refused-then-down"),
-    (members_alone_are_heard, "meeting-alone"),
-    (handed_over_taken_for_heard, "cut-in-two"),
-    (moved_without_a_fence, "stall-takeover"),
-    (created_without_a_look_at_the_shelf, "shelf"),
-    (polls_the_shelf_first, "shelf-polled"),
-    (never_fenced, "takeover-room"),
-    (freed_when_silent, "hung-machine"),
-    (started_unsynced, "takeover-running"),
-    (up_taken_for_booting, "takeover-running"),
-    (renews_blindly, "cut-zone"),
-    (told_before_durable, "crash-all-outage"),
-    (shared_limit, "limit"),
-    (inherits_limits_unsure, "limit-takeover"),
-    (forgets_loose_launches, "late-launch-cancel"),
-    (frees_when_lapsed, "cut-in-two"),
-    (never_fenced, "back-takeover-room"),
-    (started_unsynced, "back-late-copies"),
-])
+@pytest.mark.parametrize(
+    ("sabotage", "scenario"),
+    [
+        (terms_are_not_told, "refused-leader-told"),
+        (back_is_sure_soon, "back-before-sure"),
+        (takes_on_what_boots_later, "meeting-boots-at-the-cut"),
+        (covers_what_it_left, "meeting-lapsed-heir"),
+        (cancelled_count_for_nothing, "limit-cancelled"),
+        (links_tell_only_what_is_new, "meeting-refused-then-down"),
+        (members_alone_are_heard, "meeting-alone"),
+        (handed_over_taken_for_heard, "cut-in-two"),
+        (moved_without_a_fence, "stall-takeover"),
+        (created_without_a_look_at_the_shelf, "shelf"),
+        (polls_the_shelf_first, "shelf-polled"),
+        (never_fenced, "takeover-room"),
+        (freed_when_silent, "hung-machine"),
+        (started_unsynced, "takeover-running"),
+        (up_taken_for_booting, "takeover-running"),
+        (renews_blindly, "cut-zone"),
+        (told_before_durable, "crash-all-outage"),
+        (shared_limit, "limit"),
+        (inherits_limits_unsure, "limit-takeover"),
+        (forgets_loose_launches, "late-launch-cancel"),
+        (frees_when_lapsed, "cut-in-two"),
+        (never_fenced, "back-takeover-room"),
+        (started_unsynced, "back-late-copies"),
+    ],
+)
 def test_breaking_a_safety_rule_is_noticed(sabotage, scenario):
     """Luck decides where tasks run, so a few seeds are tried; unbroken, the same one is clean."""
     text = (SCENARIOS / f"{scenario}.txt").read_text()
@@ -264,8 +267,10 @@
     text = (SCENARIOS / "meeting-ends-apart.txt").read_text()
     real = from_record
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr("roadhead.jobs.book.from_record",
-                      lambda record, owner, stamp: real({**record, "done": []}, owner, stamp))
+        patch.setattr(
+            "roadhead.jobs.book.from_record",
+            lambda record, owner, stamp: real({**record, "done": []}, owner, stamp),
+        )
         assert any("ran anew" in fault for fault in World(text).run().check())
 
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -97,8 +97,14 @@
     assert moved == again.shares.counts(again.homes)["ctl-0"] >= SHARES // 3
 
 
-changes = st.lists(st.tuples(st.sampled_from(["join", "drop", "relieve", "restore", "step", "raise"]),
-                             st.integers(0, 4), st.integers(0, SHARES - 1)), max_size=40)
+changes = st.lists(
+    st.tuples(
+        st.sampled_from(["join", "drop", "relieve", "restore", "step", "raise"]),
+        st.integers(0, 4),
+        st.integers(0, SHARES - 1),
+    ),
+    max_size=40,
+)
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
@@ -150,8 +156,11 @@
     home.commanding._send = home._news._send = lambda label, frame: sent.append((label, frame))
     machine = home.machines["n-000000"]
     machine.holder, machine.grant_serial = "there", 3
-    home.commanding.on_start("there", 1, frames.Start(
-        1, machine.id, 3, "req-9", [(0, 77)], 0, 1.0, 0.0, 3.0, "img", 1.0, 0.0, False, False))
+    home.commanding.on_start(
+        "there",
+        1,
+        frames.Start(1, machine.id, 3, "req-9", [(0, 77)], 0, 1.0, 0.0, 3.0, "img", 1.0, 0.0, False, False),
+    )
     assert [task.status for task in machine.tasks.values()] == [LAUNCHING]
     home.commanding.on_sync("heir", 2, frames.Sync(1, 1, ["req-9"], []))
     told = [type(frame) for label, frame in sent if label == "heir"]
@@ -206,8 +215,9 @@
     world = World("at 20 crash 0\nat 40 crash 1 30\nuntil 90")
     short = {}
     for at, number in ((30.0, 0), (80.0, 1)):
-        world.sim.call_at(at, lambda number=number: short.update(
-            {number: world.nodes[number].member.replaced}))
+        world.sim.call_at(
+            at, lambda number=number: short.update({number: world.nodes[number].member.replaced})
+        )
     world.run()
     assert short == {0: True, 1: False}
 
@@ -272,8 +282,15 @@
             return 409, messages.write(answer), None
 
     loop = Sim(1)
-    workers = Workers(loop, None, Member(), timeout_s=3.0, may_command=lambda: True, silent_s=4.0,
-                      sockets=Sockets(200, lambda _name: None))
+    workers = Workers(
+        loop,
+        None,
+        Member(),
+        timeout_s=3.0,
+        may_command=lambda: True,
+        silent_s=4.0,
+        sockets=Sockets(200, lambda _name: None),
+    )
     workers.home = home
     workers._clients[machine.id] = Asked()
     routine = loop.spawn(workers._ask(machine, False), "ask")
--- a/tests/test_steps.py
+++ b/tests/test_steps.py
@@ -61,20 +61,27 @@
 
 def keys(*prefixes):
     return lambda body: any(
-        (write.get("put") or write["drop"]).startswith(prefixes) for write in body["writes"])
+        (write.get("put") or write["drop"]).startswith(prefixes) for write in body["writes"]
+    )
 
 
 def of_jobs_that_need_others(body):
-    return any("put" in write and write["put"].startswith(("j/", "f/", "c/x/"))
-               and int(write["put"][-6:]) >= 4 for write in body["writes"])
+    return any(
+        "put" in write and write["put"].startswith(("j/", "f/", "c/x/")) and int(write["put"][-6:]) >= 4
+        for write in body["writes"]
+    )
 
 
 @pytest.mark.parametrize("after", [False, True])
-@pytest.mark.parametrize(("kind", "text", "wanted"), [
-    (World, PIPELINES, of_jobs_that_need_others),
-    (Rolled, ROLL, keys("c/format", "c/term", "c/m/")),
-    (World, WIDE, keys("u/", "j/req-000131")),
-], ids=["release and cancel", "gate", "parts"])
+@pytest.mark.parametrize(
+    ("kind", "text", "wanted"),
+    [
+        (World, PIPELINES, of_jobs_that_need_others),
+        (Rolled, ROLL, keys("c/format", "c/term", "c/m/")),
+        (World, WIDE, keys("u/", "j/req-000131")),
+    ],
+    ids=["release and cancel", "gate", "parts"],
+)
 def test_an_end_at_any_step(kind, text, wanted, after):
     steps = 0
     while (world := ended_at(kind, text, steps, after, wanted)) is not None:
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -52,12 +52,20 @@
     return records.Tenant(1, "kestrel", **fields)
 
 
-@pytest.mark.parametrize("change", [
-    {"teams": [records.Team("a"), records.Team("a")]}, {"teams": [records.Team("Ä")]},
-    {"teams": [records.Team("a", cpus=4, cpus_max=2)]}, {"weight": 0.0}, {"weight": float("nan")},
-    {"teams": [records.Team("a", cpus=4), records.Team("b", cpus=4)], "limits": records.Limits(cpus=6)},
-    {"limits": records.Limits(submissions=0)}, {"limits": records.Limits(cpus=-1)}, {"name": "-x"},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"teams": [records.Team("a"), records.Team("a")]},
+        {"teams": [records.Team("Ä")]},
+        {"teams": [records.Team("a", cpus=4, cpus_max=2)]},
+        {"weight": 0.0},
+        {"weight": float("nan")},
+        {"teams": [records.Team("a", cpus=4), records.Team("b", cpus=4)], "limits": records.Limits(cpus=6)},
+        {"limits": records.Limits(submissions=0)},
+        {"limits": records.Limits(cpus=-1)},
+        {"name": "-x"},
+    ],
+)
 def test_records_that_contradict_themselves(change):
     with pytest.raises(records.Contradiction):
         records.Tenant(**{"number": 1, "name": "kestrel", **change}).check()
@@ -73,7 +81,12 @@
     assert records.transit(going, "resume") is None and records.transit(active, "bury") is None
     gone = records.transit(going, "bury")
     assert gone.to_record() == {
-        "number": 1, "name": "kestrel", "state": "removed", "version": 4, "limits": {}}
+        "number": 1,
+        "name": "kestrel",
+        "state": "removed",
+        "version": 4,
+        "limits": {},
+    }
     assert records.from_record(gone.to_record()) == gone
     assert records.from_record({**active.to_record(), "colour": "red"}) == active
 
@@ -88,8 +101,13 @@
     assert not keys.good(text, None) and not Secrets(b"n" * 32).good(text, records.Key(3, digest, []))
     signature = keys.sign("POST", "/v1/jobs", b"body", 1000.0)
     assert keys.signed(signature, "POST", "/v1/jobs", b"body", 1050.0)
-    for now, body, value in ((1200.0, b"body", signature), (1000.0, b"other", signature),
-                             (1000.0, b"body", None), (1000.0, b"body", "x:y"), (1000.0, b"body", "nan:")):
+    for now, body, value in (
+        (1200.0, b"body", signature),
+        (1000.0, b"other", signature),
+        (1000.0, b"body", None),
+        (1000.0, b"body", "x:y"),
+        (1000.0, b"body", "nan:"),
+    ):
         assert not keys.signed(value, "POST", "/v1/jobs", body, now)
 
 
@@ -116,13 +134,36 @@
 def test_creations_within_a_guarantee_are_written_first():
     sim = Sim(1)
     member = type("Member", (), {"term": None})
-    state = type("State", (), {"limits": type("L", (), {"txn_ops": 16}), "batch": 2,
-                               "writes": Bucket(sim, 6.0, 6.0)})
+    state = type(
+        "State", (), {"limits": type("L", (), {"txn_ops": 16}), "batch": 2, "writes": Bucket(sim, 6.0, 6.0)}
+    )
     guards = type("Guards", (), {"later": staticmethod(lambda job: job.spec.team == "1/b")})
     recorder = Recorder(sim, state, 1.0, None, None, None, None, member, guards, Counters())
-    jobs = [Job(messages.JobSpec(
-        f"req-{number}", "c", team, "batch", "standard", 1, 1.0, 0.0, 1.0, 1.0, False, False, True, 1.0, 0.0,
-        0.0), ("here", 1), 0.0) for number, team in enumerate(("1/b", "1/b", "1/a", "1/b", "1/a"))]
+    jobs = [
+        Job(
+            messages.JobSpec(
+                f"req-{number}",
+                "c",
+                team,
+                "batch",
+                "standard",
+                1,
+                1.0,
+                0.0,
+                1.0,
+                1.0,
+                False,
+                False,
+                True,
+                1.0,
+                0.0,
+                0.0,
+            ),
+            ("here", 1),
+            0.0,
+        )
+        for number, team in enumerate(("1/b", "1/b", "1/a", "1/b", "1/a"))
+    ]
     for job in jobs:
         recorder.mark(job, URGENT)
     assert [job.spec.team for job in recorder._batch()] == ["1/a", "1/a"]
@@ -144,12 +185,20 @@
 """
 
 
-@pytest.mark.parametrize(("old", "new"), [
-    ("[gateway]", "colour = 1\n[gateway]"), ("[gateway]", "slots = 0\n[gateway]"),
-    ("8091", "8090"), ("127.0.0.1:8080", "here"), ("rps = 100", "rps = -1"), ("rps = 100", "rps = nan"),
-    ("[cluster.controllers]", "[cluster.controllers]\nb = \"127.0.0.1:8080\""), ("state =", "store ="),
-    ("secret_file = \"secret\"", "secret_file = \"secret\"\nsecret_file = \"other\""),
-])
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ("[gateway]", "colour = 1\n[gateway]"),
+        ("[gateway]", "slots = 0\n[gateway]"),
+        ("8091", "8090"),
+        ("127.0.0.1:8080", "here"),
+        ("rps = 100", "rps = -1"),
+        ("rps = 100", "rps = nan"),
+        ("[cluster.controllers]", '[cluster.controllers]\nb = "127.0.0.1:8080"'),
+        ("state =", "store ="),
+        ('secret_file = "secret"', 'secret_file = "secret"\nsecret_file = "other"'),
+    ],
+)
 def test_bad_hosted_files_are_one_plain_line_each(old, new, tmp_path):
     with pytest.raises(SettingsError) as error:
         hosted_settings.parse(HOSTED.replace(old, new, 1).encode())
@@ -181,8 +230,12 @@
     """`teams`: {tenant: (weight, {team: guarantee})}; `held`: {team in the service: cpus}."""
     table = Table()
     for number, (weight, own) in teams.items():
-        record = records.Tenant(number, f"t{number}", weight=weight, teams=[
-            records.Team(name, cpus=cpus) for name, cpus in own.items()])
+        record = records.Tenant(
+            number,
+            f"t{number}",
+            weight=weight,
+            teams=[records.Team(name, cpus=cpus) for name, cpus in own.items()],
+        )
         table.take(records.key_of(number), record.to_record(), number)
     accounts = Accounts(TenantTeams(table))
     for name, cpus in held.items():
@@ -200,8 +253,11 @@
 
 
 @fixed
-@given(st.dictionaries(st.integers(1, 6), st.sampled_from([0.5, 1.0, 2.0, 4.0]), min_size=2, max_size=6),
-       st.integers(20, 300), st.integers(0, 1000))
+@given(
+    st.dictionaries(st.integers(1, 6), st.sampled_from([0.5, 1.0, 2.0, 4.0]), min_size=2, max_size=6),
+    st.integers(20, 300),
+    st.integers(0, 1000),
+)
 def test_borrowed_room_comes_to_be_shared_by_weight(weights, room, seed):
     """Progressive filling: whoever may go ahead by at most a quantum ends within one of its share."""
     held = dict.fromkeys((f"{number}/x" for number in weights), 0.0)
@@ -241,8 +297,11 @@
         self.tenancy = self.world.tenancy
 
     def __call__(self, kind, method, path, body=None, key=None, headers=()):
-        return self.finish(self.tenancy.ask(
-            kind, method, path, body, self.tenancy.root if key is None else key, headers=headers))
+        return self.finish(
+            self.tenancy.ask(
+                kind, method, path, body, self.tenancy.root if key is None else key, headers=headers
+            )
+        )
 
     def finish(self, coroutine):
         routine = self.world.user_loop.spawn(coroutine, "call")
@@ -293,8 +352,10 @@
     assert call.admin("GET", "tenants/kestrel")[0] == 410
     status, again = call.admin("POST", "tenants", new, Idempotency_Key="three")
     assert (status, again["number"]) == (201, 5)
-    for document in (call.admin("GET", "openapi.json", key=""),
-                     call("tenants", "GET", "/v1/openapi.json", key="")):
+    for document in (
+        call.admin("GET", "openapi.json", key=""),
+        call("tenants", "GET", "/v1/openapi.json", key=""),
+    ):
         validate(document[1])
 
 
@@ -361,10 +422,15 @@
 
 # One tenant sees nothing of another
 
-STEPS = st.lists(st.tuples(
-    st.sampled_from(["submit", "submit", "status", "cancel", "list", "summary", "bad", "wrong"]),
-    st.sampled_from(["a", "b", "c-1"]), st.integers(1, 3),
-), min_size=6, max_size=14)
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["submit", "submit", "status", "cancel", "list", "summary", "bad", "wrong"]),
+        st.sampled_from(["a", "b", "c-1"]),
+        st.integers(1, 3),
+    ),
+    min_size=6,
+    max_size=14,
+)
 
 
 def seen(steps, others):
@@ -388,8 +454,13 @@
     verb, own, tasks = step
     key = call.tenancy.keys[name]
     if verb == "submit":
-        return call("tenants", "POST", "/v1/jobs", {
-            "id": own, "team": team, "class": "c", "tasks": tasks, "expected_s": 1000.0}, key)
+        return call(
+            "tenants",
+            "POST",
+            "/v1/jobs",
+            {"id": own, "team": team, "class": "c", "tasks": tasks, "expected_s": 1000.0},
+            key,
+        )
     if verb == "bad":
         return call("tenants", "POST", "/v1/jobs", {"id": own, "team": "nobody", "class": "c"}, key)
     if verb == "wrong":
@@ -414,8 +485,9 @@
     return status, body
 
 
-@settings(derandomize=True, database=None, max_examples=6, deadline=None,
-          suppress_health_check=list(HealthCheck))
+@settings(
+    derandomize=True, database=None, max_examples=6, deadline=None, suppress_health_check=list(HealthCheck)
+)
 @given(STEPS, STEPS)
 def test_a_tenant_sees_the_same_whether_or_not_another_exists(steps, others):
     alone = [_without_progress(answer) for answer in seen(steps, None)]
@@ -537,9 +609,14 @@
     quiet = [user for user in world.users.values() if user.tenant == "quiet"]
     starts = sorted(
         world.started.get(f"{user.id}/{index}", 1e9) - user.submitted_at
-        for user in quiet if user.submitted_at > 35 for index in range(user.job["legs"]))
-    accepted = sum(user.first_accepted_at is not None and user.first_accepted_at - user.submitted_at < 1.0
-                   for user in quiet)
+        for user in quiet
+        if user.submitted_at > 35
+        for index in range(user.job["legs"])
+    )
+    accepted = sum(
+        user.first_accepted_at is not None and user.first_accepted_at - user.submitted_at < 1.0
+        for user in quiet
+    )
     loud = sum(world.job_of(task)["tenant"] == "loud" for task in world.started)
     return starts[int(0.95 * len(starts))], accepted / len(quiet), loud
 
@@ -555,8 +632,13 @@
 def test_without_guarantees_a_flood_does_delay():
     """What the test above rests on: were all work alike, the critical flood would come first."""
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(Sharing, "arrange", lambda self, jobs: [
-            setattr(job, "part", 1 << 30) or setattr(job, "sure", job.startable()) for job in jobs])
+        patch.setattr(
+            Sharing,
+            "arrange",
+            lambda self, jobs: [
+                setattr(job, "part", 1 << 30) or setattr(job, "sure", job.startable()) for job in jobs
+            ],
+        )
         assert on_time(QUIET + FLOOD, 1)[0] > 1.5 * on_time(QUIET, 1)[0]
 
 
@@ -576,17 +658,37 @@
     """`running`: [(team, machine, cpus, seconds since its start, save_s or None)], one job each."""
     table = Table()
     for number, own in teams.items():
-        record = records.Tenant(number, f"t{number}", teams=[
-            records.Team(name, cpus=cpus) for name, cpus in own.items()])
+        record = records.Tenant(
+            number, f"t{number}", teams=[records.Team(name, cpus=cpus) for name, cpus in own.items()]
+        )
         table.take(records.key_of(number), record.to_record(), number)
     hosted = TenantTeams(table)
     accounts = Accounts(hosted)
     sim = Sim(1)
     sim.time = 100.0
     for number, (team, machine, cpus, ran_s, save_s) in enumerate(running):
-        job = Job(messages.JobSpec(
-            f"req-{number}", "c", team, "batch", "standard", 1, cpus, 0.0, cpus, 1.0, False, False, True,
-            10.0, 5.0 if save_s is not None else 0.0, save_s or 0.0), ("here", 1), 0.0)
+        job = Job(
+            messages.JobSpec(
+                f"req-{number}",
+                "c",
+                team,
+                "batch",
+                "standard",
+                1,
+                cpus,
+                0.0,
+                cpus,
+                1.0,
+                False,
+                False,
+                True,
+                10.0,
+                5.0 if save_s is not None else 0.0,
+                save_s or 0.0,
+            ),
+            ("here", 1),
+            0.0,
+        )
         accounts.enter(job)
         binding = job.bound[job.free.pop()] = Binding(machine, "a", number, "running", 100.0 - ran_s)
         accounts.hold(job, binding)
@@ -603,20 +705,28 @@
     member = type("Member", (), {"term": type("Term", (), {"members": ("here", "there")})})
     counters = Counters()
     again = []
-    preemption = Preemption(sim, member, book, sharing, send, counters, lambda: again.append(sim.time),
-                            patience, 5.0)
+    preemption = Preemption(
+        sim, member, book, sharing, send, counters, lambda: again.append(sim.time), patience, 5.0
+    )
     return preemption, book, send, sim
 
 
 def reclaim(preemption, *rows):
-    preemption.on_reclaim(frames.Reclaim([(cpus, 0.0, cpus, count, True, zone, [])
-                                          for cpus, count, zone in rows]))
+    preemption.on_reclaim(
+        frames.Reclaim([(cpus, 0.0, cpus, count, True, zone, []) for cpus, count, zone in rows])
+    )
 
 
 def test_the_least_work_of_who_is_furthest_ahead_is_stopped():
-    preemption, book, _send, _sim = preemption_of({1: {"a": 0}, 2: {"b": 0}}, [
-        ("1/a", "m1", 1, 50, None), ("1/a", "m2", 1, 5, None), ("1/a", "m3", 1, 90, 2.0),
-        ("2/b", "m4", 1, 1, None)])
+    preemption, book, _send, _sim = preemption_of(
+        {1: {"a": 0}, 2: {"b": 0}},
+        [
+            ("1/a", "m1", 1, 50, None),
+            ("1/a", "m2", 1, 5, None),
+            ("1/a", "m3", 1, 90, 2.0),
+            ("2/b", "m4", 1, 1, None),
+        ],
+    )
     reclaim(preemption, (1.0, 1, ""))
     assert book.stopped == [("1/a", "m3")]  # it saves
     reclaim(preemption, (1.0, 1, ""))
@@ -626,9 +736,16 @@
 
 
 def test_nothing_within_a_guarantee_stops_and_no_room_too_small_is_made():
-    preemption, book, _send, _sim = preemption_of({1: {"a": 3, "b": 0}}, [
-        ("1/a", "m1", 1, 5, None), ("1/a", "m1", 1, 5, None), ("1/a", "m1", 1, 5, None),
-        ("1/a", "m2", 1, 5, None), ("1/b", "m3", 1, 5, None)])
+    preemption, book, _send, _sim = preemption_of(
+        {1: {"a": 3, "b": 0}},
+        [
+            ("1/a", "m1", 1, 5, None),
+            ("1/a", "m1", 1, 5, None),
+            ("1/a", "m1", 1, 5, None),
+            ("1/a", "m2", 1, 5, None),
+            ("1/b", "m3", 1, 5, None),
+        ],
+    )
     reclaim(preemption, (2.0, 1, ""))  # two CPUs of one machine: only one is borrowed anywhere
     assert book.stopped == []
     reclaim(preemption, (1.0, 5, "elsewhere"))
@@ -641,9 +758,28 @@
     preemption, _book, send, sim = preemption_of({1: {"a": 8}}, [])
     preemption.on_borrowed("here", frames.Borrowed(2.0, 0.0, 8.0))
     preemption.on_borrowed("there", frames.Borrowed(3.0, 0.0, 9.0))
-    waiting = Job(messages.JobSpec(
-        "req-1", "c", "1/a", "batch", "standard", 4, 1.0, 0.0, 1.0, 1.0, False, False, True, 10.0, 0.0, 0.0,
-    ), ("here", 1), 0.0)
+    waiting = Job(
+        messages.JobSpec(
+            "req-1",
+            "c",
+            "1/a",
+            "batch",
+            "standard",
+            4,
+            1.0,
+            0.0,
+            1.0,
+            1.0,
+            False,
+            False,
+            True,
+            10.0,
+            0.0,
+            0.0,
+        ),
+        ("here", 1),
+        0.0,
+    )
     waiting.sure = 4
     preemption.waits([waiting])
     assert send.sent == []
@@ -672,8 +808,9 @@
 def test_a_guarantee_is_given_back_by_stopping_borrowed_work(preempt):
     world = World(TAKEN_BACK + f"preempt {int(preempt)}\n").run()
     assert world.broken == [] and world.failures.texts == []
-    started = sorted(when - 40 for task, when in world.started.items()
-                     if world.job_of(task)["tenant"] == "owner")
+    started = sorted(
+        when - 40 for task, when in world.started.items() if world.job_of(task)["tenant"] == "owner"
+    )
     assert len(started) == 16 if preempt else len(started) < 16
     if preempt:
         assert started[-1] < 4  # save, exit, fetch
@@ -706,8 +843,14 @@
     world.sim.call_at(50.0, end_one)
     world.run()
     assert world.broken == [] and wardens[0] != wardens[1]
-    started = {name: [when for task, when in world.started.items()
-                      if world.job_of(task)["tenant"] == name and 53 < when < 62] for name in ("one", "two")}
+    started = {
+        name: [
+            when
+            for task, when in world.started.items()
+            if world.job_of(task)["tenant"] == name and 53 < when < 62
+        ]
+        for name in ("one", "two")
+    }
     assert started["one"] == [] and len(started["two"]) > 5
 
 
@@ -721,8 +864,13 @@
     call.wait(2)
     key = call.tenancy.keys["kestrel"]
     for number in range(7):
-        body = {"id": f"j{number}", "team": "crew" if number % 2 else "other", "class": f"c{number % 3}",
-                "expected_s": 1000.0, "zone": "north"}
+        body = {
+            "id": f"j{number}",
+            "team": "crew" if number % 2 else "other",
+            "class": f"c{number % 3}",
+            "expected_s": 1000.0,
+            "zone": "north",
+        }
         assert call("tenants", "POST", "/v1/jobs", body, key)[0] == 201
     answer = call("tenants", "POST", "/v1/jobs/j1/cancel", None, key)
     assert answer == (200, {"id": "j1", "status": "cancelled"})
@@ -743,7 +891,10 @@
     body = {"id": "k", "team": "crew", "class": "c", "image": None}
     status, data, headers = call.finish(_cbor(call, "/v1/jobs", body, key))
     assert (status, cbor2.loads(data), headers["content-type"]) == (
-        201, {"id": "k", "status": "pending"}, "application/cbor")
+        201,
+        {"id": "k", "status": "pending"},
+        "application/cbor",
+    )
     status, data, headers = call.finish(_cbor(call, "/v1/jobs", {"id": "k", "kind": key}, key))
     assert status == 400 and headers["content-type"] == "application/problem+cbor"
     assert key.encode() not in data
@@ -757,14 +908,20 @@
     return await client.request("POST", path, cbor2.dumps(body), 5.0, [("Authorization", f"Bearer {key}")])
 
 
-@pytest.mark.parametrize(("method", "path", "body", "status"), [
-    ("PUT", "/v1/jobs", {}, 405), ("GET", "/v2/jobs", None, 404), ("GET", "/v1/jobs/UPPER", None, 404),
-    ("POST", "/v1/jobs", [], 400), ("POST", "/v1/jobs", {"id": "a", "team": "crew"}, 400),
-    ("POST", "/v1/jobs", {"id": "a", "team": "crew", "class": "c", "tasks": 100_001}, 400),
-    ("POST", "/v1/jobs", {"id": "a", "team": "crew", "class": "c", "cpus": -1}, 400),
-    ("POST", "/v1/jobs", {"id": "a", "team": "crew", "class": "c", "cpus": 64}, 422),
-    ("POST", "/v1/jobs", {"id": "a", "team": "none", "class": "c"}, 422),
-])
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("PUT", "/v1/jobs", {}, 405),
+        ("GET", "/v2/jobs", None, 404),
+        ("GET", "/v1/jobs/UPPER", None, 404),
+        ("POST", "/v1/jobs", [], 400),
+        ("POST", "/v1/jobs", {"id": "a", "team": "crew"}, 400),
+        ("POST", "/v1/jobs", {"id": "a", "team": "crew", "class": "c", "tasks": 100_001}, 400),
+        ("POST", "/v1/jobs", {"id": "a", "team": "crew", "class": "c", "cpus": -1}, 400),
+        ("POST", "/v1/jobs", {"id": "a", "team": "crew", "class": "c", "cpus": 64}, 422),
+        ("POST", "/v1/jobs", {"id": "a", "team": "none", "class": "c"}, 422),
+    ],
+)
 def test_what_can_not_be_is_refused_at_once(method, path, body, status):
     call = Calls()
     call.finish(call.tenancy.do("tenant", "kestrel", "team=crew"))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -33,8 +33,11 @@
 
     def fronts_for(self, job):
         """Nothing new is asked of the old version, which would not see the field."""
-        return [front for number, front in enumerate(self.fronts)
-                if not (job.get("upstream") and self.serves_old[number])]
+        return [
+            front
+            for number, front in enumerate(self.fronts)
+            if not (job.get("upstream") and self.serves_old[number])
+        ]
 
     def do(self, words):
         if words[0] == "upgrade":
@@ -120,8 +123,13 @@
 def drawn(seed):
     """A roll under troubles of all kinds, in any order, with pipelines after it."""
     rng = random.Random(seed)
-    lines = [LIMITS, f"seed {seed}", f"capacity {rng.choice((4, 8))}", "until 400",
-             f"at 1 submit count={rng.randrange(6, 14)} legs=8 runS={rng.choice((6, 20))}"]
+    lines = [
+        LIMITS,
+        f"seed {seed}",
+        f"capacity {rng.choice((4, 8))}",
+        "until 400",
+        f"at 1 submit count={rng.randrange(6, 14)} legs=8 runS={rng.choice((6, 20))}",
+    ]
     order = rng.sample(range(3), 3)
     step = rng.choice((0.2, 4, 10, 15))
     back = rng.choice((0.1, 0.4, 3))
@@ -134,11 +142,23 @@
             lines.append(f"at {22 + 3 * step + 8} upgrade {number} {back}")
     for _ in range(rng.randrange(1, 4)):
         at, node, length = rng.uniform(15, 60), rng.randrange(3), rng.choice((3, 8, 14))
-        lines.append(f"at {at:.1f} " + rng.choice((
-            f"cut {node} state {length} hold", f"cut {node} {(node + 1) % 3} {length} hold",
-            f"stall {node} {length}", f"outage {length}", f"cut {node} workers {length} hold",
-            f"lose state {rng.randrange(1, 4)}", f"late-write {length}", f"crash {node} 0.1", "die 1",
-            f"leave {node} {back}")))
+        lines.append(
+            f"at {at:.1f} "
+            + rng.choice(
+                (
+                    f"cut {node} state {length} hold",
+                    f"cut {node} {(node + 1) % 3} {length} hold",
+                    f"stall {node} {length}",
+                    f"outage {length}",
+                    f"cut {node} workers {length} hold",
+                    f"lose state {rng.randrange(1, 4)}",
+                    f"late-write {length}",
+                    f"crash {node} 0.1",
+                    "die 1",
+                    f"leave {node} {back}",
+                )
+            )
+        )
     lines.append(f"at {rng.uniform(70, 90):.1f} lower")
     number = int(lines[4].split("count=")[1].split()[0])
     for place, at in enumerate(sorted(rng.choice((30, 66, 80, 100)) for _ in range(3))):
@@ -158,8 +178,11 @@
         faults.append("a duty failed")
     if world.state.oversized:
         faults.append(f"{world.state.oversized} writes were too large")
-    return faults + [f"{job}: {user.told}" for job, user in world.users.items()
-                     if user.accepted and user.told not in ("done", "cancelled")]
+    return faults + [
+        f"{job}: {user.told}"
+        for job, user in world.users.items()
+        if user.accepted and user.told not in ("done", "cancelled")
+    ]
 
 
 @pytest.mark.parametrize("seed", range(1, 13))
@@ -248,7 +271,8 @@
     node = world.nodes[0]
     assert not node.member.joined and not node.ready()
     assert {key: entry for key, entry in world.state.data.items() if key.startswith("j/")} == {
-        key: entry for key, entry in before[0].items() if key.startswith("j/")}
+        key: entry for key, entry in before[0].items() if key.startswith("j/")
+    }
 
 
 def test_what_the_gate_tells_operators():
@@ -256,9 +280,13 @@
     known.take({"format": BEFORE, "seen": {"a": [4, 100.0]}}, 7)
     known.take({"format": 4, "seen": {}}, 6)  # older word changes nothing
     assert known.told(130.0) == {
-        "format": BEFORE, "open": False, "knows": 4,
-        "members": [{"label": "a", "format": 4, "sinceS": 30.0},
-                    {"label": "b", "format": None, "sinceS": None}],
+        "format": BEFORE,
+        "open": False,
+        "knows": 4,
+        "members": [
+            {"label": "a", "format": 4, "sinceS": 30.0},
+            {"label": "b", "format": None, "sinceS": None},
+        ],
     }
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -18,17 +18,35 @@
 fixed = settings(derandomize=True, database=None, max_examples=150, deadline=None)
 
 JOB = {
-    "id": "req-000001", "jobclass": "c", "crew": "t", "shape": "batch", "urgency": "high", "legs": 3,
-    "vcpus": 1, "gpus": 0, "ramGb": 2.5, "kit": "img", "sizeGb": 1, "together": False,
-    "scatter": False, "loaners": True, "expectS": 10, "musterS": 0, "stowS": 0,
+    "id": "req-000001",
+    "jobclass": "c",
+    "crew": "t",
+    "shape": "batch",
+    "urgency": "high",
+    "legs": 3,
+    "vcpus": 1,
+    "gpus": 0,
+    "ramGb": 2.5,
+    "kit": "img",
+    "sizeGb": 1,
+    "together": False,
+    "scatter": False,
+    "loaners": True,
+    "expectS": 10,
+    "musterS": 0,
+    "stowS": 0,
 }
 
 PLATFORM = {
-    "label": "a", "location": "z", "front": "10.0.0.1:80", "internal_addr": "10.0.0.1:81",
+    "label": "a",
+    "location": "z",
+    "front": "10.0.0.1:80",
+    "internal_addr": "10.0.0.1:81",
     "members": [{"label": "b", "location": "z", "endpoint": "10.0.0.2:81"}],
     "external": {"cloud": "10.0.0.3:1", "state": "10.0.0.4:1"},
     "deployment": {
-        "nodes": 2, "teams": [{"name": "t"}],
+        "nodes": 2,
+        "teams": [{"name": "t"}],
         "workers": {"report_s": 2, "lease_s": 12, "cancel_s": 30},
         "state": {"rps": 10, "write_rps": 5, "value_kb": 8, "txn_ops": 4},
         "cloud": {"rps": 4, "list_lag_s": 3},
@@ -62,16 +80,19 @@
     assert parser.empty
 
 
-@pytest.mark.parametrize(("data", "status"), [
-    (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * MAX_HEAD, 431),
-    (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (MAX_BODY + 1), 413),
-    (b"POST / HTTP/1.1\r\nContent-Length: 9999999999999999999999\r\n\r\n", 413),
-    (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
-    (b"GET /\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
-])
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * MAX_HEAD, 431),
+        (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (MAX_BODY + 1), 413),
+        (b"POST / HTTP/1.1\r\nContent-Length: 9999999999999999999999\r\n\r\n", 413),
+        (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"GET /\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", 400),
+    ],
+)
 def test_http_refuses(data, status):
     parser = Parser()
     parser.feed(data)
@@ -147,11 +168,27 @@
     assert all(index in job.done for index in range(0, 100_000) if index in recorded)
 
 
-@pytest.mark.parametrize("change", [
-    {"id": "job-1"}, {"id": 7}, {"legs": 0}, {"legs": 100_001}, {"legs": 1.5}, {"legs": True},
-    {"vcpus": float("nan")}, {"vcpus": -1}, {"ramGb": 2**64}, {"ramGb": "2"}, {"urgency": "soon"},
-    {"shape": "crowd"}, {"rigs": "box"}, {"together": 1}, {"crew": None}, {"dueS": float("inf")},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"id": "job-1"},
+        {"id": 7},
+        {"legs": 0},
+        {"legs": 100_001},
+        {"legs": 1.5},
+        {"legs": True},
+        {"vcpus": float("nan")},
+        {"vcpus": -1},
+        {"ramGb": 2**64},
+        {"ramGb": "2"},
+        {"urgency": "soon"},
+        {"shape": "crowd"},
+        {"rigs": "box"},
+        {"together": 1},
+        {"crew": None},
+        {"dueS": float("inf")},
+    ],
+)
 def test_bad_jobs_are_invalid(change):
     with pytest.raises(messages.Invalid):
         messages.read(cbor2.dumps({**JOB, **change}), messages.JobSpec).check()
@@ -183,10 +220,18 @@
     assert parse(json.dumps({**PLATFORM, "colour": "red"}).encode()).label == "a"
 
 
-@pytest.mark.parametrize("change", [
-    {"front": "10.0.0.1"}, {"front": "10.0.0.999:80"}, {"label": ""}, {"label": "b"}, {"label": 3},
-    {"members": None}, {"external": {}},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"front": "10.0.0.1"},
+        {"front": "10.0.0.999:80"},
+        {"label": ""},
+        {"label": "b"},
+        {"label": 3},
+        {"members": None},
+        {"external": {}},
+    ],
+)
 def test_bad_settings_are_faults(change):
     with pytest.raises(SettingsError):
         parse(json.dumps({**PLATFORM, **change}).encode())
@@ -206,10 +251,14 @@
 
 
 @fixed
-@given(st.recursive(
-    st.none() | st.booleans() | st.floats() | st.integers() | texts,
-    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(texts, inner, max_size=3), max_leaves=8,
-), st.sampled_from(sorted(PLATFORM)))
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.floats() | st.integers() | texts,
+        lambda inner: st.lists(inner, max_size=3) | st.dictionaries(texts, inner, max_size=3),
+        max_leaves=8,
+    ),
+    st.sampled_from(sorted(PLATFORM)),
+)
 def test_settings_of_any_shape_load_or_fault(value, name):
     try:
         parse(json.dumps({**PLATFORM, name: value}).encode())
@@ -217,12 +266,17 @@
         assert error.faults
 
 
-@pytest.mark.parametrize(("later", "says"), [
-    ({"value_kb": "2"}, "Expected `float"), ({"txn_ops": 2.5}, "Expected `int"), ([], "Expected `object"),
-    ({"txn_ops": 2}, "next.txn_ops: must be at least 3, is 2"),
-    ({"value_kb": 0.5}, "next.value_kb: must be at least 0.78"),
-    ({"write_rps": 0}, "next.write_rps: must be above"),
-])
+@pytest.mark.parametrize(
+    ("later", "says"),
+    [
+        ({"value_kb": "2"}, "Expected `float"),
+        ({"txn_ops": 2.5}, "Expected `int"),
+        ([], "Expected `object"),
+        ({"txn_ops": 2}, "next.txn_ops: must be at least 3, is 2"),
+        ({"value_kb": 0.5}, "next.value_kb: must be at least 0.78"),
+        ({"write_rps": 0}, "next.write_rps: must be above"),
+    ],
+)
 def test_limits_that_come_later_are_checked_like_the_rest(later, says, tmp_path, capsys):
     deployment = {**PLATFORM["deployment"], "state": {**PLATFORM["deployment"]["state"], "next": later}}
     file = tmp_path / "settings.json"
@@ -253,7 +307,8 @@
         spec = messages.parse(body, messages.JobSpec)
         spec.check()
         assert not spec.upstream and "upstream" not in messages.msgspec.to_builtins(
-            messages.parse(JOB, messages.JobSpec))
+            messages.parse(JOB, messages.JobSpec)
+        )
 
 
 def test_tuning():
