--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -1,7 +1,6 @@
 """Each safety rule once broken on purpose: the scenario named must notice, or it guards nothing."""
 
-from pathlib import Path
-
+import mutation
 import pytest
 
 from roadhead.api.server import Api
@@ -20,9 +19,6 @@
 from roadhead.switchboard import Switchboard
 from roadhead.wire import frames, messages
 
-SCENARIOS = Path(__file__).parent / "scenarios"
-SEEDS = 60
-
 
 def never_fenced(patch):
     """1: shares that move, or whose home is a new incarnation, keep their tokens."""
@@ -250,21 +246,12 @@
     ],
 )
 def test_breaking_a_safety_rule_is_noticed(sabotage, scenario):
-    """Luck decides where tasks run, so a few seeds are tried; unbroken, the same one is clean."""
-    text = (SCENARIOS / f"{scenario}.txt").read_text()
-    for seed in range(1, SEEDS + 1):
-        with pytest.MonkeyPatch.context() as patch:
-            sabotage(patch)
-            noticed = World(f"{text}\nseed {seed}\n").run().broken
-        if noticed:
-            assert World(f"{text}\nseed {seed}\n").run().broken == []
-            return
-    raise AssertionError(f"not noticed: {sabotage.__doc__}")
+    mutation.assert_noticed(sabotage, scenario)
 
 
 def test_results_that_an_heir_does_not_take_over_are_noticed():
     """5: an heir starts all tasks of a job, not those alone that no record calls done."""
-    text = (SCENARIOS / "meeting-ends-apart.txt").read_text()
+    text = mutation.text_of("meeting-ends-apart")
     real = from_record
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(
@@ -276,7 +263,7 @@
 
 def test_silence_of_who_is_no_member_is_noticed():
     """No rule breaks, but the others let go of their machines: the scenario's bound on that notices."""
-    text = (SCENARIOS / "meeting-dropped-then-down.txt").read_text()
+    text = mutation.text_of("meeting-dropped-then-down")
     with pytest.MonkeyPatch.context() as patch:
         non_members_are_silent(patch)
         assert any("killed by their lease" in fault for fault in World(text).run().check())
