Simulator: new troubles of meetings, as scenario verbs

Cause: The scenarios could not bring about lost answers of transactions, copies of reports kept for the next leader, mute workers, cancellations at once or at a job's end, odd requests, close looks, late commands and quick boots.

--- a/roadhead/local/processes.py
+++ b/roadhead/local/processes.py
@@ -18,6 +18,7 @@
 
 from roadhead.local.keeper import Keeper
 from roadhead.local.standins import Cloud, State, Worker
+from roadhead.local.troubles import Spells
 from roadhead.runtime.loop import Loop
 from roadhead.runtime.net import READ, Net
 from roadhead.wire.http import Client, NoAnswer
@@ -52,7 +53,7 @@
         self.sim = Clock(self.loop)
         self.network = self
         self.fetch_s, self.stuck_boots, self.no_rooms, self.killed = 0.05, 0, 0, 0
-        self.late_reports = (0.0, 0.0)
+        self.spells = Spells()
         self.completed, self.gangs = set(), {}
 
     def host_loop(self, _host):
@@ -69,6 +70,11 @@
 
     off_machine = on_machine
 
+    def task_done(self, task):
+        pass
+
+    state_changed = task_done
+
 
 class RealCloud(Cloud):
     """Its machines are worker processes; it also takes what users upload of their jobs."""
--- a/roadhead/local/standins.py
+++ b/roadhead/local/standins.py
@@ -8,6 +8,7 @@
 
 import cbor2
 
+from roadhead.local.troubles import LATE_COMMAND_S, QUICK_BOOT_S
 from roadhead.runtime.loop import Future, Timeout
 from roadhead.wire import http
 from roadhead.wire.http import Client, NoAnswer
@@ -45,7 +46,14 @@
                 self.loop.spawn(self._later(delay, request.method, path, args, body, stream))
                 await Future()
             host = getattr(stream, "peer_host", "")
+            if path == "/commands" and self.world.spells.late_commands.strikes(self.sim):
+                await self.loop.sleep(self.sim.random.uniform(*LATE_COMMAND_S))
+                await self.handle(request.method, path, args, body, host)
+                await Future()
+            lost = path == "/multi" and body["writes"] and self.world.spells.lost_writes.strikes(self.sim)
             status, answer = await self.handle(request.method, path, args, body, host)
+            if lost:
+                await Future()  # silent until the sender gives up
             if self.lose > 0 and request.method == "POST":
                 self.lose -= 1
                 stream.close()
@@ -230,6 +238,7 @@
                     self.log.append({"put": write["put"], "data": write["data"], "stamp": self.epoch})
                 elif self.data.pop(write["drop"], None) is not None:
                     self.log.append({"drop": write["drop"], "stamp": self.epoch})
+            self.world.state_changed(body["writes"])
             if self.keeper:
                 self.keeper.save(
                     self.epoch,
@@ -329,6 +338,7 @@
         self.cause = None
         self.saved = False
         self.timer = None
+        self.ends_at = 0.0  # when it will be done, if it runs
 
 
 class Worker(Server):
@@ -348,6 +358,7 @@
         self.token = 0
         self.notice_at = None
         self.deaf_until = 0.0  # until then answers and commands to it are lost
+        self.mute_until = 0.0  # until then it opens no connection to a controller
         self.tasks = {}  # (task, attempt) -> OnMachine
         self.report_s = world.settings["workers"]["report_s"]
         self.lease_s = world.settings["workers"]["lease_s"]
@@ -367,7 +378,11 @@
         self.world.network.kill(self.host)
 
     async def _live(self):
-        await self.loop.sleep(self.kind["startupS"] * self.sim.random.uniform(0.6, 1.5))
+        if self.world.spells.quick_boots.strikes(self.sim):
+            boot_s = self.sim.random.uniform(*QUICK_BOOT_S)
+        else:
+            boot_s = self.kind["startupS"] * self.sim.random.uniform(0.6, 1.5)
+        await self.loop.sleep(boot_s)
         if self.stuck:
             return
         self.up = True
@@ -378,13 +393,21 @@
         self.wanted = None
         clients = {}
         while True:
+            if self.sim.time < self.mute_until:
+                for kept in clients.values():
+                    kept.close()
+                clients.clear()
+                await self.loop.sleep(5.0)  # for an attempt to connect, and before the next one
+                at += 1
+                continue
             front = nodes[at % len(nodes)]
             client = clients.setdefault(front, Client(self.loop, self.net, front, 1))
             sent_at, session = self.loop.now(), self.session
             body = cbor2.dumps(self.report())
-            share, until = self.world.late_reports
-            if self.sim.time < until and self.sim.random.random() < share:
+            if self.world.spells.late_reports.strikes(self.sim):
                 self.loop.spawn(self._again(front, body), "late copy")
+            if self.world.spells.reports_for_next.strikes(self.sim):
+                self.world.troubles.keep_report(self, body)
             try:
                 status, data, _ = await client.request("POST", "/v1/report", body, 4.0)
                 if self.sim.time < self.deaf_until:
@@ -523,8 +546,14 @@
             item.timer = self.loop.call_later(0.5, self._exit, item, "error")
         else:
             item.timer = self.loop.call_later(run_s, self._exit, item, "done")
+            item.ends_at = self.sim.time + run_s
         self.changed()
 
+    def left_of(self, task):
+        """Seconds for which a task still runs here."""
+        ends = [i.ends_at for i in self.tasks.values() if i.task == task and i.status == "running"]
+        return max(ends, default=0.0) - self.sim.time
+
     def _saved(self, item):
         item.saved = True
         self._exit(item, "stopped")
@@ -564,6 +593,7 @@
         item.status, item.cause = "exited", cause
         if cause == "done":
             self.world.completed.add(item.task)
+            self.world.task_done(item.task)
         self.changed()
 
 
@@ -688,13 +718,20 @@
             for told in world.cancelled_above(self.id)
         ):
             world.break_rule("orphaned", f"{self.id} is called {state}")
+        news = state != self.told and (state in ("done", "cancelled") or self.told is None)
         if self.told != state:
             self.told_at = self.sim.time
         self.told = state
+        if news:
+            world.troubles.heard_news(self)
+
+    def described(self):
+        """Its job as submitted."""
+        return {k: v for k, v in self.job.items() if k not in UNTOLD}
 
     async def run(self):
         loop = self.world.user_loop
-        public = {k: v for k, v in self.job.items() if k not in UNTOLD}
+        public = self.described()
         # The jobs of a pipeline are submitted each as soon as those that it needs are accepted.
         while not all(
             self.world.users[name].accepted
@@ -728,7 +765,7 @@
 
     async def submit_again(self):
         """A retry long after the job was accepted, until it is answered."""
-        public = {k: v for k, v in self.job.items() if k not in UNTOLD}
+        public = self.described()
         while not self.accepted:
             await self.world.user_loop.sleep(1.0)
         for _ in range(60):
--- a/roadhead/local/tenancy.py
+++ b/roadhead/local/tenancy.py
@@ -233,7 +233,7 @@
         self.tenant, self.own = job["tenant"], own
         self.first_accepted_at = self.refused_with = None
 
-    async def _ask(self, method, path, body, timeout):
+    async def _ask(self, method, path, body, timeout, via=None):
         path = path.replace(self.id, self.own)
         if body is not None:
             body = {"id": self.own, **{ASKED[name]: value for name, value in body.items() if name in ASKED}}
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -9,6 +9,7 @@
 from roadhead.local.sim import HostLoop, Network, Sim
 from roadhead.local.standins import UNTOLD, Cloud, State, Storm, User
 from roadhead.local.tenancy import Tenancy, TenantUser
+from roadhead.local.troubles import Spells, Troubles
 from roadhead.node import Node
 from roadhead.settings import Tuning, parse
 from roadhead.tenants.ids import to_job
@@ -97,13 +98,14 @@
         self.started = {}  # task -> when it first did
         self.cancelled_at = {}
         self.refusals = {}
-        self.late_reports = (0.0, 0.0)  # share of which a copy comes again, and until when
+        self.spells = Spells()
         self.recorded = set()  # tasks that some record called done once, where a scenario asks for it
         self.reruns = 0  # starts of those
         self.longest_gone = 0.0  # after its user was told of a cancellation, a task was still there
         self.zones = ("north", "south")
         self.labels = [f"ctl-{number}" for number in range(options["controllers"])]
         self.fronts = [f"10.0.0.{number + 1}:8080" for number in range(options["controllers"])]
+        self.troubles = Troubles(self)
         self.state = State(self)
         kinds = [
             {
@@ -268,6 +270,14 @@
         if self.running.get(task) is worker:
             del self.running[task]
 
+    def task_done(self, task):
+        job = self.job_of(task)
+        if self.all_completed(job):
+            self.troubles.job_ended(job)
+
+    def state_changed(self, writes):
+        self.troubles.state_changed(writes)
+
     async def _check(self):
         while True:
             await self.sim.sleep(0.5)
@@ -364,10 +374,13 @@
         for _ in range(int(given.pop("count", 1))):
             job = {**self._job(given), "id": f"req-{number:06d}"}
             self.jobs[job["id"]] = job
-            user = self.users[job["id"]] = User(self, job)
+            user = self.users[job["id"]] = self.new_user(job)
             self.user_loop.spawn(user.run(), job["id"])
             number += 1
 
+    def new_user(self, job):
+        return User(self, job)
+
     def _submit_as_tenant(self, given):
         """As `submit`, through a gateway; `id` is the first of the tenant's own ids."""
         tenant, own = given.pop("tenant"), given.pop("id", "")
@@ -401,7 +414,9 @@
 
     def do(self, words):
         verb, *rest = words
-        if verb == "submit":
+        if verb in self.troubles.verbs:
+            self.troubles.verbs[verb](*rest)
+        elif verb == "submit":
             self.submit(rest)
         elif verb == "orphan":
             # The next job's record appears with an owner that is gone, after all scans.
@@ -508,8 +523,6 @@
             self.state.late.append((lambda _m, path, _b: path == "/multi", float(rest[0])))
         elif verb == "late-writes":
             self.state.late_share = float(rest[0]), self.sim.time + float(rest[1])
-        elif verb == "late-reports":
-            self.late_reports = float(rest[0]), self.sim.time + float(rest[1])
         elif verb == "deaf":
             up = [worker for worker in self.cloud.rented.values() if worker.up and not worker.dead]
             for worker in self.sim.random.sample(up, round(float(rest[0]) * len(up))):
@@ -553,6 +566,8 @@
 
     def check(self):
         """Faults against the scenario's expectations."""
+        for requests in self.troubles.odd_requests:
+            requests.check()
         faults = [*self.broken, *self.failures.texts[:3]]
         if self.counter("duties_failed"):
             faults.append("a duty failed")
@@ -610,6 +625,10 @@
                 )
                 if count < int(words[3]):
                     faults.append(f"{count} jobs of {words[2]} were refused with {words[1]}")
+            elif words[0] == "odd_refused":
+                refused = sum(requests.refused for requests in self.troubles.odd_requests)
+                if refused < int(words[2]):
+                    faults.append(f"{refused} odd requests were refused")
             elif words[0] == "running":
                 if len(self.running) != int(words[1]):
                     faults.append(f"{len(self.running)} tasks run")
