Split the job store: reconciliation and reports of tasks stand apart

Change: jobs/reconciliation.py asks the homes for inherited jobs and waits for them, jobs/task_reports.py takes in what homes tell of attempts (typed rows, one decision a function), jobs/context.py is what they share. Moves; behaviour as before. One test replaced the store's `_send`, and replaces that of the part that sends now, too.

--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -7,8 +7,11 @@
 import logging
 from bisect import insort
 
+from roadhead.jobs.context import OwnerContext
 from roadhead.jobs.job import FINAL, NOBODY, Binding, Job, from_record
+from roadhead.jobs.reconciliation import Reconciliation
 from roadhead.jobs.recorder import LATER, SOON, URGENT
+from roadhead.jobs.task_reports import TaskReports
 from roadhead.jobs.teams import Accounts
 from roadhead.runtime.loop import Future
 from roadhead.wire import frames
@@ -46,7 +49,6 @@
         self._member = member
         self._send = send
         self._changed = changed
-        self._count = counters.add
         self._time_of_day = time_of_day
         self._lease_s = lease_s
         self._on_finished = on_finished
@@ -61,7 +63,6 @@
         self.jobs = {}  # open jobs owned here, by id
         self.started_at = {}  # class -> when a task of it was last started
         self.seen = {}  # class -> number of its jobs that were ever owned here
-        self._inherited = {}  # those of them of which not every home has told, in order as a set
         self._confirmed = []  # taken over in this turn: the homes are told once more
         self.arrived = []  # those that joined since the queue was last looked at
         self.served = {}  # ("class", "team" or "largest", its name) -> jobs done here
@@ -72,13 +73,13 @@
         self._new = {}  # id -> Job whose record is being written
         self._adopting = {}  # those of which no record names this owner yet, in order as a set
         self.closing = set()  # slots of wardens about to be handed on: nothing of them comes to us
-        self._syncs = {}  # number -> (label, [jobs])
-        self._sync_number = 0
-        self._whole = {}  # home -> number of the last sync that told it all, until it is answered
         self._attempts = 0
         self._unowned = []  # accepted while slots were closing
         self._ending = {}  # cancelled with a job that they need, to be written; by id
         self._to_sync = []  # inherited and let go in this turn
+        context = OwnerContext(loop, member, send, changed, counters.add, time_of_day, lease_s)
+        self.reconciliation = Reconciliation(context, self.jobs, self._reconciled)
+        self.task_reports = TaskReports(context, self)
         self.line = line_of(self)
         self._parts = parts
         self.recorder = recorder_of(self._written, self._conflict, self._refused, changed)
@@ -130,7 +131,7 @@
                 on_word -= cpus
                 word.append(job)
         fresh = [job for job in self.recorder.fresh if not job.waits]
-        return [*fresh, *word, *{**self._adopting, **self._inherited}]
+        return [*fresh, *word, *{**self._adopting, **self.reconciliation.inherited}]
 
     def _settled(self, job):
         """The outcome of its creation is known: the Future that waits for it, or None."""
@@ -154,7 +155,7 @@
             self._over(job, job.final(state), told)
             return
         over = [i for i, b in job.bound.items() if b.status == "exited" and i in recorded]
-        self._forget(job.id, [(index, job.bound.pop(index)) for index in over])
+        self.forget(job.id, [(index, job.bound.pop(index)) for index in over])
 
     def _created(self, job):
         if job.owner == NOBODY:
@@ -247,7 +248,7 @@
 
     def _leave(self, job):
         """The job is no longer among those owned here."""
-        self._inherited.pop(job, None)
+        self.reconciliation.inherited.pop(job, None)
         if self.jobs.pop(job.id, None) is not None:
             self.accounts.leave(job)
             return True
@@ -267,7 +268,7 @@
         self.accounts.enter(job)
         if job.unsynced:
             self.accounts.unsure(job)
-            self._inherited[job] = True
+            self.reconciliation.inherited[job] = True
         self.arrived.append(job)
         self.seen[job.spec.klass] = self.seen.get(job.spec.klass, 0) + 1
         self._changed()
@@ -287,7 +288,7 @@
                     keys.append(("largest", job.spec.klass))
                 for key in keys:
                     self.served[key] = self.served.get(key, 0) + 1
-            self._forget(job.id, job.bound.items())
+            self.forget(job.id, job.bound.items())
             job.bound.clear()
 
     def remember(self, job_id, record):
@@ -359,13 +360,13 @@
         """Their records name this owner now. Another may have asked the homes for them meanwhile, before it
         found that out, and been told in our place since: they are to know whose they are."""
         jobs, self._confirmed = self._confirmed, []
-        self.sync_all([job for job in jobs if self.jobs.get(job.id) is job])
+        self.reconciliation.ask_all([job for job in jobs if self.jobs.get(job.id) is job])
 
     def mine(self, job_id):
         """Another controller asked the homes for a job that is ours: they are told again."""
         job = self.jobs.get(job_id)
         if job is not None and not job.adopting:
-            self.sync_all([job])
+            self.reconciliation.ask_all([job])
 
     def knows(self, job_id):
         """Whether the job is in this controller's care, and its record open as far as that goes."""
@@ -386,13 +387,21 @@
                     adopted.append(job)
                     self._take(job)
         if adopted:
-            self.sync_all(adopted)
+            self.reconciliation.ask_all(adopted)
 
     def _take(self, job):
         job.adopting = self._adopting[job] = True
         self._begin(job)
         self.recorder.mark(job, SOON)
 
+    def _reconciled(self, job):
+        """Every home has told all that it knows of an inherited job."""
+        self.accounts.sure(job)
+        if job.state == "cancelled":
+            self._end_cancelled(job)
+        if job.gang and job.free and job.bound:
+            self._break_up(job)  # its owner ended while it started them
+
     # Jobs that need others (pipelines/line.py)
 
     def released(self, job):
@@ -408,7 +417,7 @@
 
     def _sync_released(self):
         jobs, self._to_sync = self._to_sync, []
-        self.sync_all([job for job in jobs if self.jobs.get(job.id) is job])
+        self.reconciliation.ask_all([job for job in jobs if self.jobs.get(job.id) is job])
 
     def end(self, job):
         """A job that waits is cancelled, as one that it needs is: true from now on, and written in time."""
@@ -424,88 +433,7 @@
         self.version += 1
         self._changed()
 
-    def sync_all(self, jobs):
-        """Tells every home of these jobs, and waits for what each knows of them."""
-        for job in jobs:
-            if job.unsynced:
-                job.unsynced = set(self._member.term.members)
-        for label in self._member.term.members:
-            self.sync(label, jobs)
-
-    def sync_moved(self, old, new):
-        """The term changed. Of what is owned here every home is told the jobs of which not all is known
-        yet, and what is bound on machines that it is home to only now; a new incarnation is told all."""
-        # One that told all under an older term, as when a link comes up, may have been dropped as such.
-        whole = [
-            label
-            for label in new.members
-            if label in self._whole or old is None or old.incarnation(label) != new.incarnation(label)
-        ]
-        waiting = list(self._inherited)
-        for job in waiting:
-            job.unsynced = set(new.members)
-        moved = {}  # home -> jobs bound on machines that were not its own, or not under its token
-        if old is not None:
-            for job in self.jobs.values():
-                for binding in job.bound.values():
-                    home = new.home(binding.machine)
-                    if home not in whole and old.place(binding.machine) != new.place(binding.machine):
-                        moved.setdefault(home, {})[job] = True
-        for label in new.members:
-            if label in whole:
-                self.sync(label)
-            elif waiting or label in moved:
-                self.sync(label, list({**moved.get(label, {}), **self._inherited}), True)
-
-    def sync(self, label, jobs=None, complete=False):
-        """`jobs` None: all. `complete`: with all of which not all is known."""
-        term = self._member.term
-        if label not in term.members:
-            return
-        whole = jobs is None
-        complete = complete or whole
-        jobs = list(self.jobs.values()) if jobs is None else jobs
-        claims = [
-            (binding.machine, job.id, index, binding.attempt)
-            for job in jobs
-            for index, binding in job.bound.items()
-            if term.home(binding.machine) == label
-        ]
-        self._sync_number += 1
-        if whole:
-            self._whole[label] = self._sync_number
-        if complete:
-            # It names all that those before named. None may be dropped otherwise: jobs whose
-            # answer is not waited for would never start.
-            self._syncs = {n: entry for n, entry in self._syncs.items() if entry[0] != label}
-        self._syncs[self._sync_number] = (label, [job for job in jobs if job.unsynced])
-        self._send(label, frames.Sync(term.number, self._sync_number, [j.id for j in jobs], claims))
-
-    def on_synced(self, label, frame):
-        home, jobs = self._syncs.pop(frame.number, (None, ()))
-        if self._whole.get(label) == frame.number:
-            del self._whole[label]
-        if home != label or frame.term != self._member.term.number:
-            # Said for an older term: a home of this one may know of more.
-            if home == label:
-                self.sync(label, [job for job in jobs if job.unsynced and job.id in self.jobs])
-            return
-        ready = False
-        for job in jobs:
-            if label in job.unsynced:
-                job.unsynced.discard(label)
-                if not job.unsynced:
-                    self._inherited.pop(job, None)
-                    self.accounts.sure(job)
-                    if job.state == "cancelled":
-                        self._end_cancelled(job)
-                    if job.gang and job.free and job.bound:
-                        self._break_up(job)  # its owner ended while it started them
-                    ready = True
-        if ready:
-            self._changed()
-
-    # News of tasks
+    # Attempts of tasks
 
     def bind(self, job, machine, zone, attempt=None):
         """Takes a free task of the job for a start; (index, attempt). Tasks of a gang share one."""
@@ -550,11 +478,10 @@
 
     def stop(self, job, index, binding):
         """A task stops, saved if it can be; it waits again once it is surely gone."""
-        self._send_home(
-            binding, frames.Stop(binding.machine, job.id, index, binding.attempt, job.spec.save_s)
-        )
+        self.send_home(binding, frames.Stop(binding.machine, job.id, index, binding.attempt, job.spec.save_s))
 
-    def _unbind(self, job, index):
+    def unbind(self, job, index):
+        """The task's attempt is surely nowhere: it waits again, unless it is done or its job over."""
         self.accounts.let_go(job, job.bound.pop(index))
         if job.state == "open" and index not in job.done:
             job.free.append(index)
@@ -581,147 +508,13 @@
             if binding.status not in ("exited", "saving"):
                 self.stop(job, index, binding)
 
-    def on_free(self, frame):
-        """The attempt is surely nowhere."""
-        job = self.jobs.get(frame.job)
-        if job is None:
-            return
-        binding = job.bound.get(frame.index)
-        if binding is None or binding.attempt != frame.attempt:
-            return
-        if binding.status == "exited" and job.state == "open":  # done, only not durable yet
-            return
-        self._unbind(job, frame.index)
-
-    on_refused = on_free
-
-    def on_tasks(self, label, frame):
-        for row in frame.rows:
-            self._on_task(label, frame.machine, frame.zone, *row)
-
-    def _on_task(self, label, machine, zone, job_id, index, attempt, status, cause):
-        job = self.jobs.get(job_id)
-        key = (machine, job_id, index, attempt)
-        if job is None:
-            if job_id in self.finals:
-                self._away(label, key, status)
-            return
-        if index >= job.spec.tasks:
-            self._away(label, key, status)
-            return
-        binding = job.bound.get(index)
-        if binding is not None and binding.attempt != attempt:
-            if status == "exited" and cause == "done" and job.state == "open":
-                self._done(job, index)
-            self._away(label, key, status)
-            return
-        if binding is None:
-            stopping = job.state == "cancelled" and job.unsynced and status != "exited"
-            if index in job.done or (job.state != "open" and not stopping):
-                self._away(label, key, status)
-                return
-            if status == "exited" and cause != "done":
-                self._away(label, key, status)
-                return
-            if not job.unsynced:
-                if status == "exited":
-                    self._done(job, index)
-                self._away(label, key, status)
-                return
-            # An inherited job's task, found where the old owner had it started.
-            if index in job.free:
-                job.free.remove(index)
-            binding = job.bound[index] = Binding(machine, zone, attempt, "", self._loop.now())
-        if status == "running" and binding.status != "running" and log.isEnabledFor(logging.DEBUG):
-            prepared = self._loop.now() - binding.at
-            log.debug(
-                "runs %s/%d of %s after %.2f s, of which %.2f s on %s",
-                job.id,
-                index,
-                job.spec.klass,
-                self._time_of_day() - job.accepted_at,
-                prepared,
-                machine,
-            )
-        binding.status = status
-        binding.zone = zone
-        if status == "exited":
-            self.accounts.let_go(job, binding)
-        else:
-            self.accounts.hold(job, binding)
-        if status != "exited":
-            if job.state != "open":
-                self._away(label, key, status)
-            return
-        if cause == "done" and job.state == "open":
-            self._done(job, index)
-            return
-        self._forget(job.id, [(index, binding)])
-        if cause in ("error", "no_such"):
-            self._count("task_errors")
-            self._failed(job, machine)
-        self._unbind(job, index)
-
-    def _failed(self, job, machine):
-        """A job that fails everywhere is tried ever more slowly, on few machines at a time."""
-        if job.failed(machine):
-            log.info(
-                "job %s of %s fails wherever it runs: tried now and then until it is cancelled",
-                job.id,
-                job.spec.klass,
-            )
-            self._count("jobs_faulty")
-            self.version += 1
-            for label in self._member.term.members:
-                self._send(label, frames.JobFails(job.id))
-        now = self._loop.now()
-        if job.doubtful and job.not_before <= now:
-            pause = min(5 * self._lease_s, self._lease_s / 4 * 1.5**job.pauses)
-            job.pauses += 1
-            job.not_before = now + pause
-            self._loop.call_later(pause, self._changed)
-
-    def _done(self, job, index):
-        if job.spec.kind == "daemon":
-            # A replica that ends is started again.
-            binding = job.bound.get(index)
-            if binding is not None and binding.status == "exited":
-                self._forget(job.id, [(index, binding)])
-                self._unbind(job, index)
-            return
-        if job.failed_on:
-            job.failed_on.clear()
-            if job.doubtful:
-                log.info("job %s runs after all", job.id)
-                job.doubtful, job.pauses, job.not_before = False, 0, 0.0
-                self.version += 1
-                self._changed()
-        if not job.done.add(index):
-            return
-        binding = job.bound.get(index)
-        if binding is None and index in job.free:
-            job.free.remove(index)
-        if binding is not None and binding.status != "exited":
-            self._send_home(binding, frames.Stop(binding.machine, job.id, index, binding.attempt, 0.0))
-        if job.complete():
-            job.state, job.ended_at = "done", self._time_of_day()
-            self.recorder.mark(job, URGENT)
-        else:
-            self.recorder.mark(job, LATER)
-
-    def _away(self, label, key, status):
-        """An attempt that nobody needs."""
-        if status == "exited":
-            self._send(label, frames.Forget([key]))
-        else:
-            self._send(label, frames.Stop(*key, 0.0))
-
-    def _send_home(self, binding, frame):
+    def send_home(self, binding, frame):
+        """Sends a frame to the home of the machine that an attempt is bound on."""
         home = self._member.term.home(binding.machine)
         if home is not None:
             self._send(home, frame)
 
-    def _forget(self, job_id, bindings):
+    def forget(self, job_id, bindings):
         """(index, binding) pairs of attempts that ended: their machines may forget them."""
         homes = {}
         for index, binding in bindings:
@@ -755,9 +548,9 @@
             self.remember(job_id, record)
         job.free.clear()
         over = [(index, binding) for index, binding in job.bound.items() if binding.status == "exited"]
-        self._forget(job_id, over)
+        self.forget(job_id, over)
         for index, _binding in over:
             del job.bound[index]
         for index, binding in list(job.bound.items()):
-            self._send_home(binding, frames.Stop(binding.machine, job_id, index, binding.attempt, 0.0))
+            self.send_home(binding, frames.Stop(binding.machine, job_id, index, binding.attempt, 0.0))
         self._end_cancelled(job)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -623,7 +623,7 @@
         if self.desk is not None:
             self.desk.on_term()
         self.dispatcher.on_term(old, new)
-        self.book.sync_moved(old, new)
+        self.book.reconciliation.on_term(old, new)
         self.dispatcher.tell_again()
         self.takeover.on_term(old, new)
         self.keeper.on_term(old, new)
@@ -642,7 +642,7 @@
         if not self.member.joined or label not in self.peers.links:
             return
         self._switchboard.tell_term(label)
-        self.book.sync(label)
+        self.book.reconciliation.ask(label)
         self.dispatcher.tell_again()
         self.book.line.look_again()
         if self.state.lowered and self.member.gate.open:
--- a/roadhead/switchboard.py
+++ b/roadhead/switchboard.py
@@ -28,7 +28,7 @@
             fleet.wake()
 
         def on_refused(_label, _incarnation, frame):
-            book.on_refused(frame)
+            book.task_reports.on_free(frame)
             dispatcher.on_refused(frame)
 
         def on_sync(label, incarnation, frame):
@@ -46,12 +46,12 @@
             frames.Revoke: lambda _label, _incarnation, frame: dispatcher.on_revoke(frame),
             frames.Start: home.commanding.on_start,
             frames.Refused: on_refused,
-            frames.TaskStates: lambda label, _incarnation, frame: book.on_tasks(label, frame),
-            frames.Free: lambda _label, _incarnation, frame: book.on_free(frame),
+            frames.TaskStates: lambda label, _incarnation, frame: book.task_reports.on_tasks(label, frame),
+            frames.Free: lambda _label, _incarnation, frame: book.task_reports.on_free(frame),
             frames.Stop: lambda _label, _incarnation, frame: home.commanding.on_stop(frame),
             frames.Forget: lambda _label, _incarnation, frame: home.commanding.on_forget(frame),
             frames.Sync: on_sync,
-            frames.Synced: lambda label, _incarnation, frame: book.on_synced(label, frame),
+            frames.Synced: lambda label, _incarnation, frame: book.reconciliation.on_synced(label, frame),
             frames.Orphan: lambda _label, _incarnation, frame: takeover.on_orphan(frame.job),
             frames.JobFails: lambda _label, _incarnation, frame: home.faults.on_job_fails(frame.job),
             frames.Handover: lambda _label, _incarnation, frame: home.on_handover(frame),
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -162,7 +162,7 @@
     few, many = holding(1000), holding(20000)
     for node in (few, many):
         assert len(node.book.jobs) == 10 and len(node.book.line.waits.jobs) >= 1000
-    assert calls(many.book.sync_all, []) == calls(few.book.sync_all, [])
+    assert calls(many.book.reconciliation.ask_all, []) == calls(few.book.reconciliation.ask_all, [])
     assert len(list(many.sharing.candidates())) == len(list(few.sharing.candidates())) == 10
     # A beat says the wishes of a bounded number again.
     many.member.gate.record = {"format": many.member.gate.knows, "seen": {}}
@@ -443,7 +443,7 @@
     """It takes them over when they are let go: with a write, and with the word of every home."""
     node = HostedNode(1, 0)
     book, marked, sent = node.book, [], []
-    book._send = lambda _label, frame: sent.append(frame)
+    book._send = book.reconciliation._send = lambda _label, frame: sent.append(frame)
 
     class Marked:
         def mark(self, job, _urgency):
