Fault combinations enumerated: quick boots, reports, mute machines, zones

Cause: seven of the fault combinations that operators named had no test that brings them about each time.

--- /dev/null
+++ b/tests/test_fault_combinations.py
@@ -0,0 +1,106 @@
+"""Fault combinations in virtual time: samples of all orders, and the guards that each of them covers."""
+
+import itertools
+
+import fault_combinations
+import pytest
+import test_safety
+
+from roadhead.dispatch.dispatcher import Dispatcher
+from roadhead.homes.hearing import Hearing
+from roadhead.jobs.book import Book
+
+SAMPLES = 4  # of each combination; `tests/fault_combinations.py` plays all
+
+
+def sample(generate):
+    """A few orders and spacings, spread over all of them."""
+    cases = list(generate())
+    return cases[1 :: len(cases) // SAMPLES][:SAMPLES]
+
+
+@pytest.mark.parametrize(
+    "combination",
+    itertools.chain.from_iterable(sample(generate) for generate in fault_combinations.GENERATORS),
+    ids=lambda combination: f"{combination.name} {combination.parameters}",
+)
+def test_no_rule_breaks_and_every_job_ends(combination):
+    outcome = fault_combinations.played(combination)
+    assert (outcome.faults, outcome.open_jobs) == ([], 0)
+
+
+def started_before_written(patch):
+    """A job's tasks start before its record is written."""
+    real_create, real_created = Book.create, Book._created
+
+    def created(self, job):
+        if job.id not in self.jobs:
+            real_created(self, job)
+
+    def create(self, spec):
+        pending = real_create(self, spec)
+        if spec.id in self._new:
+            self._created(self._new[spec.id])
+        return pending
+
+    patch.setattr(Book, "_created", created)
+    patch.setattr(Book, "create", create)
+
+
+def old_reports_count(patch):
+    """A report counts although a newer one of the same machine was heard."""
+    real = Hearing.observe
+
+    def observe(self, machine, report):
+        machine.session, machine.sequence = min(machine.session, report.session), -1
+        return real(self, machine, report)
+
+    patch.setattr(Hearing, "observe", observe)
+
+
+def any_token_confirms(patch):
+    """A report under an older fencing token tells a successor all that runs on the machine."""
+    real = Hearing.observe
+
+    def observe(self, machine, report):
+        report.token = machine.token
+        return real(self, machine, report)
+
+    patch.setattr(Hearing, "observe", observe)
+
+
+def only_running_tasks_have_a_zone(patch):
+    """Tasks that are on their way, or stopping, don't count for `together` and `scatter`."""
+    real = Dispatcher._zone_allowed
+
+    def zone_allowed(job, zone):
+        bound = job.bound
+        job.bound = {index: task for index, task in bound.items() if task.status == "running"}
+        try:
+            return real(job, zone)
+        finally:
+            job.bound = bound
+
+    patch.setattr(Dispatcher, "_zone_allowed", staticmethod(zone_allowed))
+
+
+MUTATIONS = [
+    (started_before_written, fault_combinations.quick_boots, 0),
+    (old_reports_count, fault_combinations.kept_reports, 0),
+    (any_token_confirms, fault_combinations.kept_reports, 0),
+    (old_reports_count, fault_combinations.held_reports, 0),
+    (test_safety.freed_when_silent, fault_combinations.mute_machines, 0),
+    (only_running_tasks_have_a_zone, fault_combinations.zones_that_lose_machines, 0),
+    (test_safety.never_fenced, fault_combinations.deposed_commands, 0),
+    (test_safety.forgets_loose_launches, fault_combinations.deposed_commands, 0),
+]
+
+
+@pytest.mark.parametrize(("mutate", "generate", "number"), MUTATIONS)
+def test_a_missing_guard_is_noticed(mutate, generate, number):
+    """The order and spacing of that number breaks a rule without the guard, and none with it."""
+    combination = next(itertools.islice(generate(), number, None))
+    with pytest.MonkeyPatch.context() as patch:
+        mutate(patch)
+        assert fault_combinations.played(combination).faults
+    assert fault_combinations.played(combination).faults == []
