Split the simulator into small modules

Cause: local/world.py held 690 lines and local/standins.py 800, so that nobody could change an emulator, a verb or a rule without reading all.

Emulators: StateService, CloudApi, Worker, User, PollStorm in modules of their own over server.py; the world keeps setup and run; rules.py, scenario.py, scenario_verbs.py and expectations.py (tables of handlers), fault_windows.py and fault_injector.py hold the rest.

--- a/roadhead/local/troubles.py
+++ b/roadhead/local/fault_injector.py
@@ -1,31 +1,20 @@
-"""Troubles that last for a while and touch a share of some messages, machines or jobs."""
+"""The troubles of a scenario that touch a share of some messages, machines or jobs."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from roadhead.local.lookers import CloseLook, OddRequests
+from roadhead.local.fault_windows import FaultWindow
+from roadhead.local.probes import CloseLook, OddRequests
+from roadhead.local.sim import HostLoop
 from roadhead.membership.member import TERM
 from roadhead.runtime.loop import Timeout
 from roadhead.wire.http import Client, NoAnswer
 
-LATE_COMMAND_S = (2.0, 16.0)  # by so much a command is held up
-QUICK_BOOT_S = (0.2, 2.0)
 CANCELLED_WITHIN_S = 0.2
 HUNG_MOST = 8  # machines that hang with the jobs cancelled
 LONG_LEFT_S = 10.0  # a task has long to go if it would run for so long
 COPIES_AGAIN_S = 0.5
 
 
-@dataclass
-class Spell:
-    """A trouble that strikes this share of what comes along, until then."""
-
-    share: float = 0.0
-    until: float = 0.0
-
-    def strikes(self, sim):
-        return sim.time < self.until and sim.random.random() < self.share
-
-
 @dataclass(frozen=True)
 class KeptReport:
     """A copy of a worker's report that waits for the next leader."""
@@ -34,26 +23,13 @@
     body: bytes
 
 
-@dataclass
-class Spells:
-    """What strikes the stand-ins now; none of it does on a real loop."""
-
-    lost_writes: Spell = field(default_factory=Spell)  # transactions whose answer alone is lost
-    late_reports: Spell = field(default_factory=Spell)
-    reports_for_next: Spell = field(default_factory=Spell)  # copies kept until the term changes
-    late_commands: Spell = field(default_factory=Spell)
-    cancelled_at_end: Spell = field(default_factory=Spell)  # jobs, as their last task ends
-    quick_boots: Spell = field(default_factory=Spell)
-    close_looks: Spell = field(default_factory=Spell)
-
-
-class Troubles:
-    """Brings them about in a world: the scenario's verbs, and what follows from the spells."""
+class FaultInjector:
+    """Brings them about in a world: the scenario's verbs, and what follows from them later."""
 
     def __init__(self, world):
         self._world = world
         self._sim = world.sim
-        self._loop = world.host_loop("10.8.0.1")
+        self._loop = HostLoop(world.sim)
         self._net = world.network.host("10.8.0.1", self._loop)
         self._kept = []
         self.odd_requests = []
@@ -70,8 +46,8 @@
         }
 
     def _begin(self, name, share, seconds):
-        spell = Spell(float(share), self._sim.time + float(seconds))
-        setattr(self._world.spells, name, spell)
+        window = FaultWindow(float(share), self._sim.time + float(seconds))
+        setattr(self._world.fault_windows, name, window)
 
     def _strike(self, name):
         return lambda share, seconds: self._begin(name, share, seconds)
@@ -139,12 +115,12 @@
     def job_ended(self, job):
         """Its last task ended just now."""
         user = self._world.users[job["id"]]
-        if self._world.spells.cancelled_at_end.strikes(self._sim) and not user.asked_to_cancel:
+        if self._world.fault_windows.cancelled_at_end.strikes(self._sim) and not user.asked_to_cancel:
             self._cancel(job["id"])
 
     # Questions
 
-    def heard_news(self, user):
+    def user_learned(self, user):
         """A user was told for the first time that its job is accepted, done or cancelled."""
-        if self._world.spells.close_looks.strikes(self._sim) and "tenant" not in user.job:
+        if self._world.fault_windows.close_looks.strikes(self._sim) and "tenant" not in user.job:
             CloseLook(self._world, user)
--- /dev/null
+++ b/roadhead/local/poll_storm.py
@@ -0,0 +1,31 @@
+"""Polls at a steady rate, beside those of the jobs' own users."""
+
+
+class PollStorm:
+    """Polls at a steady rate: of known jobs, and every fifth of one that nobody submitted."""
+
+    def __init__(self, world, rate, seconds):
+        self.world = world
+        self.polls = self.answered = 0
+        for number in range(int(rate * seconds)):
+            world.sim.call_later(number / rate, self._start, number)
+
+    def _start(self, number):
+        self.world.user_loop.spawn(self._poll(number), "poll")
+
+    async def _poll(self, number):
+        users = [user for user in self.world.users.values() if user.accepted]
+        if not users:
+            return
+        user = users[number % len(users)]
+        self.polls += 1
+        if number % 5:
+            status, answer = await user._ask("GET", f"/v1/jobs/{user.id}", None, 2.0)
+            final = answer is not None and answer.get("status") in ("done", "cancelled")
+            if status == 404 or final:
+                user._hear(status, answer)
+        else:
+            status, _ = await user._ask("GET", f"/v1/jobs/req-{900000 + number % 40}", None, 2.0)
+            if status == 200:
+                self.world.break_rule("invented", "req-9...")
+        self.answered += status in (200, 404)
--- a/roadhead/local/lookers.py
+++ b/roadhead/local/probes.py
@@ -1,5 +1,7 @@
 """Users who ask oddly: again and again within milliseconds, or for what can't be."""
 
+from roadhead.local.scenario import job_from
+
 LOOKS_AFTER_S = (0.001, 0.005, 0.02, 0.1)
 ODD_EVERY_S = 0.5
 ODD_FIRST = 700_000  # number of the first job that can't be
@@ -72,8 +74,8 @@
 
     async def _send(self, fields, without=None):
         world = self._world
-        count = sum(len(requests.ids) for requests in world.troubles.odd_requests)
-        job = {**world._job({}), **fields, "id": f"req-{ODD_FIRST + count}"}
+        count = sum(len(requests.ids) for requests in world.injector.odd_requests)
+        job = {**job_from({}), **fields, "id": f"req-{ODD_FIRST + count}"}
         job.pop(without, None)
         self.ids.append(job["id"])
         user = world.new_user(job)  # not one of the world's: nobody waits for its job
--- a/roadhead/local/processes.py
+++ b/roadhead/local/processes.py
@@ -1,4 +1,4 @@
-"""The stand-ins as processes on loopback: state service, cloud with uploads, workers that run commands.
+"""The emulators as processes on loopback: state service, cloud with uploads, workers that run commands.
 
 python3 run.py local-part state|cloud|worker DIR [ARGUMENTS]
 """
@@ -16,9 +16,11 @@
 
 import cbor2
 
+from roadhead.local.cloud_api import CloudApi
+from roadhead.local.fault_windows import FaultWindows
 from roadhead.local.keeper import Keeper
-from roadhead.local.standins import Cloud, State, Worker
-from roadhead.local.troubles import Spells
+from roadhead.local.state_service import StateService
+from roadhead.local.worker import Worker
 from roadhead.runtime.loop import Loop
 from roadhead.runtime.net import READ, Net
 from roadhead.wire.http import Client, NoAnswer
@@ -42,7 +44,7 @@
 
 
 class Ground:
-    """What the stand-ins ask of their world, on the real loop and real sockets."""
+    """What the emulators ask of their world, on the real loop and real sockets."""
 
     def __init__(self, directory):
         self.directory = Path(directory)
@@ -53,7 +55,7 @@
         self.sim = Clock(self.loop)
         self.network = self
         self.fetch_s, self.stuck_boots, self.no_rooms, self.killed = 0.05, 0, 0, 0
-        self.spells = Spells()
+        self.fault_windows = FaultWindows()
         self.completed, self.gangs = set(), {}
 
     def host_loop(self, _host):
@@ -76,7 +78,7 @@
     state_changed = task_done
 
 
-class RealCloud(Cloud):
+class RealCloud(CloudApi):
     """Its machines are worker processes; it also takes what users upload of their jobs."""
 
     def __init__(self, ground):
@@ -234,7 +236,7 @@
 def main(part, directory, *arguments):
     ground = Ground(directory)
     if part == "state":
-        State(ground, ground.plan["state"], Keeper(str(ground.directory / "state")))
+        StateService(ground, ground.plan["state"], Keeper(str(ground.directory / "state")))
     elif part == "cloud":
         RealCloud(ground)
     else:
--- /dev/null
+++ b/roadhead/local/scenario.py
@@ -0,0 +1,102 @@
+"""The text of a scenario: options of the deployment, lines `at SECOND VERB ...`, and what is expected."""
+
+import shlex
+from dataclasses import dataclass, field
+
+DEFAULTS = {
+    "controllers": 3,
+    "seed": 1,
+    "report_s": 2.0,
+    "lease_s": 12.0,
+    "cancel_s": 32.0,
+    "list_lag_s": 3.0,
+    "txn_ops": 16,
+    "capacity": 8,
+    "fetch_s": 1.0,
+    "until": 200.0,
+    "cpus_max": 0.0,
+    "drift": 0.0005,
+    "boot_s": 5.0,
+    "gateways": 0,
+    "slots": 24,
+    "preempt": 1,
+    "sockets": 0,
+    "rps": 300.0,
+    "write_rps": 60.0,
+    "value_kb": 8.0,
+    "next_write_rps": 0.0,
+    "next_value_kb": 0.0,
+    "next_txn_ops": 0,
+    "settled": 0.0,  # when all troubles are over, for the rule that a job stays known
+}
+
+
+@dataclass
+class Scenario:
+    """`actions`: (second, words), `expectations`: words after `expect`."""
+
+    options: dict = field(default_factory=lambda: dict(DEFAULTS))
+    actions: list = field(default_factory=list)
+    expectations: list = field(default_factory=list)
+
+
+def parse_scenario(text):
+    scenario = Scenario()
+    for line in text.splitlines():
+        words = shlex.split(line, comments=True)
+        if not words:
+            continue
+        if words[0] == "at":
+            scenario.actions.append((float(words[1]), words[2:]))
+        elif words[0] == "expect":
+            scenario.expectations.append(words[1:])
+        elif words[0] in DEFAULTS:
+            scenario.options[words[0]] = type(DEFAULTS[words[0]])(float(words[1]))
+        else:
+            raise ValueError(f"scenario: {line!r}")
+    return scenario
+
+
+def job_from(given):
+    """A job as submitted, from the `name=value` words of a scenario's line."""
+    job = {
+        "jobclass": "c",
+        "crew": "crew",
+        "shape": "batch",
+        "urgency": "standard",
+        "legs": 4,
+        "vcpus": 1.0,
+        "gpus": 0.0,
+        "ramGb": 1.0,
+        "kit": "img",
+        "sizeGb": 1.0,
+        "rigs": None,
+        "paddock": None,
+        "together": False,
+        "scatter": False,
+        "loaners": True,
+        "expectS": 10.0,
+        "musterS": 0.0,
+        "stowS": 0.0,
+        "dueS": None,
+        "runS": 10.0,
+        "apartS": 0.0,
+        "faulty": False,
+        "upstream": None,
+    }
+    for name, text in given.items():
+        kind = type(job[name])
+        if name == "dueS":
+            kind = float
+        if name == "upstream":  # numbers of jobs of the scenario
+            parts = [part.split("-") for part in text.split(",")]
+            job[name] = [
+                f"req-{number:06d}" for part in parts for number in range(int(part[0]), int(part[-1]) + 1)
+            ]
+            continue
+        job[name] = (
+            text
+            if kind is type(None)
+            else kind(eval(text, {}) if kind is bool else (text if kind is str else float(text)))
+        )
+    return job
--- /dev/null
+++ b/roadhead/local/scenario_verbs.py
@@ -0,0 +1,253 @@
+"""What a scenario's lines `at SECOND VERB ...` do."""
+
+from roadhead.local.poll_storm import PollStorm
+from roadhead.local.scenario import job_from
+from roadhead.local.tenancy import TenantUser
+from roadhead.tenants.ids import to_job
+
+
+def job_id(number):
+    """The id of the scenario's job of that number, the first being 1."""
+    return f"req-{int(number):06d}"
+
+
+class ScenarioVerbs:
+    """`table`: a verb's name -> what it does, called with the words after it."""
+
+    def __init__(self, world):
+        self._world = world
+        self._sim = world.sim
+        self._named = {}  # tenant -> ids made for it
+        self.table = {
+            "submit": self.submit,
+            "orphan": self.orphan,
+            "resubmit": self.resubmit,
+            "cancel": lambda *words: self._ask("cancel", *words),
+            "poll": lambda *words: self._ask("poll", *words),
+            "storm": self.storm,
+            "finals": self.finals,
+            "crash": self.crash,
+            "leave": self.leave,
+            "stall": self.stall,
+            "cut": self.cut,
+            "outage": self.outage,
+            "refuse": self.refuse,
+            "slow-state": self.slow_state,
+            "lower": self.lower,
+            "cloud-outage": self.cloud_outage,
+            "lose": self.lose,
+            "lose-workers": self.lose_workers,
+            "late-launch": self.late_launch,
+            "late-hire": self.late_hire,
+            "late-write": self.late_write,
+            "late-writes": self.late_writes,
+            "die": self.die,
+            "hang": self.hang,
+            "notice": self.notice,
+            "sick": self.sick,
+            "stuck": self.stuck,
+            "deaf": self.deaf,
+            **{
+                verb: lambda *words, verb=verb: world.tenancy.in_turn(verb, *words)
+                for verb in ("tenant", "limits", "suspend", "resume", "remove")
+            },
+            "crash-gateway": lambda number, s: world.tenancy.crash(int(number), float(s)),
+            **world.injector.verbs,
+        }
+
+    # Users
+
+    def submit(self, *words):
+        given = dict(word.split("=", 1) for word in words)
+        if "tenant" in given:
+            self._submit_as_tenant(given)
+            return
+        world = self._world
+        number = len(world.jobs) + 1
+        for _ in range(int(given.pop("count", 1))):
+            job = {**job_from(given), "id": job_id(number)}
+            world.jobs[job["id"]] = job
+            user = world.users[job["id"]] = world.new_user(job)
+            world.user_loop.spawn(user.run(), job["id"])
+            number += 1
+
+    def _submit_as_tenant(self, given):
+        """As `submit`, through a gateway; `id` is the first of the tenant's own ids."""
+        tenant, own = given.pop("tenant"), given.pop("id", "")
+        count, every = int(given.pop("count", 1)), float(given.pop("every", 0))
+        for number in range(count):
+            self._named[tenant] = self._named.get(tenant, 0) + 1
+            name = f"{own}{self._named[tenant]}"  # tenants' ids are alike
+            self._sim.call_later(number * every, self._begin_as_tenant, given, tenant, name)
+
+    def _begin_as_tenant(self, given, tenant, name):
+        world = self._world
+        job = {**job_from(given), "id": to_job(world.tenancy.numbers[tenant], name), "tenant": tenant}
+        world.jobs[job["id"]] = job
+        user = world.users[job["id"]] = TenantUser(world, job, name)
+        user.submitted_at = self._sim.time
+        world.user_loop.spawn(user.run(), name)
+
+    def orphan(self, *words):
+        """The next job's record appears with an owner that is gone, after all scans."""
+        world = self._world
+        user_id = job_id(len(world.jobs) + 1)
+        world.submit(words)
+        described = world.users[user_id].described()
+        world.state.put(
+            f"j/{user_id}",
+            {
+                "s": "open",
+                "o": [world.labels[0], 0],
+                "at": 1e9 + self._sim.time,
+                "spec": {name: value for name, value in described.items() if value is not None},
+                "done": [],
+            },
+        )
+
+    def resubmit(self, numbers):
+        for number in numbers.split(","):
+            self._world.user_loop.spawn(self._world.users[job_id(number)].submit_again(), "resubmit")
+
+    def _ask(self, verb, numbers, via=None):
+        """Through any controller, or through the one named: "cancel 1,2 1"."""
+        for number in numbers.split(","):
+            act = getattr(self._world.users[job_id(number)], verb)
+            self._world.user_loop.spawn(act(int(via) if via is not None else None), verb)
+
+    def storm(self, rate, seconds):
+        self._world.storms.append(PollStorm(self._world, float(rate), float(seconds)))
+
+    def finals(self, count):
+        """Jobs over long since, as an older version left them: final records under j/."""
+        for number in range(int(count)):
+            self._world.state.put(f"j/req-{500000 + number}", {"s": "done", "n": 1, "d": 1})
+
+    # Controllers
+
+    def crash(self, number, back_after=3.0):
+        self._world.crash(int(number), float(back_after))
+
+    def leave(self, number, back_after=3.0):
+        number = int(number)
+        if number in self._world.nodes:
+            self._world.nodes[number].leave(lambda: self._world.crash(number, float(back_after)))
+
+    def stall(self, number, seconds):
+        loop = self._world.network.loops.get(f"10.0.0.{int(number) + 1}")
+        if loop is not None and not loop.hung:
+            loop.hang()
+            self._sim.call_later(float(seconds), loop.wake)
+
+    # Network
+
+    def _hosts(self, name):
+        """Hosts by a scenario's names: a controller's number, state, cloud, workers, peers."""
+        rented = self._world.cloud.rented.values()
+        if name == "state":
+            return ["10.2.0.1"]
+        if name == "cloud":
+            return ["10.2.0.2"]
+        if name == "workers":
+            return [worker.host for worker in rented]
+        if name in ("even-workers", "odd-workers"):
+            return [worker.host for worker in rented][name == "odd-workers" :: 2]
+        if name == "peers":
+            return [f"10.0.0.{n + 1}" for n in range(len(self._world.labels))]
+        return [f"10.0.0.{int(name) + 1}"]
+
+    def cut(self, one, other, seconds, mode="lose"):
+        network = self._world.network
+        for a in self._hosts(one):
+            for b in self._hosts(other):
+                if a != b:
+                    network.cut(a, b, mode)
+                    self._sim.call_later(float(seconds), network.heal, a, b)
+
+    # State service and cloud
+
+    def outage(self, seconds):
+        self._world.state.outage(True)
+        self._sim.call_later(float(seconds), self._world.state.outage, False)
+
+    def refuse(self, host, seconds):
+        self._world.state.refuse(self._hosts(host)[0], float(seconds))
+
+    def slow_state(self, most_s, seconds):
+        self._world.state.slow_s = float(most_s)
+        self._sim.call_later(float(seconds), setattr, self._world.state, "slow_s", 0.0)
+
+    def lower(self):
+        """Without notice, the limits that the settings name as later ones."""
+        self._world.settings["state"].update(self._world.later_limits())
+
+    def cloud_outage(self, seconds):
+        self._world.cloud.down = True
+        self._sim.call_later(float(seconds), setattr, self._world.cloud, "down", False)
+
+    # Messages
+
+    def lose(self, service, count):
+        {"state": self._world.state, "cloud": self._world.cloud}[service].lose += int(count)
+
+    def lose_workers(self, count):
+        for worker in self._world.cloud.rented.values():
+            worker.lose += int(count)
+
+    def late_launch(self, seconds):
+        def matches(_method, path, body):
+            return path == "/commands" and any(order["verb"] == "launch" for order in body["orders"])
+
+        for worker in self._world.cloud.rented.values():
+            worker.late.append((matches, float(seconds)))
+
+    def late_hire(self, seconds):
+        self._world.cloud.late.append(
+            (lambda method, path, _body: (method, path) == ("POST", "/hosts"), float(seconds))
+        )
+
+    def late_write(self, seconds):
+        self._world.state.late.append((lambda _method, path, _body: path == "/multi", float(seconds)))
+
+    def late_writes(self, share, seconds):
+        self._world.state.late_share = float(share), self._sim.time + float(seconds)
+
+    # Machines
+
+    def _busiest(self):
+        """The machines that are up, those with the most tasks first."""
+        return sorted(
+            (worker for worker in self._world.cloud.rented.values() if worker.up and not worker.dead),
+            key=lambda worker: (-len(worker.tasks), worker.name),
+        )
+
+    def die(self, count):
+        for worker in self._busiest()[: int(count)]:
+            worker.end()
+
+    def sick(self, count):
+        for worker in self._busiest()[: int(count)]:
+            worker.sick = True
+
+    def notice(self, count, seconds):
+        for worker in self._busiest()[: int(count)]:
+            worker.notice_at = self._sim.time + float(seconds)
+            worker.changed()
+            self._sim.call_later(float(seconds), self._take, worker)
+
+    def _take(self, worker):
+        self._world.cloud.rented.pop(worker.name, None)
+        if not worker.dead:
+            worker.end()
+
+    def hang(self, place, seconds):
+        for worker in self._busiest()[int(place) : int(place) + 1]:
+            worker.hang(float(seconds))
+
+    def stuck(self, count):
+        self._world.stuck_boots = int(count)
+
+    def deaf(self, share, seconds):
+        up = [worker for worker in self._world.cloud.rented.values() if worker.up and not worker.dead]
+        for worker in self._sim.random.sample(up, round(float(share) * len(up))):
+            worker.deaf_until = self._sim.time + float(seconds)
--- a/roadhead/local/tenancy.py
+++ b/roadhead/local/tenancy.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from roadhead.gateway.gateway import Gateway
-from roadhead.local.standins import User
+from roadhead.local.user import User
 from roadhead.runtime.loop import Timeout
 from roadhead.tenants import ids
 from roadhead.tenants.desk import Desk
--- a/tests/hunt.py
+++ b/tests/hunt.py
@@ -146,7 +146,7 @@
     return "\n".join(lines)
 
 
-LEASE_S, CANCEL_S = 12, 32  # the stand-ins' (world.py, DEFAULTS)
+LEASE_S, CANCEL_S = 12, 32  # the emulators' (roadhead.local.scenario, DEFAULTS)
 MEETINGS_END_S = 230
 
 
