Simulator: histories of all answers to users are checked

Cause: Answers were compared with what a user had heard when they came, not with what was known when the question was asked; users that ask in parallel made false faults or went unchecked, and nothing looked at all controllers together.

Change: roadhead/local/histories.py takes every answer with its times and controller, and finds those older than one completed before the question, a 201 to a known job, a cancellation answered as running, and 200 for what nobody submitted; it counts 503 by kind of question (`expect unavailable poll <= N`). It replaces the order checks of User._hear and PollStorm; done and cancelled both told stays a fault whatever the order. An older answer to a question that overlapped the newer answer is counted, and no fault any more: no controller can prevent it.

--- a/roadhead/local/expectations.py
+++ b/roadhead/local/expectations.py
@@ -1,5 +1,6 @@
 """What a scenario expects: lines `expect NAME ...`, looked at when it has been played."""
 
+from roadhead.local.histories import Question
 from roadhead.local.scenario_verbs import job_id
 
 
@@ -48,6 +49,11 @@
     return _compare("the count of odd requests that were refused", refused, relation, bound)
 
 
+def _unavailable(world, question, relation, bound):
+    count = world.history.unavailable(Question(question))
+    return _compare(f"the count of 503 to {question}", count, relation, bound)
+
+
 def _counter(world, name, relation, bound):
     return _compare(f"counter {name}", world.counter(name), relation, bound)
 
@@ -170,6 +176,7 @@
     "told": _told,
     "refused": _refused,
     "odd_refused": _odd_refused,
+    "unavailable": _unavailable,
     "counter": _counter,
     "keys": _keys,
     "gone": _gone,
--- a/roadhead/local/poll_storm.py
+++ b/roadhead/local/poll_storm.py
@@ -1,5 +1,7 @@
 """Polls at a steady rate, beside those of the jobs' own users."""
 
+from roadhead.local.histories import FINAL
+
 
 class PollStorm:
     """Polls at a steady rate: of known jobs, and every fifth of one that nobody submitted."""
@@ -20,12 +22,9 @@
         user = users[number % len(users)]
         self.polls += 1
         if number % 5:
-            status, answer = await user._ask("GET", f"/v1/jobs/{user.id}", None, 2.0)
-            final = answer is not None and answer.get("status") in ("done", "cancelled")
-            if status == 404 or final:
-                user._hear(status, answer)
+            reply = await user._ask("GET", f"/v1/jobs/{user.id}", None, 2.0)
+            if reply.status == 200 and reply.body["status"] in FINAL:
+                user._hear(reply)
         else:
-            status, _ = await user._ask("GET", f"/v1/jobs/req-{900000 + number % 40}", None, 2.0)
-            if status == 200:
-                self.world.break_rule("invented", "req-9...")
-        self.answered += status in (200, 404)
+            reply = await user._ask("GET", f"/v1/jobs/req-{900000 + number % 40}", None, 2.0)
+        self.answered += reply.status in (200, 404)
--- a/roadhead/local/probes.py
+++ b/roadhead/local/probes.py
@@ -1,11 +1,11 @@
 """Users who ask oddly: again and again within milliseconds, or for what can't be."""
 
+from roadhead.local.histories import FINAL
 from roadhead.local.scenario import job_from
 
 LOOKS_AFTER_S = (0.001, 0.005, 0.02, 0.1)
 ODD_EVERY_S = 0.5
 ODD_FIRST = 700_000  # number of the first job that can't be
-FINAL = ("done", "cancelled")
 
 
 class CloseLook:
@@ -23,15 +23,10 @@
 
     async def _look(self, method, via):
         user = self._user
-        told = user.told  # an answer may not be older than what was told before the question
         if method == "GET":
-            status, answer = await user._ask("GET", f"/v1/jobs/{user.id}", None, 2.0, via)
+            user._hear(await user._ask("GET", f"/v1/jobs/{user.id}", None, 2.0, via))
         else:
-            status, answer = await user._ask("POST", "/v1/jobs", user.described(), 5.0, via)
-        if status in (400, 404, 422):
-            user.world.break_rule("forgotten", f"{user.id}: {method} at {via} was answered {status}")
-        elif status in (200, 201) and (told in FINAL or answer["status"] in FINAL):
-            user._hear(status, answer)
+            user._hear(await user._ask("POST", "/v1/jobs", user.described(), 5.0, via))
 
 
 class OddRequests:
@@ -63,8 +58,7 @@
     async def _cancel_done(self):
         user = self._some(lambda user: user.told == "done")
         if user is not None:
-            status, answer = await user._ask("POST", f"/v1/jobs/{user.id}/cancel", None, 5.0)
-            user._hear(status, answer)
+            user._hear(await user._ask("POST", f"/v1/jobs/{user.id}/cancel", None, 5.0))
 
     async def _misfit(self):
         await self._send({"vcpus": 1000.0})
@@ -79,7 +73,7 @@
         job.pop(without, None)
         self.ids.append(job["id"])
         user = world.new_user(job)  # not one of the world's: nobody waits for its job
-        status, _ = await user._ask("POST", "/v1/jobs", user.described(), 5.0)
+        status = (await user._ask("POST", "/v1/jobs", user.described(), 5.0)).status
         if status in (200, 201):
             world.break_rule("odd_accepted", f"{job['id']} was answered {status}")
         self.sent += status != 0
--- a/roadhead/local/tenancy.py
+++ b/roadhead/local/tenancy.py
@@ -233,7 +233,10 @@
         self.tenant, self.own = job["tenant"], own
         self.first_accepted_at = self.refused_with = None
 
-    async def _ask(self, method, path, body, timeout, via=None):
+    def _front(self, via):
+        return "gateway"
+
+    async def _send(self, method, path, body, timeout, front):
         path = path.replace(self.id, self.own)
         if body is not None:
             body = {"id": self.own, **{ASKED[name]: value for name, value in body.items() if name in ASKED}}
@@ -249,7 +252,6 @@
             self.gave_up = True
         return status, answer
 
-    def _hear(self, status, answer):
-        if status == 404 and tuple(self.world.tenancy.removed_at):
-            return  # its tenant may be going
-        super()._hear(status, answer)
+    @property
+    def may_be_removed(self):
+        return bool(self.world.tenancy.removed_at)
--- a/roadhead/local/user.py
+++ b/roadhead/local/user.py
@@ -1,13 +1,30 @@
 """An emulated user: submits a job, asks for it until it is over, and checks what it is told."""
 
+from typing import NamedTuple
+
 import cbor2
 
+from roadhead.local.histories import FINAL, REFUSED, Answer, Question
 from roadhead.runtime.loop import Timeout
 from roadhead.wire.http import Client, NoAnswer
 
 UNTOLD = ("runS", "apartS", "faulty")  # what a scenario says of a job and its user does not know
 
 
+def _kind_of(method, path):
+    if method == "GET":
+        return Question.POLL
+    return Question.CANCEL if path.endswith("/cancel") else Question.SUBMIT
+
+
+class Reply(NamedTuple):
+    """`status` is 0 if no answer came."""
+
+    status: int
+    body: dict | None
+    asked_at: float
+
+
 class User:
     """Submits a job and polls it until it is over, as the protocol says users do."""
 
@@ -23,36 +40,55 @@
         self.asked_to_cancel = False
         self.answered_at = 0.0  # the last question about an accepted job
         self.told_cancelled_at = None
-        self.asked_at = 0.0
 
     async def _ask(self, method, path, body, timeout, via=None):
+        """A question and its answer, as a Reply, which the history of all answers keeps."""
+        world, asked_at = self.world, self.sim.time
+        job_id = body["id"] if body is not None else path.split("/")[3]
+        if body is not None:
+            world.history.submitted(job_id, asked_at)
+        front = self._front(via)
+        status, answer = await self._send(method, path, body, timeout, front)
+        if status in REFUSED and self.may_be_removed:
+            return Reply(status, answer, asked_at)
+        state = answer.get("status") if isinstance(answer, dict) else None
+        question = _kind_of(method, path)
+        for fault in world.history.add(
+            Answer(job_id, question, front or "none", asked_at, self.sim.time, status, state)
+        ):
+            world.break_rule(fault.rule.value, str(fault))
+        return Reply(status, answer, asked_at)
+
+    def _front(self, via):
+        """The address to ask at: any that listens, or that of one controller; None if there is none."""
         world = self.world
-        fronts = [f for f in world.fronts_for(self.job) if f in world.network.listeners]
+        fronts = [front for front in world.fronts_for(self.job) if front in world.network.listeners]
         if via is not None:
-            fronts = [f for f in fronts if f == world.fronts[via]]
-        if not fronts:
+            fronts = [front for front in fronts if front == world.fronts[via]]
+        return self.sim.random.choice(fronts) if fronts else None
+
+    async def _send(self, method, path, body, timeout, front):
+        """(status, answer) of one front; (0, None) if there is no answer."""
+        if front is None:
             return 0, None
-        client = Client(world.user_loop, world.user_net, self.sim.random.choice(fronts), 0)
-        self.asked_at = self.sim.time
+        client = Client(self.world.user_loop, self.world.user_net, front, 0)
+        data = cbor2.dumps(body) if body is not None else b""
         try:
-            status, data, _ = await client.request(
-                method, path, cbor2.dumps(body) if body is not None else b"", timeout
-            )
+            status, data, _ = await client.request(method, path, data, timeout)
         except (NoAnswer, Timeout):
             return 0, None
         return status, (cbor2.loads(data) if data else None)
 
-    def _hear(self, status, answer):
-        """Checks an answer of 200 or 201 against all that was said before."""
+    def _hear(self, reply):
+        """Learns from an answer of 200 or 201, and checks it against what really runs."""
         world = self.world
-        if status == 404 and self.accepted:
-            world.break_rule("forgotten", self.id)
+        status, answer, asked_at = reply
         if status not in (200, 201):
             return
         self.answered_at = self.sim.time
         state = answer["status"]
-        if self.told in ("done", "cancelled") and state != self.told:
-            world.break_rule("went_back", f"{self.id}: {self.told} then {state}")
+        if self.told in FINAL and state not in FINAL:
+            return  # an older answer to a question that overlapped, or a fault that the history has noted
         if (
             state == "cancelled"
             and not self.asked_to_cancel
@@ -65,8 +101,7 @@
             self.told_cancelled_at = self.sim.time
             world.cancelled_at[self.id] = self.sim.time
         if state in ("pending", "running") and any(
-            self.asked_at > told + world.settings["workers"]["cancel_s"]
-            for told in world.cancelled_above(self.id)
+            asked_at > told + world.settings["workers"]["cancel_s"] for told in world.cancelled_above(self.id)
         ):
             world.break_rule("orphaned", f"{self.id} is called {state}")
         learned = state != self.told and (state in ("done", "cancelled") or self.told is None)
@@ -76,6 +111,11 @@
         if learned:
             world.injector.user_learned(self)
 
+    @property
+    def may_be_removed(self):
+        """Whether its job may be gone for good, as those of a removed tenant are."""
+        return False
+
     def described(self):
         """Its job as submitted."""
         return {k: v for k, v in self.job.items() if k not in UNTOLD}
@@ -92,12 +132,12 @@
             await loop.sleep(0.05)
         begun = self.sim.time
         while not self.accepted:
-            status, answer = await self._ask("POST", "/v1/jobs", public, 5.0)
-            if status in (200, 201):
+            reply = await self._ask("POST", "/v1/jobs", public, 5.0)
+            if reply.status in (200, 201):
                 self.accepted = True
-                self._hear(status, answer)
-            elif status in (400, 422):
-                self.world.refusals[self.id] = status
+                self._hear(reply)
+            elif reply.status in (400, 422):
+                self.world.refusals[self.id] = reply.status
                 return
             elif self.gave_up or self.sim.time - begun > 60:
                 self.gave_up = True
@@ -106,13 +146,11 @@
                 await loop.sleep(1.0 + self.sim.random.random())
         while self.told not in ("done", "cancelled"):
             await loop.sleep(4.0 + 2 * self.sim.random.random())
-            status, answer = await self._ask("GET", f"/v1/jobs/{self.id}", None, 2.0)
-            self._hear(status, answer)
+            self._hear(await self._ask("GET", f"/v1/jobs/{self.id}", None, 2.0))
         # Long after the end, any controller must say the same.
         for _ in range(4):
             await loop.sleep(7.0)
-            status, answer = await self._ask("GET", f"/v1/jobs/{self.id}", None, 2.0)
-            self._hear(status, answer)
+            self._hear(await self._ask("GET", f"/v1/jobs/{self.id}", None, 2.0))
 
     async def submit_again(self):
         """A retry long after the job was accepted, until it is answered."""
@@ -120,24 +158,22 @@
         while not self.accepted:
             await self.world.user_loop.sleep(1.0)
         for _ in range(60):
-            status, answer = await self._ask("POST", "/v1/jobs", public, 5.0)
-            if status in (400, 404, 422):
-                self.world.break_rule("forgotten", f"{self.id}: a retry was answered {status}")
-            if status in (200, 201):
-                self._hear(status, answer)
+            reply = await self._ask("POST", "/v1/jobs", public, 5.0)
+            if reply.status in (200, 201):
+                self._hear(reply)
                 return
             await self.world.user_loop.sleep(1.0)
 
     async def poll(self, via=None):
         """One question more, of the controller named."""
-        self._hear(*await self._ask("GET", f"/v1/jobs/{self.id}", None, 2.0, via))
+        self._hear(await self._ask("GET", f"/v1/jobs/{self.id}", None, 2.0, via))
 
     async def cancel(self, via=None):
         self.asked_to_cancel = True
         begun = self.sim.time
         while self.sim.time - begun < 60:
-            status, answer = await self._ask("POST", f"/v1/jobs/{self.id}/cancel", None, 5.0, via)
-            if status == 200:
-                self._hear(status, answer)
+            reply = await self._ask("POST", f"/v1/jobs/{self.id}/cancel", None, 5.0, via)
+            if reply.status == 200:
+                self._hear(reply)
                 return
             await self.world.user_loop.sleep(1.0)
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -9,6 +9,7 @@
 from roadhead.local.cloud_api import CloudApi
 from roadhead.local.fault_injector import FaultInjector
 from roadhead.local.fault_windows import FaultWindows
+from roadhead.local.histories import History
 from roadhead.local.rules import RuleChecker
 from roadhead.local.scenario import parse_scenario
 from roadhead.local.scenario_verbs import ScenarioVerbs
@@ -77,6 +78,7 @@
         self.refusals = {}
         self.storms = []
         self.fault_windows = FaultWindows()
+        self.history = History()  # of all answers to users
         self.rules = RuleChecker(self)
         self.broken, self.completed = self.rules.broken, self.rules.completed
         self.running, self.started = self.rules.running, self.rules.started
