--- a/roadhead/local/scenario_verbs.py
+++ b/roadhead/local/scenario_verbs.py
@@ -142,12 +142,18 @@
     # Network
 
     def _hosts(self, name):
-        """Hosts by a scenario's names: a controller's number, state, cloud, workers, peers."""
+        """Hosts by a scenario's names: a controller's number, state, cloud, users, workers, peers, a zone."""
         rented = self._world.cloud.rented.values()
         if name == "state":
             return ["10.2.0.1"]
         if name == "cloud":
             return ["10.2.0.2"]
+        if name == "users":
+            return ["10.9.0.1"]
+        if name in self._world.zones:
+            controllers = range(self._world.zones.index(name), len(self._world.labels), 2)
+            workers = [worker.host for worker in rented if worker.zone == name]
+            return [f"10.0.0.{number + 1}" for number in controllers] + workers
         if name == "workers":
             return [worker.host for worker in rented]
         if name in ("even-workers", "odd-workers"):
--- /dev/null
+++ b/tests/drawn_days.py
@@ -0,0 +1,246 @@
+"""The texts of days drawn by chance: a hosted service, pipelines, and fault combinations."""
+
+import random
+
+QUIET_S, ENDS_S = 170, 1800  # no more faults, and the day's end
+TENANTS = ("north", "south", "east")
+
+
+def drawn(seed):
+    """The text of a day."""
+    rng = random.Random(seed)
+    lines = [
+        f"seed {seed}",
+        "gateways 2",
+        f"slots {rng.choice((3, 6, 24))}",
+        f"until {ENDS_S}",
+        f"capacity {rng.choice((4, 8, 12))}",
+        f"txn_ops {rng.choice((6, 16))}",
+    ]
+    for name in TENANTS:
+        cpus = rng.choice((0, 6, 10))
+        lines.append(
+            f"at 2 tenant {name} team=crew:cpus={rng.choice((0, 2, 4))}:weight={rng.choice((1, 3))} "
+            f"team=other:cpus_max={rng.choice((0, 3))}" + (f" cpus={cpus}" if cpus else "")
+        )
+    for number in range(rng.randrange(6, 14)):
+        lines.append(
+            f"at {rng.uniform(8, 150):.1f} submit tenant={rng.choice(TENANTS)} id=j{number}x "
+            f"crew={rng.choice(('crew', 'crew', 'other'))} count={rng.randrange(1, 6)} "
+            f"every={rng.choice((0.02, 1, 4))} legs={rng.randrange(1, 8)} vcpus={rng.choice((1, 1, 2))} "
+            f"runS={rng.choice((2, 8, 20))} urgency={rng.choice(('high', 'standard', 'low'))} "
+            f"musterS={rng.choice((0, 5))} stowS={rng.choice((0, 1))}"
+        )
+    for _ in range(rng.randrange(6, 14)):
+        at, node = rng.uniform(6, QUIET_S), rng.randrange(3)
+        length = rng.choice((3, 8, 14, 25))
+        lines.append(
+            f"at {at:.2f} "
+            + rng.choice(
+                (
+                    f"crash {node} {length}",
+                    f"cut {node} state {length} {rng.choice(('lose', 'hold'))}",
+                    f"cut {node} workers {length} hold",
+                    f"cut {node} {(node + 1) % 3} {length} hold",
+                    f"stall {node} {length}",
+                    f"outage {length}",
+                    f"lose state {rng.randrange(1, 5)}",
+                    f"lose-workers {rng.randrange(1, 3)}",
+                    f"late-write {rng.choice((8, 40))}",
+                    f"late-launch {length}",
+                    f"die {rng.randrange(1, 3)}",
+                    f"notice 1 {length}",
+                    f"crash-gateway {rng.randrange(2)} {length}",
+                    f"hang 0 {length}",
+                )
+            )
+        )
+    for name in TENANTS[1:]:
+        at = rng.uniform(20, 110)
+        if rng.random() < 0.6:
+            lines.append(f"at {at:.2f} suspend {name} {rng.choice(('finish', 'stop'))}")
+            lines.append(f"at {at + rng.uniform(5, 40):.2f} resume {name}")
+        if rng.random() < 0.5:
+            at = rng.uniform(30, 150)
+            lines.append(f"at {at:.2f} limits {name} team=crew:cpus_max=3 team=other cpus=5")
+    if rng.random() < 0.5:
+        lines += [f"at {rng.uniform(150, 165):.2f} remove east", "expect gone east"]
+    return "\n".join([*lines, "expect accepted_done north", "expect accepted_done south"])
+
+
+def drawn_pipelines(seed):
+    """The text of a day of jobs that need others, whose service lowers its limits on the way."""
+    rng = random.Random(seed)
+    lines = [
+        f"seed {seed}",
+        "until 700",
+        f"capacity {rng.choice((3, 6, 10))}",
+        "rps 150",
+        "write_rps 20",
+        "next_value_kb 2",
+        "next_txn_ops 5",
+        "next_write_rps 15",
+        f"cpus_max {rng.choice((0, 0, 8))}",
+    ]
+    count, times = rng.randrange(10, 50), []
+    for number in range(1, count + 1):
+        times.append(max([rng.uniform(4, 120), *times[-1:]]) if number % 5 else (times or [4])[-1])
+        most = min(number - 1, rng.choice((0, 1, 1, 2, 4, 12)))
+        near = range(max(1, number - 20), number)
+        named = sorted(rng.sample(near, min(most, len(near))))
+        lines.append(
+            f"at {times[-1] + number / 1000:.3f} submit legs={rng.randrange(1, 7)} "
+            f"runS={rng.choice((2, 6, 15))} expectS=6 urgency={rng.choice(('high', 'standard', 'low'))} "
+            f"musterS={rng.choice((0, 5))} stowS={rng.choice((0, 1))}"
+            + (f" dueS={rng.choice((30, 90))}" if rng.random() < 0.3 else "")
+            + (f" upstream={','.join(map(str, named))}" if named else "")
+        )
+    for _ in range(rng.randrange(0, 5)):
+        number = rng.randrange(1, count + 1)
+        lines.append(f"at {times[number - 1] + rng.choice((1, 1, 4, 20)):.2f} cancel {number}")
+    for _ in range(rng.randrange(0, 3)):
+        number = rng.randrange(1, count + 1)
+        lines.append(f"at {times[number - 1] + rng.choice((9, 60, 200)):.2f} resubmit {number}")
+    for _ in range(rng.randrange(4, 14)):
+        at, node = rng.uniform(6, QUIET_S), rng.randrange(3)
+        length = rng.choice((0.1, 0.4, 3, 8, 14, 25))
+        lines.append(
+            f"at {at:.2f} "
+            + rng.choice(
+                (
+                    f"crash {node} {length}",
+                    f"crash {node} 0.1",
+                    f"cut {node} state {length} hold",
+                    f"cut {node} workers {length} hold",
+                    f"cut {node} {(node + 1) % 3} {length} lose",
+                    f"stall {node} {length}",
+                    f"outage {length}",
+                    f"lose state {rng.randrange(1, 5)}",
+                    f"late-write {rng.choice((8, 40))}",
+                    f"late-launch {length}",
+                    f"die {rng.randrange(1, 3)}",
+                    f"leave {node} {length}",
+                    f"hang 0 {length}",
+                )
+            )
+        )
+    lines.append(f"at {rng.uniform(10, 150):.1f} lower")
+    return "\n".join(lines)
+
+
+LEASE_S, CANCEL_S = 12, 32  # the emulators' (roadhead.local.scenario, DEFAULTS)
+MEETINGS_END_S = 230
+
+
+SPANS_S = [quarter * bound / 4 for bound in (LEASE_S, CANCEL_S) for quarter in range(1, 6)]
+
+
+class Moment:
+    """When a trouble of a drawn day begins, for how long, and which controllers it takes."""
+
+    def __init__(self, rng, at, length, count):
+        self.rng = rng
+        self.count = count
+        self.at = at
+        self.length = min(length, MEETINGS_END_S - 20 - at)
+        self.node = rng.randrange(count)
+        self.other = (self.node + rng.randrange(1, count)) % count
+
+
+def outer_troubles(moment):
+    """Ends, rolls, outages and cuts: the lines of each, of which one is drawn."""
+    rng, node, other, length = moment.rng, moment.node, moment.other, moment.length
+    everybody = range(moment.count)
+    return (
+        [f"refuse {node} {length}"],
+        [f"refuse {node} {length}", f"cut {node} peers {length / 2}"],
+        [f"outage {length}"],
+        [f"outage {length}"],
+        [f"slow-state 3 {length}"],
+        [f"cut {node} {other} {length} {rng.choice(('lose', 'hold'))}"],
+        [f"cut {node} peers {length} {rng.choice(('lose', 'hold'))}"],
+        [f"cut {node} state {length} hold", f"cut {node} peers {length} hold"],
+        [f"cut {node} workers {length} hold"],
+        [f"cut {node} even-workers {length} hold"],
+        [f"cut north {whom} {length} hold" for whom in ("south", "state", "cloud", "users")],
+        [f"crash {node} {rng.choice((0.1, 0.5, 3, length))}"],
+        [f"crash {number} {rng.choice((0.1, 3, length))}" for number in everybody],
+        [f"leave {number} 0.2" for number in everybody],
+        [f"leave {node} 0.2", f"leave {other} 0.2"],
+        [f"stall {node} {length}"],
+    )
+
+
+def inner_troubles(moment):
+    """Troubles of messages, machines and users, likewise."""
+    rng, length = moment.rng, moment.length
+    return (
+        [f"late-writes {rng.choice((0.1, 0.5))} {length}"],
+        [f"lose-writes {rng.choice((0.2, 0.6))} {length}"],
+        [f"late-reports 0.5 {length}"],
+        [f"late-reports 0.5 {length} next"],
+        [f"late-commands {rng.choice((0.3, 0.8))} {length}"],
+        [f"late-launch {length}"],
+        [f"deaf {rng.choice((0.3, 1))} {length}"],
+        [f"mute {rng.choice((0.3, 1))} {length}"],
+        [f"hang 0 {length}"],
+        ["die 2"],
+        [f"cancel-now {rng.choice((3, 8))} {rng.choice((0, 5, length))}"],
+        [f"cancel-at-end {rng.choice((0.3, 1))} {length}"],
+        [f"odd-requests {length}"],
+        [f"close-looks {length}"],
+        [f"quick-boots {length}", "submit count=6 legs=4 runS=20"],
+        ["submit count=24 legs=1 runS=15", f"cancel-at-end 0.25 {length}"],
+    )
+
+
+def meeting_lines(rng, begin, count):
+    """Two to four troubles: those within are on for a lease at least, and the outer ones fall into them."""
+    long = [span for span in SPANS_S if span >= LEASE_S]
+    moments = [
+        (inner_troubles, Moment(rng, begin + rng.uniform(0, 3), rng.choice(long), count))
+        for _ in range(rng.choice((1, 2)))
+    ] + [
+        (outer_troubles, Moment(rng, begin + rng.uniform(0, LEASE_S), rng.choice(SPANS_S), count))
+        for _ in range(rng.choice((1, 2)))
+    ]
+    return [
+        f"at {moment.at:.2f} {text}" for troubles, moment in moments for text in rng.choice(troubles(moment))
+    ]
+
+
+def drawn_meetings(seed):
+    """The text of a day on which troubles overlap on purpose, with cancellations, polls and jobs that need
+    others throughout; tasks short and several times `cancel_s` long."""
+    rng = random.Random(seed)
+    count = rng.choice((3, 3, 5))
+    lines = [
+        f"seed {seed}",
+        f"controllers {count}",
+        "until 800",
+        f"settled {MEETINGS_END_S}",
+        f"capacity {rng.choice((4, 6, 10))}",
+        f"cpus_max {rng.choice((0, 0, 0, 8))}",
+        "at 5 storm 3 330",
+    ]
+    jobs = rng.randrange(14, 30)
+    times = sorted(rng.uniform(1, 170) for _ in range(jobs))
+    begins = rng.uniform(25, 50), rng.uniform(110, 135)
+    early = sum(at < begins[0] for at in times)  # jobs whose numbers no trouble's own jobs shift
+    for number, at in enumerate(times, 1):
+        most = min(number - 1, early)
+        named = sorted(rng.sample(range(1, most + 1), min(most, rng.choice((0, 0, 0, 1, 2)))))
+        lines.append(
+            f"at {at:.2f} submit legs={rng.choice((1, 2, 3, 3, 6, 12))} "
+            f"runS={rng.choice((3, 15, 40, 100, 160))} urgency={rng.choice(('high', 'standard', 'low'))} "
+            f"musterS={rng.choice((0, 0, 10))} stowS={rng.choice((0, 2))}"
+            + rng.choice(("", "", "", "", " paddock=north", " loaners=False"))
+            + (f" upstream={','.join(map(str, named))}" if named else "")
+        )
+    for begin in begins:
+        lines += meeting_lines(rng, begin, count)
+        for _ in range(rng.randrange(2, 7)):
+            number = rng.randrange(1, jobs + 1)
+            at = max(times[number - 1] + 1, begin + rng.uniform(0, 20))
+            lines.append(f"at {at:.2f} cancel {number}")
+    return "\n".join(lines)
