--- a/tests/fault_combinations.py
+++ b/tests/fault_combinations.py
@@ -143,6 +143,7 @@
             # Long tasks that leave room on each machine, so that what comes later starts there at once.
             "at 1 submit legs=8 vcpus=3 shape=daemon expectS=0 runS=100000",
             *[f"at {30 - before_s - 0.2} late-launch {late_s}"] * count,
+            f"at {30 - before_s - 0.1} mute 1 {LEASE_S - 3}",  # so that no answer to a report brings them
             f"at {30 - before_s} submit count=2 legs=4 runS=25",
             f"at 30 {fall}",
             "at 33 cancel 2 1",
