--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -55,7 +55,9 @@
     def begin(self, short):
         """A new incarnation starts. `short`: it came in the place of the one before, without a gap in
         which others were home to its machines."""
-        self.sureness.fence(self._member.term.held(self.label), short)
+        term = self._member.term
+        self.sureness.begin(term)
+        self.sureness.fence(term.held(self.label), short)
 
     def on_term(self, old, new):
         """The term changed while this incarnation serves: what moved is let go of, or begun anew; what
@@ -64,6 +66,7 @@
         lost = had.keys() - has.keys()
         begun = [share for share, token in has.items() if had.get(share) != token]
         given, told = {}, {}  # home -> [machines], and what it is told of them
+        self.sureness.on_relief(old, new)
         if lost or begun:
             for machine in list(self.machines.values()):
                 share, (home, token) = new.share(machine.id), new.place(machine.id)
@@ -79,9 +82,7 @@
                 self.rooms.revoke(machine)
                 self._let_go(machine)
             self.sureness.let_go(lost)
-            self.sureness.fence(
-                begun, False, {share for share in begun if old.shares.homes[share] in new.relieved}
-            )
+            self.sureness.fence(begun, False)
         if old.members.keys() - new.members.keys() or new.relieved - old.relieved:
             self.sureness.lengthen()
         for label in list(self.rooms.demand):
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/sureness.py
@@ -3,6 +3,7 @@
 import logging
 import math
 
+from roadhead.homes.relief import Relief
 from roadhead.wire import frames
 
 log = logging.getLogger("roadhead.home")
@@ -47,11 +48,44 @@
         self._syncs = []  # (label, incarnation, term, number, jobs)
         self._fences = {}  # share -> Fence, of the shares homed here
         self._unsure = {}  # shares that may not be clean, in order as a set
+        self._relief = Relief(member.label)
+
+    def begin(self, term):
+        """A new incarnation's first term."""
+        self._relief.begin(term)
+
+    def may_not_know(self):
+        """Labels of relieved controllers that are not known to know."""
+        return self._relief.labels()
+
+    def on_relief(self, old, new):
+        """The term changed; to be called before shares of it are fenced."""
+        self._relief.on_term(old, new)
+        self._bound_relieved()
+
+    def hear_term(self, label, number):
+        """Another controller, in its incarnation of now, serves the term of that number."""
+        self._relief.hear_term(label, number)
+        self._bound_relieved()
+
+    def _bound_relieved(self):
+        """Once no relieved controller hears machines any more: what it heard was up by now, and a list that
+        shows a later moment names it."""
+        if self._relief:
+            return
+        now = self._loop.now()
+        for share, fence in self._fences.items():
+            if fence.since == math.inf and now < fence.at:
+                fence.since, fence.covered = now, False
+                fence.cover_from = now + 2 * self._lag_s * (1 + DRIFT)
+                self._unsure[share] = True
 
-    def fence(self, shares, short, unaware=()):
+    def fence(self, shares, short):
         """These shares are this home's from now on, or under a new token: what was known of them may be
-        old. `short`: nobody else was their home since this one's last incarnation. `unaware`: those of them
-        whose home of before has not lapsed, may not know, and goes on hearing machines for the first time."""
+        old. `short`: nobody else was their home since this one's last incarnation.
+
+        While a relieved controller may not know, all machines are waited for, whoever was their home right
+        before: it may have got them from that one."""
         now = self._loop.now()
         # A process that ended renews nothing; a member that was dropped but lives stops
         # renewing before cancel_s - lease_s is up (guide, safety 4). Then the lease itself.
@@ -62,7 +96,7 @@
             if machine.share in machines:
                 machines[machine.share].append(machine.id)
         for share, names in machines.items():
-            since = math.inf if share in unaware else now
+            since = math.inf if self._relief else now
             self._fences[share] = Fence(since, at, short, cover_from, names)
             self._unsure[share] = True
 
@@ -148,6 +182,8 @@
         machines = self._known.machines
         if self._loop.now() >= fence.at:
             return not any(name in machines and machines[name].tasks for name in fence.unheard)
+        if fence.since == math.inf:
+            return False  # what is rented now may be heard by a relieved controller first
         # A machine rented, or still booting, after the old member's end, or lapse, can't have been
         # heard by it.
         while fence.awaited:
--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -18,13 +18,14 @@
     """`heard_at` tells silence; `spoke_at` is when the last beat came: what the other side knew when it
     sent that was on the link before it."""
 
-    __slots__ = ("deaf", "heard_at", "incarnation", "spoke_at", "state_ok", "stream", "used")
+    __slots__ = ("deaf", "heard_at", "incarnation", "spoke_at", "state_ok", "stream", "term", "used")
 
     def __init__(self, stream, incarnation, now):
         self.stream = stream
         self.incarnation = incarnation
         self.heard_at = now
         self.spoke_at = -1e9
+        self.term = 0  # number of the term served there
         self.state_ok = True
         self.deaf = False
         self.used = None  # (requests, writes) of the state service a second, once told
@@ -118,6 +119,7 @@
                     if type(frame) is Beat:
                         if not self._loop.catching_up:
                             link.spoke_at = link.heard_at
+                        link.term = frame.term
                         link.state_ok = frame.state_ok
                         link.deaf = frame.deaf
                         link.used = (frame.requests, frame.writes)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -446,6 +446,13 @@
             home.judge_leases(self.sure_at())
         self._judging = False
 
+    def _hear_terms(self):
+        """Relieved controllers that say that they serve a term by which they are."""
+        for label in self.home.sureness.may_not_know():
+            link = self.peers.links.get(label)
+            if link is not None and link.incarnation == self.member.term.incarnation(label):
+                self.home.sureness.hear_term(label, link.term)
+
     def _speaks(self):
         """Whether others may hear this controller: a member, or one that surely is none for a while yet, and
         knows what those before it under its label have told."""
@@ -683,6 +690,7 @@
                 continue
             self.may_renew()  # hearing counts only as long as it does not break off
             sure_at = self.sure_at()
+            self._hear_terms()
             unused = self.home.tick(sure_at)
             if self.home.undecided and not self._judging:
                 self._judging = True
--- /dev/null
+++ b/tests/test_cancel_and_move.py
@@ -0,0 +1,71 @@
+"""Work changes hands: cancellations in those seconds, and who may hear a machine first."""
+
+import pytest
+
+from roadhead.homes.relief import Relief
+from roadhead.local.world import World
+from roadhead.membership.member import TERM
+
+RELIEF = """
+until 70
+capacity 7
+boot_s 1
+at 5 submit count=25 legs=20 runS=4 expectS=4 urgency=low
+at 34 cut 0 workers 30
+at 38.8 submit count=9 legs=8 runS=40 urgency=high
+"""
+
+
+class ReliefWorld(World):
+    """Controller 0 is relieved since workers can't reach it. At that moment they reach it again, and it loses
+    the state service and the others, so that it does not know; jobs come, and then machines. `then`: what
+    happens so many seconds after."""
+
+    def __init__(self, seed, then=()):
+        super().__init__(f"seed {seed}{RELIEF}")
+        self.relieved_at = None
+        commit = self.state.multi
+
+        def multi(body):
+            status, answer = commit(body)
+            terms = [write["data"] for write in body["writes"] if write.get("put") == TERM]
+            if status == 200 and self.relieved_at is None and any(term["relieved"] for term in terms):
+                self._relieved(then)
+            return status, answer
+
+        self.state.multi = multi
+
+    def _relieved(self, then):
+        self.relieved_at = self.sim.time
+        for host in self._hosts("workers"):
+            self.network.heal("10.0.0.1", host)
+        self.do(["cut", "0", "state", "40"])
+        self.do(["cut", "0", "peers", "40"])
+        self.cloud.capacity = 60
+        for after, words in then:
+            self.sim.call_later(after, self.do, words.split())
+        for after in (2.5, 3.2, 3.9, 4.4):
+            self.sim.call_later(after, self.cloud.rent, "box", "north", True, 3)
+
+
+HEIRS_RESTART = ((1.5, "crash 1 0.1"), (1.5, "crash 2 0.1"))
+
+
+@pytest.mark.parametrize(
+    ("seed", "then"),
+    [(7, ()), (12, ()), (2, HEIRS_RESTART), (12, HEIRS_RESTART)],
+    ids=["dropped-7", "dropped-12", "heirs-restart-2", "heirs-restart-12"],
+)
+def test_machines_that_a_relieved_controller_hears_first_are_waited_for(seed, then):
+    """Safety 3: until it knows, or is dropped, its heirs do not say that they know what runs."""
+    world = ReliefWorld(seed, then).run()
+    assert world.relieved_at is not None
+    assert world.check() == []
+
+
+@pytest.mark.parametrize("then", [(), HEIRS_RESTART], ids=["dropped", "heirs-restart"])
+def test_taking_relieved_controllers_for_aware_is_noticed(then, monkeypatch):
+    """3: a relieved controller is taken for one that knows."""
+    monkeypatch.setattr(Relief, "labels", lambda self: [])
+    monkeypatch.setattr(Relief, "__bool__", lambda self: False)
+    assert any(ReliefWorld(seed, then).run().broken for seed in range(1, 13))
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -28,6 +28,7 @@
 class Term:
     number = 1
     members = ("here", "there")
+    relieved = frozenset()
 
     def serves(self, _label, _incarnation):
         return True
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -160,6 +160,7 @@
     def fence(self, shares, short):
         real(self, shares, short)
         for share in shares:
+            self._fences[share].since = self._loop.now()
             self._fences[share].covered = True
             self._fences[share].awaited.clear()
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -9,6 +9,7 @@
 
 from roadhead.admission.sockets import Sockets
 from roadhead.homes.machine import LAUNCHING
+from roadhead.homes.relief import Relief
 from roadhead.homes.workers import Workers
 from roadhead.jobs.job import Job
 from roadhead.local.sim import Sim
@@ -174,8 +175,8 @@
     sent = []
     home = home_of(0, 0)
     home.commanding._send = home._news._send = lambda label, frame: sent.append((label, frame))
-    home.sureness.fence([0], False, {0})
-    home.covered([listed("n-000000", "running")], 100.0)
+    home.sureness.fence([0], False)
+    home.covered([listed("n-000000", "running")], 6.5)  # up before the share came here
     home.commanding.on_sync("heir", 2, frames.Sync(1, 1, ["req-0"], []))
     home.commanding.on_sync("other", 3, frames.Sync(1, 1, ["req-0"], []))
     assert sent == []
@@ -335,13 +336,43 @@
 
 
 def test_machines_of_a_relieved_home_are_waited_for_although_they_boot():
-    """Safety 3: that one serves on, may not know, and may hear them first."""
-    for unaware in (set(), {0}):
+    """Safety 3: that one serves on, may not know, and may hear them first; so it is until a list asked for
+    late enough after it knew."""
+    term = Term().join("ctl-0", "a").join("ctl-1", "b")
+    relieved = term.relieve("ctl-1")
+    for unaware in (False, True):
         home = home_of(0, 0)
-        home.sureness.fence([0], False, unaware)
+        home.sureness.on_relief(term, relieved if unaware else term)
+        home.sureness.fence([0], False)
         home.covered([listed("n-000001", "starting")], 100.0)
         assert home.sureness.clean() == (not unaware)
-    assert home.hearing.take_report(report(1, 0)) and home.sureness.clean()
+    assert home.hearing.take_report(report(1, 0)) and not home.sureness.clean()
+    home.sureness.hear_term("ctl-1", term.number)  # as it was before
+    assert home.sureness.may_not_know() == ["ctl-1"]
+    home.sureness.hear_term("ctl-1", relieved.number)
+    assert home.sureness.may_not_know() == [] and not home.sureness.clean()
+    home.covered([listed("n-000001", "running")], 100.0)
+    assert home.sureness.clean()
+
+
+def test_who_may_not_know_that_it_is_relieved():
+    """Safety 3: by each way in which another learns of the relief, and of its end."""
+    term = Term().join("ctl-0", "a").join("ctl-1", "b").join("ctl-2", "c")
+    relieved = term.relieve("ctl-1")
+    relief = Relief("ctl-0")
+    relief.on_term(term, relieved)
+    assert relief.labels() == ["ctl-1"]
+    relief.on_term(relieved, relieved.join("ctl-1", "d"))  # its process was replaced
+    assert relief.labels() == []
+    relief.begin(relieved)  # a restart: since when it is relieved is not known
+    assert relief.labels() == ["ctl-1"]
+    relief.on_term(relieved, relieved.drop({"ctl-1"}))
+    assert relief.labels() == []
+    relief.on_term(relieved, relieved.join("ctl-2", "e").drop({"ctl-2"}))  # two terms were not seen
+    assert relief.labels() == ["ctl-1"]
+    own = Relief("ctl-1")
+    own.on_term(term, relieved)
+    assert own.labels() == []
 
 
 def test_a_short_fence_that_is_not_over_grows_long_once_a_member_is_dropped():
