A claim of an owner that ended takes no task from its heir

Cause: an owner that claims tasks on a machine not heard yet, and then ends, leaves the claim with the machine's home. When the machine was heard, the claim set the task's owner back to the ended one, after its heir had named the job without knowing of that task. The task's end was told to nobody, and the job was never done.

Change: a claim that is met goes to who named the job last.

--- a/roadhead/homes/hearing.py
+++ b/roadhead/homes/hearing.py
@@ -91,7 +91,9 @@
         return True
 
     def _meet_claims(self, machine):
-        for key, owner in self._sureness.take_claims(machine.id):
+        for key, claimer in self._sureness.take_claims(machine.id):
+            # An heir that did not know of the task may have named the job since.
+            owner = self._known.owners.get(key[0], claimer)
             task = machine.tasks.get(key)
             if task is None:
                 self._news.tell(owner, frames.Free(machine.id, *key, "not there"))
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -187,6 +187,22 @@
         assert [row[:4] for row in told[0].rows] == [("req-0", 0, 1, "running"), ("req-0", 1, 1, "running")]
 
 
+def test_a_claim_of_an_owner_that_ended_does_not_take_a_task_from_its_heir():
+    """An owner claims a task on a machine that is not heard yet, and ends; its heir names the job, and does
+    not know of the task. What becomes of that is the heir's to be told, or the job is never done."""
+    sent = []
+    home = home_of(0, 0)
+    home.commanding._send = home._news._send = lambda label, frame: sent.append((label, frame))
+    home.sureness.fence([0], False)
+    home.covered([listed("n-000000", "running")], 6.5)
+    claims = [("n-000000", "req-0", 0, 1)]
+    home.commanding.on_sync("ended", 1, frames.Sync(1, 1, ["req-0"], claims))
+    home.commanding.on_sync("heir", 2, frames.Sync(1, 1, ["req-0"], []))
+    home.hearing.take_report(report(0, 1))
+    assert [task.owner for task in home.machines["n-000000"].tasks.values()] == [("heir", 2)]
+    assert frames.TaskStates in [type(frame) for label, frame in sent if label == "heir"]
+
+
 def test_a_share_under_a_new_token_is_sure_once_its_own_machines_are_heard():
     home = home_of(40, 0)
     home.covered([], 100.0)
