Cancellations at each write of a change of hands, enumerated; scenarios of it

Cause: no test brought about a cancellation at each step of a move, an orderly end, relief, a takeover and a restart.

--- a/tests/handovers.py
+++ b/tests/handovers.py
@@ -17,23 +17,27 @@
 
 import conftest  # noqa: F401  finds the libraries
 
+from roadhead.jobs.job import KEY
 from roadhead.local.world import World
+from roadhead.membership.member import MEMBER, TERM
 
 CANCEL_S = 32.0  # the emulators' (world.py, DEFAULTS)
 LEASE_S = 12.0
 FETCH_S = 1.0  # a start whose command was on its way shows that much later
 STEP_AT = 40.0
 CHANGE_S = 16.0  # the commits of so long count as the change's
-COMMITS_MOST = 6
+CHANGES_MOST, RECORDS_MOST = 4, 2  # commits of the term and entries, and of records, of a change
+KINDS = (TERM, MEMBER, KEY)
 OFFSETS = (-0.05, 0.0, 0.05, 0.3, 1.0)
+BEFORE_S = 1.1
 GONE_S = 600.0  # a controller that is never back
-CANCELLED = "1,3,5,9,14,15"  # long tasks that run, jobs of short ones, one that starts right then
+CANCELLED = "1,3,5,7,11,16,17"  # long tasks that run, jobs of short ones, one that starts right then
 
 LOAD = [  # machines full but for room in which short tasks follow one another throughout
     "until 330",
-    "capacity 6",
+    "capacity 7",
     "settled 130",
-    "at 5 submit count=6 legs=3 runS=100 expectS=100",
+    "at 5 submit count=8 legs=4 runS=100 expectS=100",
     "at 6 submit count=8 legs=10 runS=5",
 ]
 
@@ -51,13 +55,15 @@
 STEPS = {
     "move": Step(("at 12 crash 2 15",), giver=0, taker=2, third=1),
     "orderly end": Step((f"at {STEP_AT} leave 1 3",), giver=1, taker=2, third=0),
-    "relief": Step((f"at {STEP_AT - 5} cut 0 workers 11",), giver=0, taker=1, third=2),
+    "relief": Step((f"at {STEP_AT - 5} cut 1 workers 11",), giver=1, taker=2, third=0),
     "takeover": Step((f"at {STEP_AT - 6} crash 1 25",), giver=1, taker=2, third=0),
     "restart": Step((f"at {STEP_AT} crash 1 0.1",), giver=1, taker=2, third=0),
 }
 BEGINS = {"move": 26.0, "takeover": STEP_AT - 6, "relief": STEP_AT - 5}  # else STEP_AT
 
-FAULTS = {  # lines of the moment of the cancellation: {via}, {giver}, {taker}, {other} are controllers
+# Lines of the moment of the cancellation; "before": so that commands of tasks that start then are on their
+# way; "when-told": as the first user is told. {via}, {giver}, {taker}, {other} are controllers.
+FAULTS = {
     "none": [],
     "repeated": ["cancel {jobs} {giver}", "cancel {jobs} {taker}", "cancel {jobs} {other}"],
     "write's answer lost": ["lose state 1"],
@@ -71,7 +77,10 @@
     "deaf": ["deaf 1 14"],
     "hung": ["hang 0 5", "hang 1 14", "hang 2 9"],
     "workers cut": ["cut {giver} even-workers 14 hold", "cut {taker} odd-workers 14 hold"],
-    "late launches": ["late-launch 9"],
+    "late launches": ["before late-launch 9"],
+    "late commands": ["before late-commands 0.5 6"],
+    "mute": ["mute 0.5 14"],
+    "answers of writes lost": ["before lose-writes 0.5 8"],
     "late copies and writes": ["late-reports 0.5 40", "late-writes 0.3 10"],
 }
 
@@ -130,9 +139,17 @@
     return "\n".join([*LOAD, *STEPS[step].lines, *more])
 
 
+@dataclass(frozen=True)
+class Commit:
+    """A change that the state service commits: when, and the key's kind."""
+
+    when: float
+    key: str
+
+
 @lru_cache
 def commits(step):
-    """((when, key), ...) of the first commits of the change that concern it, at most one a moment."""
+    """The first Commits of the change that concern it, at most one a moment."""
     world = World(text_of(step))
     begins = BEGINS.get(step, STEP_AT)
     found = {}
@@ -143,29 +160,28 @@
         if status == 200 and begins <= world.sim.time < begins + CHANGE_S:
             for write in body["writes"]:
                 key = write.get("put") or write.get("drop")
-                kind = next((kind for kind in ("c/term", "c/m/", "j/") if key.startswith(kind)), None)
+                kind = next((kind for kind in KINDS if key.startswith(kind)), None)
                 if kind is not None:
                     found.setdefault(round(world.sim.time, 3), kind)
         return status, answer
 
     world.state.multi = multi
     world.run()
-    changes = [(when, kind) for when, kind in found.items() if kind != "j/"][: COMMITS_MOST - 2]
-    first = changes[0][0] if changes else begins
-    records = [(when, kind) for when, kind in found.items() if kind == "j/" and when >= first]
-    return tuple(changes + records[:2])
+    changes = [Commit(when, kind) for when, kind in found.items() if kind != KEY][:CHANGES_MOST]
+    records = [Commit(when, kind) for when, kind in found.items() if kind == KEY and when >= changes[0].when]
+    return tuple(changes + records[:RECORDS_MOST])
 
 
 def cases():
     """Yields every Case."""
     for name, step in STEPS.items():
-        for (number, (when, key)), offset, via, fault in itertools.product(
+        for (number, commit), offset, via, fault in itertools.product(
             enumerate(commits(name)), OFFSETS, ("giver", "taker", "third"), FAULTS
         ):
-            yield case(name, step, number, key, when, offset, via, fault)
+            yield case(name, step, number, commit, offset, via, fault)
 
 
-def case(name, step, number, key, when, offset, via, fault):
+def case(name, step, number, commit, offset, via, fault):
     """One Case. A job of short tasks is submitted right before, so that its commands are on their way."""
     node = getattr(step, via)
     names = {
@@ -175,9 +191,9 @@
         "via": node,
         "jobs": CANCELLED,
     }
-    at = when + offset
+    at = commit.when + offset
     lines = [
-        f"at {at - 1.1:.3f} submit legs=4 runS=60 urgency=high",
+        f"at {at - BEFORE_S:.3f} submit legs=4 runS=60 urgency=high",
         f"at {at:.3f} cancel {CANCELLED} {node}",
     ]
     told = []
@@ -185,11 +201,13 @@
         line = line.format(**names)
         if line.startswith("when-told "):
             told.append(line.removeprefix("when-told "))
+        elif line.startswith("before "):
+            lines.append(f"at {at - BEFORE_S:.3f} {line.removeprefix('before ')}")
         else:
             lines.append(f"at {at:.3f} {line}")
     if node == step.giver or fault.startswith("confirmer"):
         lines.append(f"at {at + 8:.3f} cancel {CANCELLED}")  # it may never answer
-    return Case(name, number, key, offset, via, fault, text_of(name, lines), tuple(told))
+    return Case(name, number, commit.key, offset, via, fault, text_of(name, lines), tuple(told))
 
 
 def played(case):
--- a/tests/test_cancel_and_move.py
+++ b/tests/test_cancel_and_move.py
@@ -1,10 +1,61 @@
 """Work changes hands: cancellations in those seconds, and who may hear a machine first."""
 
+import itertools
+
+import handovers
+import mutation
 import pytest
+from test_safety import handed_over_taken_for_heard
 
 from roadhead.homes.relief import Relief
+from roadhead.jobs.book import CANCEL, Book
 from roadhead.local.world import World
 from roadhead.membership.member import TERM
+from roadhead.node import Node
+
+SAMPLE = 24  # of the cases of handovers.py
+
+
+@pytest.mark.parametrize("step", handovers.STEPS)
+def test_each_change_of_hands_is_brought_about(step):
+    """A change that did not come about would have no case, and nobody would notice."""
+    assert sum(commit.key == TERM for commit in handovers.commits(step)) >= 1
+
+
+@pytest.mark.parametrize("number", range(SAMPLE))
+def test_cancelled_while_work_changes_hands_in_a_sample(number):
+    """Safety 4; `tests/handovers.py` plays all."""
+    outcome = handovers.played(next(itertools.islice(handovers.cases(), 197 * number + 5, None)))
+    assert (outcome.faults, outcome.unended) == ([], 0), outcome.case
+
+
+def cancel_news_is_not_told(patch):
+    """4: a cancellation is told to no link; whoever took work over has only the state service's watch."""
+    patch.setattr(Node, "_tell_cancelled", lambda self, label, jobs: None)
+
+
+def marks_are_dropped_at_once(patch):
+    """4: the owner drops a cancellation's mark as it hears of it, though tasks may be somewhere."""
+    real = Book.cancelled
+
+    def cancelled(self, job_id, record=None):
+        real(self, job_id, record)
+        self.recorder.drop(CANCEL + job_id)
+
+    patch.setattr(Book, "cancelled", cancelled)
+
+
+@pytest.mark.parametrize(
+    ("mutate", "scenario"),
+    [
+        (cancel_news_is_not_told, "move-news"),
+        (marks_are_dropped_at_once, "move-marks"),
+        (handed_over_taken_for_heard, "move-back-all-end"),
+    ],
+)
+def test_a_missing_guard_is_noticed(mutate, scenario):
+    mutation.assert_noticed(mutate, scenario)
+
 
 RELIEF = """
 until 70
