Split the users' API into small modules; count each 503 by question and cause

Cause: api/server.py answered 503 from one generic catch and a constant, so that the summary could not say whether joining, a lost answer or a slow write was behind it; answers were bare tuples.

Change: answers.py has a typed Answer, the causes as an enum and RefusedError; submissions, polls, cancellations and worker reports are modules of their own; each 503 to a user is counted by question and cause, in the log line and in the summary. A submission whose creation is under way joins it, whatever the backlog. Creations that a dropped incarnation leaves behind fail at once, not after a third of a lease. A body with a field twice, or with bytes after the map, is 400.

--- /dev/null
+++ b/roadhead/api/reports.py
@@ -0,0 +1,34 @@
+"""Reports of workers."""
+
+from roadhead.api.answers import Answer
+from roadhead.wire import messages
+
+UNENTITLED = Answer(503)
+
+
+class WorkerReports:
+    """`node`: the controller's Node."""
+
+    def __init__(self, node):
+        self._node = node
+
+    def answer(self, body):
+        """The Answer to POST /v1/report: commands, a redirection, or 503 without authority over it."""
+        node = self._node
+        if not node.member.joined:
+            return UNENTITLED
+        try:
+            report = messages.read(body, messages.Report)
+            report.check()
+        except messages.Invalid as error:
+            return Answer(400, messages.error(str(error)))
+        home = node.home_of(report)
+        if home != node.label:
+            return Answer(421, messages.redirect(home))
+        if not node.may_renew():
+            return UNENTITLED
+        machine = node.home.hearing.take_report(report)
+        if machine is None:
+            return UNENTITLED
+        orders = node.home.commanding.answer_orders(machine)
+        return Answer(200, messages.report_answer(machine.token, orders))
--- /dev/null
+++ b/roadhead/api/submissions.py
@@ -0,0 +1,117 @@
+"""Submissions of jobs: validation, refusals, and the wait until the job's record is durable."""
+
+import msgspec
+
+from roadhead.api.answers import Answer, Cause, RefusedError
+from roadhead.jobs.job import before
+from roadhead.runtime.loop import Timeout
+from roadhead.wire import messages
+
+FORMAT_RETRY_S = 2  # a roll of all controllers takes longer than a second
+BACKLOG_RETRY_S = 2  # some of what waits is written by then
+
+
+def parse(body):
+    """The JobSpec of a body. Raises messages.Invalid."""
+    spec = messages.parse(messages.decode_strict_map(body), messages.JobSpec)
+    spec.check()
+    if spec.upstream is None:
+        return spec
+    return msgspec.structs.replace(spec, upstream=list(dict.fromkeys(spec.upstream)) or None)
+
+
+class Submissions:
+    """`node`: the controller's Node; `states`: a JobStates; `create_s`: how long a creation may take."""
+
+    def __init__(self, loop, node, states, create_s):
+        self._loop = loop
+        self._node = node
+        self._states = states
+        self._create_s = create_s
+
+    async def answer(self, body):
+        """The Answer to POST /v1/jobs. Raises one of UNCERTAIN."""
+        try:
+            spec = parse(body)
+        except messages.Invalid as error:
+            return Answer(400, messages.error(str(error)))
+        if (final := self._states.final(spec.id)) is not None:
+            return final
+        self._check_entitled()
+        book = self._node.book
+        if book.knows(spec.id):
+            return await self._known(spec.id)
+        if spec.id in book.pending():
+            return await self._join_creation(spec)
+        if spec.upstream and not self._node.member.gate.open:
+            raise RefusedError(Cause.FORMAT_GATE, FORMAT_RETRY_S)
+        fault, cancelled = await self._fault(spec)
+        refused = Answer(422, messages.error(fault)) if fault else self._tenant_refusal(spec)
+        if refused is not None:
+            # A retry of an accepted job is answered as ever.
+            return await self._states.read(spec.id) or refused
+        self._check_backlog()
+        return await self._create(spec, cancelled=cancelled)
+
+    def _check_entitled(self):
+        """Raises RefusedError unless this controller can create jobs and tell which can run."""
+        if not self._node.member.joined:
+            raise RefusedError(Cause.NOT_A_MEMBER)
+        if not self._node.home.known.types:
+            raise RefusedError(Cause.TYPES_UNKNOWN)
+
+    async def _known(self, job_id):
+        """Of an open job owned here: it may have been cancelled elsewhere, so its record is read."""
+        answer = await self._states.read(job_id)
+        if answer is None:
+            raise RefusedError(Cause.RECORD_MISSING)
+        return answer
+
+    async def _join_creation(self, spec):
+        """Of a job whose creation is under way: that counts, whatever this submission says of the job."""
+        cancelled = bool(spec.upstream) and (await self._fault(spec))[1]
+        return await self._create(spec, cancelled=cancelled)
+
+    async def _fault(self, spec):
+        """(why the job can never run or None, whether it is cancelled with a job that it needs)."""
+        fault = self._node.impossible(spec)
+        if fault or not spec.upstream:
+            return fault, False
+        return await self._node.ancestry.admission(spec, self._node.own(spec))
+
+    def _tenant_refusal(self, spec):
+        """The Answer that keeps the job's tenant to its limits, or None."""
+        node = self._node
+        if node.desk is None:
+            return None
+        refusal = node.desk.refusal(spec, node.most_creating)
+        return refusal and Answer(refusal.status, messages.error(refusal.text), refusal.retry_after)
+
+    def _check_backlog(self):
+        """Raises RefusedError if the creation could not be written in time."""
+        node = self._node
+        if node.member.lapsed():
+            raise RefusedError(Cause.LEASE_EXPIRED)
+        if node.leaving:
+            raise RefusedError(Cause.LEAVING)
+        if node.book.recorder.backlog() > node.most_creating:
+            raise RefusedError(Cause.TOO_MANY_CREATIONS, BACKLOG_RETRY_S)
+
+    async def _create(self, spec, *, cancelled):
+        """Waits until the job's record is durable, or found. `cancelled`: with a job that it needs."""
+        book = self._node.book
+        try:
+            new, record = await self._loop.within(self._create_s, book.create(spec))
+        except Timeout:
+            raise RefusedError(Cause.CREATION_SLOW) from None
+        if new:
+            if cancelled:
+                book.line.cancelled_above(spec)
+            # It may be over by now, cancelled with a job that it needs.
+            known = self._states.final(spec.id)
+            return Answer(201, known.body if known else messages.job_status(spec.id, "pending"))
+        if record is None:
+            raise RefusedError(Cause.CREATION_REFUSED)
+        if before(record):  # whether it is cancelled is not in its record alone
+            return await self._known(spec.id)
+        return self._states.answer(spec.id, record)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from roadhead.admission.sockets import Sockets
+from roadhead.api.answers import Cause, RefusedError, refusal_events
 from roadhead.api.server import Api
 from roadhead.cloud.client import CloudClient
 from roadhead.dispatch.dispatcher import Dispatcher
@@ -35,7 +36,7 @@
 from roadhead.state.reader import Reader
 from roadhead.summary import Summary
 from roadhead.switchboard import Switchboard
-from roadhead.telemetry import Counters, Troubles
+from roadhead.telemetry import EVENTS, Counters, Troubles
 from roadhead.wire import frames
 from roadhead.wire.messages import JOB_ID
 
@@ -59,7 +60,7 @@
         self.label = settings.label
         deployment = self._deployment = settings.deployment
         workers = deployment.workers
-        self.counters = Counters()
+        self.counters = Counters({**EVENTS, **refusal_events()})
         self.troubles = Troubles(loop.now, time_of_day)
         self.desk = hosted  # tenants/desk.py, where tenants are served
         state_limits = deployment.state if hosted is None else hosted.left_of(deployment.state)
@@ -190,6 +191,9 @@
         loop, deployment = self._loop, self._deployment
         for duty in self._duties:
             duty.cancel()
+        if hasattr(self, "book"):
+            for creation in self.book.pending().values():
+                creation.fail(RefusedError(Cause.NOT_A_MEMBER))  # nobody here would learn of its outcome
         workers = deployment.workers
         if self.workers is not None:
             self.workers.close()
@@ -520,6 +524,11 @@
         """Whether whoever submits the job may know of another: a tenant knows of its own alone."""
         return (lambda _job: True) if self.desk is None else self.desk.neighbours(spec.id)
 
+    @property
+    def leaving(self):
+        """Whether this process ends in order, and takes on nothing new."""
+        return self._leaving
+
     @property
     def most_creating(self):
         """Creations that can be written while their users wait; more are turned away at once."""
--- a/roadhead/telemetry.py
+++ b/roadhead/telemetry.py
@@ -66,26 +66,24 @@
     "task_errors": "tasks that failed",
     "connections_refused": "connections refused: no sockets left for more",
     "workers_sent_off": "reports after which the worker was asked to connect anew: sockets are short",
-    "refused_busy": "submissions refused: more than can be written in time",
-    "refused_before_gate": "submissions that name other jobs, refused until all controllers are new",
     "records_too_large": "records set aside, as the state service takes none so large",
-    "refused_unsure": "requests refused: the state service, or our place in the term, unsure",
     "duties_failed": "duties that failed (see the log)",
 }
 
 
 class Counters:
-    """Named counts of this process."""
+    """Named counts of this process. `events`: {name: its text in the summary}."""
 
-    def __init__(self):
+    def __init__(self, events=EVENTS):
         self.counts = {}
+        self._events = events
 
     def add(self, name, by=1):
         self.counts[name] = self.counts.get(name, 0) + by
 
     def events(self):
         """Lines for the morning reader."""
-        return [f"{text}: {self.counts[name]}" for name, text in EVENTS.items() if name in self.counts]
+        return [f"{text}: {self.counts[name]}" for name, text in self._events.items() if name in self.counts]
 
     def line(self):
         return " ".join(f"{name}={count}" for name, count in sorted(self.counts.items()))
--- a/roadhead/wire/messages.py
+++ b/roadhead/wire/messages.py
@@ -1,5 +1,6 @@
 """The messages of the HTTP interfaces: CBOR maps, as typed structs with our own field names."""
 
+import io
 import math
 import re
 
@@ -12,6 +13,7 @@
 MAX_TASKS = 100_000
 MAX_AMOUNT = float(2**63)
 MAX_COUNT = 2**64
+MAP_TYPE, INDEFINITE_MAP, BREAK = 5, 0xBF, 0xFF  # CBOR: major type, first byte, byte that ends it
 
 
 class Invalid(Exception):
@@ -33,6 +35,45 @@
     return value
 
 
+def decode_strict_map(body):
+    """A map that is all of the body and has each key once. Raises Invalid.
+
+    The decoder lets the last of two equal keys win and leaves bytes behind the value unread; another
+    decoder may do otherwise, and controllers of different versions have to answer alike.
+    """
+    value = decode_map(body)
+    stream = io.BytesIO(body)
+    decoder = cbor2.CBORDecoder(stream)
+    try:
+        pairs = _read_pairs(decoder, stream)
+    except Exception as error:  # as in `decode`
+        raise Invalid(f"not CBOR: {error}") from None
+    if pairs != len(value):
+        raise Invalid("a field more than once")
+    if stream.tell() != len(body):
+        raise Invalid("bytes after the map")
+    return value
+
+
+def _read_pairs(decoder, stream):
+    """The number of pairs of the map that the stream begins with, which is read to its end."""
+    head = stream.read(1)[0]
+    if head == INDEFINITE_MAP:
+        pairs = 0
+        while stream.getvalue()[stream.tell()] != BREAK:
+            decoder.decode(), decoder.decode()
+            pairs += 1
+        stream.read(1)
+        return pairs
+    if head >> 5 != MAP_TYPE:
+        raise ValueError("a tagged map")
+    short = head & 0x1F
+    pairs = short if short < 24 else int.from_bytes(stream.read(1 << (short - 24)), "big")
+    for _ in range(2 * pairs):
+        decoder.decode()
+    return pairs
+
+
 encode = cbor2.dumps
 
 
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -3,6 +3,7 @@
 import mutation
 import pytest
 
+from roadhead.api.answers import Answer
 from roadhead.api.server import Api
 from roadhead.homes.hearing import Hearing
 from roadhead.homes.home import Home
@@ -62,8 +63,8 @@
 
     async def submit(self, body):
         answer = await real(self, body)
-        if answer[0] == 503:
-            return 200, self._node_answer(body), None
+        if answer.status == 503:
+            return Answer(200, self._node_answer(body))
         return answer
 
     def node_answer(self, body):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -117,7 +117,7 @@
     assert seen == [(BEFORE, 0)] * 3
     assert world.broken == [] and world.failures.texts == []
     assert {user.told for user in world.users.values()} == {"done"}
-    assert world.counter("refused_before_gate") > 0 and world.gate() == 4
+    assert world.counter("refused_submission_format_gate") > 0 and world.gate() == 4
 
 
 def drawn(seed):
@@ -327,4 +327,4 @@
     world.run()
     assert world.broken == [] and world.gate() == BEFORE
     assert {user.told for user in world.users.values()} == {"done"}
-    assert world.nodes[0].counters.counts.get("refused_before_gate", 0) == 0
+    assert world.nodes[0].counters.counts.get("refused_submission_format_gate", 0) == 0
