Users wait for a join instead of a 503; a node that isn't ready lets go of users it can't serve

Cause: a controller that joins, also anew after a drop, answered submissions and cancellations 503 for some hundredths of a second, and for as long as the catalogue took; the user came again a second later. One that /ready takes out of service kept its users' open connections, on which they asked again and again. Where a lease is longer than 15 s a creation was waited for longer than users wait.

Change: api/readiness.py: such requests wait for the membership and the catalogue, an eighth of the time for a creation at most. A 503 to a user closes the connection while /ready says no, as the load balancer sends new connections elsewhere. A creation is waited for 4.5 s at the most. A cancellation reads again also after a read without an answer, and begins no round after half of that.

--- a/roadhead/api/answers.py
+++ b/roadhead/api/answers.py
@@ -52,7 +52,6 @@
     READ_SLOW = "read_slow"
     READS_CROWDED = "reads_crowded"
     READ_STALE = "read_stale"
-    CANCELLATION_UNSETTLED = "cancellation_unsettled"
     CONFLICTS = "conflicts"
 
 
@@ -73,7 +72,6 @@
     Cause.READ_SLOW: "the state service did not answer in time",
     Cause.READS_CROWDED: "more questions than can be read",
     Cause.READ_STALE: "what was read is too old",
-    Cause.CANCELLATION_UNSETTLED: "whether the cancellation was written is not known",
     Cause.CONFLICTS: "the job's record changes all the time",
 }
 READ_ERRORS = {"busy": Cause.READS_CROWDED, "read too long ago": Cause.READ_STALE}
--- a/roadhead/api/cancellations.py
+++ b/roadhead/api/cancellations.py
@@ -13,41 +13,51 @@
 
 
 class Cancellations:
-    """`node`: the controller's Node; `states`: a JobStates."""
+    """`node`: the controller's Node; `states`: a JobStates; `readiness`: a Readiness; `wait_s`: no further
+    round begins after that long, as the user does not wait for its outcome."""
 
-    def __init__(self, node, states):
+    def __init__(self, loop, node, states, readiness, wait_s):
+        self._loop = loop
         self._node = node
         self._states = states
+        self._readiness = readiness
+        self._wait_s = wait_s
 
     async def answer(self, job_id):
         """The Answer to POST /v1/jobs/{id}/cancel. Raises one of UNCERTAIN."""
         if not JOB_ID.match(job_id):
             return NO_JOB
-        node = self._node
-        if not node.member.joined:
-            raise RefusedError(Cause.NOT_A_MEMBER)
-        failed_as = Cause.CONFLICTS
+        until = self._loop.now() + self._wait_s
+        await self._readiness.until(self._readiness.lacks_membership)
         for _ in range(ROUNDS):
-            known = node.book.finals.get(job_id)
-            if known is None:
-                known, stamp = await find(node.state, job_id)
-            if known is None:
-                return NO_JOB
-            if known["s"] in FINAL:
-                node.book.remember(job_id, known)
-                return self._states.final_answer(job_id, known)
-            record = closing(known)
             try:
-                revision = await self._write(job_id, record, stamp)
+                return await self._round(job_id)
             except Conflict:
-                failed_as = Cause.CONFLICTS
-                continue
+                cause = Cause.CONFLICTS
             except Unsure:
-                failed_as = Cause.CANCELLATION_UNSETTLED
-                continue
-            self._apply(job_id, record, revision)
-            return Answer(200, messages.job_status(job_id, "cancelled"))
-        raise RefusedError(failed_as)
+                cause = Cause.STATE_UNSURE
+            if self._loop.now() > until:
+                break
+        raise RefusedError(cause)
+
+    async def _round(self, job_id):
+        """The Answer by the job's record, which is made final if it is open.
+
+        Raises Conflict if the record changed meanwhile, Unsure if an answer was lost: then the next round
+        reads what came of it. Raises Unavailable if nothing was done.
+        """
+        node = self._node
+        known = node.book.finals.get(job_id)
+        if known is None:
+            known, stamp = await find(node.state, job_id)
+        if known is None:
+            return NO_JOB
+        if known["s"] in FINAL:
+            node.book.remember(job_id, known)
+            return self._states.final_answer(job_id, known)
+        record = closing(known)
+        self._apply(job_id, record, await self._write(job_id, record, stamp))
+        return Answer(200, messages.job_status(job_id, "cancelled"))
 
     async def _write(self, job_id, record, stamp):
         """Writes the final record under its stamp, the mark that every controller watches, and the key whose
--- /dev/null
+++ b/roadhead/api/readiness.py
@@ -0,0 +1,45 @@
+"""A short wait, in place of a refusal, for a controller that is about to be able to decide."""
+
+from roadhead.api.answers import Cause, RefusedError
+from roadhead.runtime.loop import Future, Timeout
+
+
+class Readiness:
+    """What a controller lacks before it can take submissions and cancellations.
+
+    Joining, also anew after a drop, takes a few round trips, and so does the catalogue: users who come just
+    then are served sooner by waiting than by asking again after a second. `node`: the controller's Node;
+    `patience_s`: for how long they wait.
+    """
+
+    def __init__(self, loop, node, patience_s):
+        self._loop = loop
+        self._node = node
+        self._patience_s = patience_s
+        self._waiting = {}  # Future of each request that waits, in order as a set
+
+    def lacks_membership(self):
+        """Cause.NOT_A_MEMBER while this controller is none, else None."""
+        return None if self._node.member.joined else Cause.NOT_A_MEMBER
+
+    def lacks_for_submission(self):
+        """The Cause for which submissions can't be decided yet, or None."""
+        return self.lacks_membership() or (None if self._node.home.known.types else Cause.TYPES_UNKNOWN)
+
+    def changed(self):
+        """This controller has joined, or knows the machine types."""
+        for change in list(self._waiting):
+            change.set()
+
+    async def until(self, lacks):
+        """Returns once `lacks()` is None. Raises RefusedError with its Cause after the patience."""
+        deadline = self._loop.now() + self._patience_s
+        while (cause := lacks()) is not None:
+            change = Future()
+            self._waiting[change] = True
+            try:
+                await self._loop.within(deadline - self._loop.now(), change)
+            except Timeout:
+                raise RefusedError(cause) from None
+            finally:
+                del self._waiting[change]
--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -17,6 +17,7 @@
 from roadhead.api.cancellations import Cancellations
 from roadhead.api.job_states import JobStates
 from roadhead.api.polls import Polls
+from roadhead.api.readiness import Readiness
 from roadhead.api.reports import WorkerReports
 from roadhead.api.submissions import Submissions
 from roadhead.wire import http, messages
@@ -31,6 +32,7 @@
 USAGE = "/v1/tenants/"
 # What is stored is newer than this version: it touches nothing.
 NEWER_FORMAT = RefusedError(Cause.NEWER_FORMAT)
+JOIN_PART = 1 / 8  # of the time for a creation, for which users wait until this controller can decide
 OPEN_PATHS = (READY, REPORT)  # to the platform and the workers; the rest is the gateways'
 
 
@@ -45,9 +47,10 @@
         self._patience_s = patience_s
         states = JobStates(node)
         self._reports = WorkerReports(node)
-        self._submissions = Submissions(loop, node, states, create_s)
+        self.readiness = Readiness(loop, node, create_s * JOIN_PART)
+        self._submissions = Submissions(loop, node, states, self.readiness, create_s)
         self._polls = Polls(states)
-        self._cancellations = Cancellations(node, states)
+        self._cancellations = Cancellations(loop, node, states, self.readiness, create_s / 2)
 
     def accept(self, stream):
         """A connection was opened."""
@@ -81,7 +84,11 @@
         if desk is not None and path not in OPEN_PATHS and not desk.signed(request):
             return UNSIGNED
         if path == JOBS or path.startswith(JOBS + "/"):
-            return await self._answer_user(request.method, path, request.body)
+            answer = await self._answer_user(request.method, path, request.body)
+            if answer.status == 503 and not self._node.ready():
+                # The load balancer passes this controller over, for new connections alone.
+                request.close = True
+            return answer
         if self._node.member.gate.outdated:
             return NEWER_FORMAT.answer()
         if desk is not None and path.startswith(USAGE) and path[len(USAGE) :].isdigit():
--- a/roadhead/api/submissions.py
+++ b/roadhead/api/submissions.py
@@ -21,12 +21,14 @@
 
 
 class Submissions:
-    """`node`: the controller's Node; `states`: a JobStates; `create_s`: how long a creation may take."""
+    """`node`: the controller's Node; `states`: a JobStates; `readiness`: a Readiness; `create_s`: how long a
+    creation may take."""
 
-    def __init__(self, loop, node, states, create_s):
+    def __init__(self, loop, node, states, readiness, create_s):
         self._loop = loop
         self._node = node
         self._states = states
+        self._readiness = readiness
         self._create_s = create_s
 
     async def answer(self, body):
@@ -37,7 +39,7 @@
             return Answer(400, messages.error(str(error)))
         if (final := self._states.final(spec.id)) is not None:
             return final
-        self._check_entitled()
+        await self._readiness.until(self._readiness.lacks_for_submission)
         book = self._node.book
         if book.knows(spec.id):
             return await self._known(spec.id)
@@ -53,13 +55,6 @@
         self._check_backlog()
         return await self._create(spec, cancelled=cancelled)
 
-    def _check_entitled(self):
-        """Raises RefusedError unless this controller can create jobs and tell which can run."""
-        if not self._node.member.joined:
-            raise RefusedError(Cause.NOT_A_MEMBER)
-        if not self._node.home.known.types:
-            raise RefusedError(Cause.TYPES_UNKNOWN)
-
     async def _known(self, job_id):
         """Of an open job owned here: it may have been cancelled elsewhere, so its record is read."""
         answer = await self._states.read(job_id)
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -33,6 +33,7 @@
         self._random = random
         self._count = counters.add
         self.types = {}
+        self.on_types = lambda: None  # called when they have become known
         self.demand = {}  # label -> rows of its newest Demand
         self.fleet = {}  # label -> rows of its newest HomeNews
         self.running = []  # addresses of the machines last listed as running
@@ -54,6 +55,7 @@
             try:
                 self.types = await self._cloud.catalogue()
                 self._home.known.types = self.types
+                self.on_types()
             except CloudTrouble as error:
                 log.info("catalogue: %s", error)
             # Spot prices move slowly; an empty catalogue is asked for again soon.
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -43,6 +43,8 @@
 log = logging.getLogger("roadhead.node")
 
 POLL_S = 2.0  # users wait that long for the answer to a poll (PROTOCOL)
+SUBMIT_S = 5.0  # and that long for one to a submission
+ANSWER_PART = 0.9  # of that may pass before they are told that it is not known
 NEWS_MOST = 500  # jobs in a frame
 CANCELLED_MOST = 20_000  # jobs passed on: beyond that none is told of that was not known before
 IN_FORCE_BEATS = SILENT_BEATS + 1.5  # for so long a lapsed member goes by a term that others said is in force
@@ -136,7 +138,7 @@
             elif objective.kind == "deadline":
                 times.append(objective.times)
         self._sockets = Sockets(deployment.quota.fd_limit, self.counters.add)
-        create_s = workers.lease_s / 3
+        create_s = min(workers.lease_s / 3, ANSWER_PART * SUBMIT_S)
         self._create_s = create_s
         self.teams = FixedTeams(deployment.teams) if hosted is None else hosted.teams
         self.api = Api(
@@ -297,6 +299,7 @@
             self.counters,
         )
         self.fleet.types = types
+        self.fleet.on_types = self.api.readiness.changed
         self.dispatcher.queue.capacity = self.fleet.capacity
         if self.desk is not None:
             self.desk.share(self)
@@ -623,6 +626,7 @@
         for label in list(self.peers.links):
             self._switchboard.tell_term(label)
         if old is None:
+            self.api.readiness.changed()
             # Who is not in the term may live on, and have been home to what is held now until shortly before
             # the last end here; so may one that is relieved.
             all_here = all(other.label in new.members for other in self.settings.members)
