Polls are answered from reads of up to 1.7 of the 2 s that users wait

Cause: a question was given up after half of the time that its user waits, while the state service answered slowly but in time.

Change: it is given up after 0.85 of that.

--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -44,6 +44,7 @@
 
 POLL_S = 2.0  # users wait that long for the answer to a poll (PROTOCOL)
 SUBMIT_S = 5.0  # and that long for one to a submission
+POLL_PART = 0.85  # of that passes at the most before they are told that it is not known
 ANSWER_PART = 0.9  # of that may pass before they are told that it is not known
 NEWS_MOST = 500  # jobs in a frame
 CANCELLED_MOST = 20_000  # jobs passed on: beyond that none is told of that was not known before
@@ -83,7 +84,7 @@
         self.reader = Reader(
             loop,
             self.state,
-            POLL_S / 2,
+            POLL_PART * POLL_S,
             (KEY, SHELF),
             partial(complete, self.state),
             shorten,
