Odd requests: an empty list of types or an empty zone allows nothing; tests of all kinds

Cause: `rigs: []` and `paddock: ""` counted as "any" at admission, though only null means that; odd requests had no tests of their own.

Change: such a job is 422, as it fits no allowed machine type. tests/test_odd_requests.py asks each controller in a quiet world, in a failover, in an outage and while one is cut from the state service: malformed bodies (missing, null, wrong, negative, not finite, huge and doubled fields, bytes behind the map) are 400 at once; what can never run is 422, or 503 by who can't look whether it was accepted earlier; a job known counts whatever is submitted again; nothing of it is stored. Random fields, bytes and encodings are taken or invalid.

--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -518,8 +518,8 @@
                 spec.cpus <= kind.cpus
                 and spec.gpus <= kind.gpus
                 and spec.memory <= kind.memory
-                and (not spec.types or kind.name in spec.types)
-                and (not spec.zone or spec.zone in kind.zones)
+                and (spec.types is None or kind.name in spec.types)
+                and (spec.zone is None or spec.zone in kind.zones)
             ):
                 return None
         return "fits no machine type"
--- /dev/null
+++ b/tests/test_odd_requests.py
@@ -0,0 +1,246 @@
+"""Odd requests get the protocol's answer at once, from every controller, and nothing of them is stored."""
+
+import io
+import math
+
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from roadhead.api.submissions import parse
+from roadhead.local.world import World
+from roadhead.runtime.loop import Timeout
+from roadhead.wire import messages
+from roadhead.wire.http import Client, NoAnswer
+
+ODD = "req-900001"
+AT_ONCE_S = 0.05
+STEPS = {  # what goes on while the odd requests come, by the trouble that starts at 15 s
+    "quiet": "",
+    "failover": "at 14.9 crash 0 60",
+    "outage": "at 14 outage 60",
+    "cut from the state service": "at 14 cut 0 state 60",
+}
+
+
+def described(**fields):
+    """A whole submission, with some fields set otherwise, or left out if `...`."""
+    job = World._job({})
+    job = {name: value for name, value in job.items() if name not in ("runS", "apartS", "faulty", "upstream")}
+    return {name: value for name, value in {"id": ODD, **job, **fields}.items() if value is not ...}
+
+
+def body(**fields):
+    return cbor2.dumps(described(**fields))
+
+
+def doubled(*, endless):
+    """The map of a submission with its id twice, of definite length or not."""
+    pairs = [*described().items(), ("id", ODD)]
+    head = b"\xbf" if endless else bytes((0xB8, len(pairs)))
+    return head + b"".join(cbor2.dumps(part) for pair in pairs for part in pair) + b"\xff" * endless
+
+
+NUMBERS = ("vcpus", "gpus", "ramGb", "sizeGb", "expectS", "musterS", "stowS")
+FLAGS = ("together", "scatter", "loaners")
+TEXTS = ("id", "jobclass", "crew", "shape", "urgency")
+REQUIRED = (*NUMBERS, *FLAGS, *TEXTS, "legs")
+BAD_IDS = ("", "req-", "REQ-1", "req-1\n", "req-1/0", "req-" + "1" * 31)
+MALFORMED = {
+    "empty": b"",
+    "not CBOR": b"\xff\xff",
+    "JSON": b'{"id":"req-900001"}',
+    "cut off": body()[:-3],
+    "a list": cbor2.dumps([described()]),
+    "tagged": b"\xd9\xd9\xf7" + body(),
+    "bytes behind": body() + b"\x00",
+    "doubled": doubled(endless=False),
+    "doubled, endless": doubled(endless=True),
+    "nested deeply": b"\x81" * 60000 + b"\x00",
+    "a list that is not there": b"\x9b" + b"\xff" * 8,
+    **{f"no {name}": body(**{name: ...}) for name in REQUIRED},
+    **{f"{name} null": body(**{name: None}) for name in REQUIRED},
+    **{f"{name} a text": body(**{name: "1"}) for name in (*NUMBERS, *FLAGS, "legs", "dueS")},
+    **{f"{name} a number": body(**{name: 1}) for name in (*TEXTS, *FLAGS, "kit", "rigs", "paddock")},
+    **{
+        f"{name} {str(amount)[:9]}": body(**{name: amount})
+        for name in (*NUMBERS, "dueS")
+        for amount in (-1.0, math.nan, math.inf, 2.0**63, 10**400, True)
+    },
+    **{f"legs {count}": body(legs=count) for count in (0, -1, 100_001, 2**70, 4.5, True)},
+    **{f"id {name!r}": body(id=name) for name in BAD_IDS},
+    "a key that is no text": cbor2.dumps({**described(), 7: None}),
+    "urgency unknown": body(urgency="soon"),
+    "shape unknown": body(shape=""),
+    "rigs of numbers": body(rigs=[1]),
+    "crew too long": body(crew="x" * 201),
+}
+IMPOSSIBLE = {
+    "too many CPUs": {"vcpus": 64.0},
+    "GPUs": {"gpus": 1.0},
+    "too much memory": {"ramGb": 1000.0},
+    "team unknown": {"crew": "nobody"},
+    "no team": {"crew": ""},
+    "type unknown": {"rigs": ["none"]},
+    "no type allowed": {"rigs": []},
+    "zone unknown": {"paddock": "west"},
+    "no zone allowed": {"paddock": ""},
+    "replicas beyond the limit": {"shape": "daemon", "legs": 20, "vcpus": 4.0},
+    "a task beyond the limit": {"vcpus": 4.0, "crew": "crew", "legs": 1, "ramGb": 17.0},
+    "a description too large": {"rigs": ["box", *("x" * 150 for _ in range(90))]},
+}
+
+
+class Asked:
+    """A world that has run for a while, and requests to each of its controllers."""
+
+    def __init__(self, text):
+        self.world = World(f"cpus_max 32\nuntil 15\nat 1 submit count=3 legs=2 runS=500\n{text}")
+        self.world.run()
+        self.took_s = 0.0
+
+    def ask(self, number, method, path, data=b""):
+        """(status, decoded body, headers) by the controller of that number; None without an answer."""
+        world, found = self.world, []
+
+        async def request():
+            client = Client(world.user_loop, world.user_net, world.fronts[number], 0)
+            begun = world.sim.time
+            try:
+                status, answer, headers = await client.request(method, path, data, 5.0)
+                found.append((status, cbor2.loads(answer) if answer else None, headers))
+            except (NoAnswer, Timeout):
+                found.append(None)
+            self.took_s = world.sim.time - begun
+
+        world.user_loop.spawn(request(), "request")
+        while not found:
+            world.sim.run_until(world.sim.time + 0.1)
+        return found[0]
+
+    def ask_all(self, method, path, data=b""):
+        """The answers of all controllers that run."""
+        return [self.ask(number, method, path, data) for number in sorted(self.world.nodes)]
+
+    def stored(self, job_id):
+        return [key for key in self.world.state.data if key.rpartition("/")[2] == job_id]
+
+
+@pytest.fixture(scope="module", params=STEPS)
+def step(request):
+    return request.param, Asked(STEPS[request.param])
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+def test_malformed(step, name):
+    _, asked = step
+    for number in sorted(asked.world.nodes):
+        status, _, _ = asked.ask(number, "POST", "/v1/jobs", MALFORMED[name])
+        assert status == 400 and asked.took_s < AT_ONCE_S
+    assert asked.stored(ODD) == []
+
+
+@pytest.mark.parametrize("name", IMPOSSIBLE)
+def test_what_can_never_run(step, name):
+    """422 only by who can look whether it was accepted earlier: 503 from the others."""
+    trouble, asked = step
+    for number in sorted(asked.world.nodes):
+        status, _, headers = asked.ask(number, "POST", "/v1/jobs", body(**IMPOSSIBLE[name]))
+        blind = trouble == "outage" or (trouble.startswith("cut") and number == 0)
+        assert status == (503 if blind else 422)
+        assert ("retry-after" in headers) == blind
+    assert asked.stored(ODD) == []
+
+
+def test_too_large_a_body_is_refused_before_it_is_read(step):
+    _, asked = step
+    assert {status for status, *_ in asked.ask_all("POST", "/v1/jobs", b"\xa0" * 65537)} == {413}
+
+
+@pytest.mark.parametrize("path", ["req-1x", "", "req-", "%00", "req-1%2F", ODD])
+def test_who_was_never_submitted_is_not_found(path):
+    asked = Asked("")
+    assert {status for status, *_ in asked.ask_all("GET", f"/v1/jobs/{path}")} == {404}
+    assert {status for status, *_ in asked.ask_all("POST", f"/v1/jobs/{path}/cancel")} == {404}
+    assert asked.stored(path) == []
+
+
+@pytest.mark.parametrize(
+    "fields", [{}, {"legs": 7}, {"vcpus": 64.0}, {"crew": "nobody"}, {"rigs": []}, {"upstream": ["req-77"]}]
+)
+def test_a_job_known_counts_whatever_is_submitted_again(fields):
+    asked = Asked("")
+    before = asked.world.state.data["j/req-000001"][0]["spec"]
+    answers = asked.ask_all("POST", "/v1/jobs", body(id="req-000001", **fields))
+    assert {status for status, *_ in answers} == {200}
+    assert {answer["status"] for _, answer, _ in answers} <= {"pending", "running"}  # its owner knows which
+    assert asked.world.state.data["j/req-000001"][0]["spec"] == before
+
+
+def test_what_is_over_stays_so():
+    asked = Asked("at 2 submit legs=1 runS=1\nat 9 cancel 2\nuntil 45")
+    for job, state in (("req-000004", "done"), ("req-000002", "cancelled")):
+        for method, path, data in (
+            ("GET", f"/v1/jobs/{job}", b""),
+            ("POST", f"/v1/jobs/{job}/cancel", b""),
+            ("POST", "/v1/jobs", body(id=job)),
+            ("POST", "/v1/jobs", body(id=job, vcpus=64.0)),
+        ):
+            answers = asked.ask_all(method, path, data)
+            assert {(status, answer["status"]) for status, answer, _ in answers} == {(200, state)}
+
+
+def test_foreign_fields_are_ignored_and_null_means_left_out():
+    asked = Asked("")
+    for number, fields in enumerate(
+        (
+            {"color": "red", "nested": {"id": "req-5"}, "": [1]},
+            {"kit": None, "dueS": None},
+            {"kit": ..., "rigs": ..., "paddock": ..., "dueS": ...},
+        )
+    ):
+        job = f"req-90001{number}"
+        status, answer, _ = asked.ask(number, "POST", "/v1/jobs", body(**{"id": job, **fields}))
+        assert (status, answer["status"]) == (201, "pending")
+        assert asked.stored(job) and "color" not in asked.world.state.data[f"j/{job}"][0]["spec"]
+
+
+JUNK = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8) | st.binary(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from((*REQUIRED, "dueS", "kit", "rigs", "paddock", "upstream")), JUNK, max_size=3
+    )
+)
+def test_any_value_of_a_field_is_taken_or_invalid(fields):
+    try:
+        spec = parse(body(**fields))
+    except messages.Invalid:
+        return
+    assert messages.JOB_ID.match(spec.id) and 1 <= spec.tasks <= messages.MAX_TASKS
+
+
+@given(st.binary(max_size=40), st.integers(0, 400), st.integers(0, 8))
+def test_any_bytes_are_taken_or_invalid(junk, at, removed):
+    whole = body()
+    try:
+        parse(whole[:at] + junk + whole[at + removed :])
+    except messages.Invalid:
+        pass
+
+
+@given(st.dictionaries(st.text(max_size=4), JUNK, max_size=30), st.booleans())
+def test_maps_of_any_encoding_are_read_whole(value, endless):
+    stream = io.BytesIO()
+    cbor2.dump(value, stream)
+    data = stream.getvalue()
+    if endless:
+        parts = b"".join(cbor2.dumps(part) for pair in value.items() for part in pair)
+        data = b"\xbf" + parts + b"\xff"
+    assert repr(messages.decode_strict_map(data)) == repr(messages.decode_map(data))
