--- a/roadhead/api/cancellations.py
+++ b/roadhead/api/cancellations.py
@@ -4,12 +4,13 @@
 from roadhead.jobs.job import FINAL, KEY, closing
 from roadhead.jobs.records import find
 from roadhead.pipelines.ancestry import CANCELS
-from roadhead.state.client import Conflict, Unsure
+from roadhead.state.client import Conflict, Unavailable, Unsure
 from roadhead.wire import messages
 from roadhead.wire.messages import JOB_ID
 
 CANCEL = "c/x/"
 ROUNDS = 5  # of writing against a record that changes
+PAUSE_PART = 1 / 8  # of the time for them, after a request that the state service refused
 
 
 class Cancellations:
@@ -29,6 +30,7 @@
             return NO_JOB
         until = self._loop.now() + self._wait_s
         await self._readiness.until(self._readiness.lacks_membership)
+        refused_before = False
         for _ in range(ROUNDS):
             try:
                 return await self._round(job_id)
@@ -36,6 +38,12 @@
                 cause = Cause.CONFLICTS
             except Unsure:
                 cause = Cause.STATE_UNSURE
+            except Unavailable:
+                if refused_before:
+                    raise
+                refused_before = True  # beyond the rates: there is room again soon, unless it is an outage
+                cause = Cause.STATE_UNAVAILABLE
+                await self._loop.sleep(self._wait_s * PAUSE_PART)
             if self._loop.now() > until:
                 break
         raise RefusedError(cause)
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,155 @@
+"""Each 503 has a named cause, and is given only where an argument needs it."""
+
+from pathlib import Path
+
+import pytest
+from test_odd_requests import Asked, body
+
+from roadhead.api.answers import TEXTS, Cause, Question, counter_of, refusal_of
+from roadhead.local.world import World
+from roadhead.node import Node
+from roadhead.runtime.loop import Timeout
+from roadhead.state.client import Conflict, StateClient, Unavailable, Unsure
+
+OPERATIONS = Path(__file__).parent.parent / "docs" / "operations.md"
+
+
+class AskedAlone(Asked):
+    """As Asked, of controller 0, which is asked at the moment given."""
+
+    def submit_at(self, second, fields=None):
+        self.world.sim.run_until(second)
+        return self.ask(0, "POST", "/v1/jobs", body(**(fields or {})))
+
+    def count(self, question, cause):
+        return self.world.nodes[0].counters.counts.get(counter_of(question, cause), 0)
+
+
+def test_each_cause_is_named_to_operators():
+    page = OPERATIONS.read_text()
+    assert set(TEXTS) == set(Cause)
+    assert [cause.value for cause in Cause if f"| `{cause.value}` |" not in page] == []
+
+
+@pytest.mark.parametrize(
+    ("error", "cause"),
+    [
+        (Timeout(), Cause.READ_SLOW),
+        (Unsure("closed"), Cause.STATE_UNSURE),
+        (Conflict(["j/req-1"]), Cause.CONFLICTS),
+        (Unavailable("503"), Cause.STATE_UNAVAILABLE),
+        (Unavailable("busy"), Cause.READS_CROWDED),
+        (Unavailable("read too long ago"), Cause.READ_STALE),
+    ],
+)
+def test_errors_of_reads_and_writes_have_a_cause(error, cause):
+    assert refusal_of(error).cause is cause
+
+
+def test_refusals_are_counted_and_said_in_the_summary():
+    asked = AskedAlone("at 14 outage 20")
+    assert asked.ask(0, "GET", "/v1/jobs/req-000001")[0] == 503
+    assert asked.ask(0, "POST", "/v1/jobs/req-000001/cancel")[0] == 503
+    assert asked.ask(0, "POST", "/v1/jobs", body())[0] == 503
+    lines = asked.world.nodes[0].summary()["troubles"]
+    for question in Question:
+        assert any(f"{question.value}s answered 503" in line for line in lines)
+        assert any(asked.count(question, cause) for cause in Cause)
+
+
+def begun_anew(text=""):
+    """A world in which controller 0 begins anew at 20 s, and takes some tenths of a second to join."""
+    return AskedAlone(f"at 15 crash 0 5\nat 19.9 slow-state 0.1 1\n{text}")
+
+
+def test_a_submission_waits_while_its_controller_joins():
+    asked = begun_anew()
+    status, answer, _ = asked.submit_at(20.01)
+    assert (status, answer["status"]) == (201, "pending")
+    assert asked.took_s < 1.0
+
+
+def test_a_submission_waits_for_the_machine_types():
+    asked = begun_anew("at 19.9 cloud-outage 0.4")
+    status, _, _ = asked.submit_at(20.8)
+    assert status == 201 and asked.took_s < 1.5
+
+
+def test_a_controller_that_can_not_join_says_so_soon():
+    asked = begun_anew("at 19 cut 0 state 20 reset")
+    status, _, headers = asked.submit_at(22.0)
+    assert status == 503 and "retry-after" in headers and asked.took_s < 0.6
+    assert asked.count(Question.SUBMISSION, Cause.NOT_A_MEMBER) == 1
+
+
+def test_users_are_let_go_by_a_controller_that_is_not_ready():
+    """Only new connections are sent elsewhere by the load balancer."""
+    asked = AskedAlone("at 5 cut 0 state 30 reset")
+    assert not asked.world.nodes[0].ready()
+    assert asked.ask(0, "GET", "/v1/jobs/req-000001")[2].get("connection") == "close"
+    assert "connection" not in asked.ask(1, "GET", "/v1/jobs/req-000001")[2]
+
+
+def test_a_submission_repeated_while_its_creation_is_under_way_joins_it(monkeypatch):
+    """However much waits: it adds nothing to that."""
+    asked = AskedAlone("at 14 slow-state 3 10")
+    world, answers = asked.world, []
+    data = body()
+
+    async def submit():
+        answers.append(await world.nodes[0].api._submit(data))
+
+    world.sim.spawn(submit(), "first")
+    world.sim.run_until(15.2)
+    monkeypatch.setattr(Node, "most_creating", -1)
+    monkeypatch.setattr("roadhead.jobs.recorder.Recorder.backlog", lambda _self: 1)
+    world.sim.spawn(submit(), "repeated")
+    world.sim.run_until(26)
+    assert [answer.status for answer in answers] in ([201, 201], [201, 200])
+
+
+def test_creations_of_a_dropped_incarnation_fail_at_once():
+    asked = AskedAlone("")
+    node, answers = asked.world.nodes[0], []
+
+    async def submit():
+        answers.append((await node.api._submit(body()), asked.world.sim.time))
+
+    asked.world.state.down = True
+    asked.world.sim.spawn(submit(), "submit")
+    asked.world.sim.run_until(15.5)
+    node.member._lose()
+    asked.world.sim.run_until(15.6)
+    assert [answer.status for answer, _ in answers] == [503]
+    assert asked.count(Question.SUBMISSION, Cause.NOT_A_MEMBER) == 1
+
+
+def test_a_cancellation_reads_what_came_of_a_lost_answer(monkeypatch):
+    """Also when the answer to the read before is lost."""
+    asked, real, lost = AskedAlone(""), StateClient.get, []
+
+    async def get(self, key):
+        if key == "j/req-000001" and not lost:
+            lost.append(key)
+            raise Unsure("closed")
+        return await real(self, key)
+
+    monkeypatch.setattr(StateClient, "get", get)
+    status, answer, _ = asked.ask(0, "POST", "/v1/jobs/req-000001/cancel")
+    assert lost and (status, answer["status"]) == (200, "cancelled")
+
+
+def test_a_cancellation_against_a_record_that_always_changes_ends(monkeypatch):
+    asked = AskedAlone("")
+
+    async def multi(self, conditions, writes):
+        raise Conflict([conditions[0][0]])
+
+    monkeypatch.setattr(StateClient, "multi", multi)
+    assert asked.ask(0, "POST", "/v1/jobs/req-000001/cancel")[0] == 503
+    assert asked.count(Question.CANCELLATION, Cause.CONFLICTS) == 1
+
+
+def test_world_counts_refusals_by_cause():
+    world = World("until 30\nat 1 submit count=2 legs=1 runS=500\nat 10 outage 10\nat 12 cancel 1").run()
+    assert world.counter(counter_of(Question.CANCELLATION, Cause.STATE_UNAVAILABLE)) > 0
