A repeated submission is answered from a read after its creation

Cause: a submission that joins a creation under way was told what that had found, which may be older than the submission: cancelled through another controller and told so meanwhile.

Change: its record is read after the creation; a final record learnt meanwhile counts.

--- a/roadhead/api/submissions.py
+++ b/roadhead/api/submissions.py
@@ -63,9 +63,13 @@
         return answer
 
     async def _join_creation(self, spec):
-        """Of a job whose creation is under way: that counts, whatever this submission says of the job."""
+        """Of a job whose creation is under way: that counts, whatever this submission says of the job.
+
+        What the creation has found may be older than this submission, so the record is read after it.
+        """
         cancelled = bool(spec.upstream) and (await self._fault(spec))[1]
-        return await self._create(spec, cancelled=cancelled)
+        await self._create(spec, cancelled=cancelled)
+        return self._states.final(spec.id) or await self._known(spec.id)
 
     async def _fault(self, spec):
         """(why the job can never run or None, whether it is cancelled with a job that it needs)."""
@@ -105,6 +109,8 @@
             # It may be over by now, cancelled with a job that it needs.
             known = self._states.final(spec.id)
             return Answer(201, known.body if known else messages.job_status(spec.id, "pending"))
+        if (known := self._states.final(spec.id)) is not None:
+            return known
         if record is None:
             raise RefusedError(Cause.CREATION_REFUSED)
         if before(record):  # whether it is cancelled is not in its record alone
