A quota partition is handed on only once its cancelled tasks are gone

Cause: an heir of a quota partition that had read no open job of it (all were cancelled before) took the partition for idle and handed it to a controller just back, which knew nothing of the cancelled tasks and started new ones at once: quota broken. Read in the code besides: a controller that misses a term takes a partition that came from one that had been given it meanwhile and ended for one given by a living leader.

Change: Book.idle_slots leaves out partitions of which not all is known or cancelled tasks may run (_knows_slot, which headroom uses too). After a skipped term a partition that is new here, or that we may have handed on, counts as left by one that ended, and the records are read. Scenarios may cancel a tenant's job (cancel north:a1).

Scenarios limit*, tenants* and tests/test_tenants.py pass.

--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -176,19 +176,24 @@
         return term.warden(group) == self._member.label and term.slot(group) not in self.closing
 
     def idle_slots(self):
-        """Slots held here of which nothing is owned, being created or taken over."""
+        """Slots held here of which nothing is owned, being created or taken over, nor may run cancelled:
+        whoever is given one starts at once."""
         groups = {self.teams.group(job.spec.team) for job in (*self._new.values(), *self._adopting)}
         groups |= {self.teams.group(team) for team in self.line.waits.by_team}
         busy = {
             self._member.term.slot(group) for group in (*self.accounts.groups(), *groups) if group is not None
         }
-        return [slot for slot in self.warden_since if slot not in busy]
+        return [slot for slot in self.warden_since if slot not in busy and self._knows_slot(slot)]
 
     def on_term(self, old, new):
         """Which slots of wardens are held here, and since which term."""
         label = self._member.label
         same = old is not None and old.incarnation(label) == new.incarnation(label)
         held = {slot for slot, warden in enumerate(old.wardens) if warden == label} if same else set()
+        # In a term that was not seen here it may have gone to one that started tasks, and ended.
+        skipped = old is None or new.number > old.number + 1
+        if skipped:
+            held -= self.closing
         self.warden_since = {
             slot: self.warden_since.get(slot, new.number) if slot in held else new.number
             for slot, warden in enumerate(new.wardens)
@@ -197,7 +202,7 @@
         for slot in self.warden_since.keys() - held:
             before = old.wardens[slot] if old is not None and slot < len(old.wardens) else None
             # One that gave it away had nothing of it any more.
-            if before is None or old.incarnation(before) != new.incarnation(before):
+            if skipped or before is None or old.incarnation(before) != new.incarnation(before):
                 self._left.add(slot)
         self._left &= self.warden_since.keys()
 
@@ -213,6 +218,16 @@
         self._left.clear()
         self.scanned = number
 
+    def _knows_slot(self, slot):
+        """Whether all jobs of a slot are known here, and those cancelled before that are gone."""
+        since = self.warden_since.get(slot)
+        return (
+            since is not None
+            and self.scanned >= since
+            and slot not in self._left
+            and self._loop.now() >= self._gone_at.get(slot, -1e9)
+        )
+
     def headroom(self, team):
         """How many (cpus, gpus) the tasks of a limited team may still take.
 
@@ -222,13 +237,9 @@
         """
         term = self._member.term
         group = self.teams.group(team)
-        slot = term.slot(group)
-        since = self.warden_since.get(slot)
         account = self.accounts.get(group)
         levels = self.teams.levels(team)
-        if since is None or self.scanned < since or levels is None or (account and account.unsure):
-            return NO_ROOM
-        if self._loop.now() < self._gone_at.get(slot, -1e9):
+        if not self._knows_slot(term.slot(group)) or levels is None or (account and account.unsure):
             return NO_ROOM
         left = [AMPLE, AMPLE]
         for name, limits in levels:
--- a/roadhead/local/scenario_verbs.py
+++ b/roadhead/local/scenario_verbs.py
@@ -109,10 +109,15 @@
         for number in numbers.split(","):
             self._world.user_loop.spawn(self._world.users[job_id(number)].submit_again(), "resubmit")
 
-    def _ask(self, verb, numbers, via=None):
+    def _id(self, name):
+        """Of a job by its number, or by the tenant's own id as in `north:a1`."""
+        tenant, _, own = name.rpartition(":")
+        return to_job(self._world.tenancy.numbers[tenant], own) if tenant else job_id(name)
+
+    def _ask(self, verb, names, via=None):
         """Through any controller, or through the one named: "cancel 1,2 1"."""
-        for number in numbers.split(","):
-            act = getattr(self._world.users[job_id(number)], verb)
+        for name in names.split(","):
+            act = getattr(self._world.users[self._id(name)], verb)
             self._world.user_loop.spawn(act(int(via) if via is not None else None), verb)
 
     def storm(self, rate, seconds):
--- a/roadhead/recovery/takeover.py
+++ b/roadhead/recovery/takeover.py
@@ -39,7 +39,9 @@
 
     def on_term(self, old, new):
         """Only if others own jobs than before is there anything to inherit."""
-        if old is not None and old.roster() == new.roster():
+        # Between two terms that are alike a quota partition may have gone to another and come back.
+        doubtful = old is not None and new.number > old.number + 1 and self._book.inherits_limits()
+        if old is not None and old.roster() == new.roster() and not doubtful:
             if self._book.scanned == old.number:
                 self._book.scanned = new.number
             return
