An inherited job that waits counts until it surely never began

Cause: a job whose record still names what it needs is taken over as one that waits, although its owner of before may have let it go and started it. Until the heir had read that its upstream is done, its tasks counted for nothing in its team's limit; cancelled in that time they never did, and its mark stayed.

Change: such a job keeps its team's account unsure until it is let go here (then it counts as taken over) or something it needs is found not to be done. Cancelled while it waits, the homes are asked for its tasks as for any inherited job, and its mark goes afterwards. When the owners change again its partition counts as unread. Simulator: option `teams`, several limited teams and one without a limit.

--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -63,6 +63,7 @@
         self.jobs = {}  # open jobs owned here, by id
         self.started_at = {}  # class -> when a task of it was last started
         self.seen = {}  # class -> number of its jobs that were ever owned here
+        self._perhaps_started = {}  # inherited jobs that wait here, and may have been let go before; as a set
         self._confirmed = []  # taken over in this turn: the homes are told once more
         self.arrived = []  # those that joined since the queue was last looked at
         self.served = {}  # ("class", "team" or "largest", its name) -> jobs done here
@@ -397,6 +398,9 @@
                 if not self.line.enter(job):
                     adopted.append(job)
                     self._take(job)
+                elif record["o"][0] and self.limited(job.spec.team) and job.id in self.line.waits.jobs:
+                    self._perhaps_started[job] = True
+                    self.accounts.unsure(job)
         if adopted:
             self.reconciliation.ask_all(adopted)
 
@@ -415,12 +419,26 @@
 
     # Jobs that need others (pipelines/line.py)
 
+    def never_started(self, job):
+        """A job that waits was not let go by its owner of before: what it needs is not done, or cancelled."""
+        if self._perhaps_started.pop(job, False):
+            self.accounts.sure(job)
+
+    def forget_waiting(self, job):
+        """A job taken over waits here no more, as the owners have changed: until all records are read anew
+        nobody knows what of its team's work may run."""
+        if job in self._perhaps_started:
+            self.never_started(job)
+            self._left.add(self._member.term.slot(self.teams.group(job.spec.team)))
+            self._left &= self.warden_since.keys()
+
     def released(self, job):
         """All that the job needs is durably done. One whose owner ended before may have been let go by
         that one already, so it is taken over like any other only now, with a write."""
         if not job.foreign:
             self._begin(job)
             return
+        self._perhaps_started.pop(job, None)  # counts as taken over from now on
         self._take(job)
         if not self._to_sync:
             self._loop.call_soon(self._sync_released)
@@ -432,6 +450,7 @@
 
     def end(self, job):
         """A job that waits is cancelled, as one that it needs is: true from now on, and written in time."""
+        self.never_started(job)
         self._ending[job.id] = job
         record = {**job.final(job.state), "above": True}
         self.remember(job.id, record)
@@ -545,7 +564,9 @@
             waiting.state = "cancelled"
             self.recorder.unmark(waiting)
             self.remember(job_id, record or waiting.final(waiting.state))
-            if not waiting.foreign:  # else its owner of before may have let it go, and started some
+            if waiting.foreign:
+                self._ask_for_tasks(waiting)
+            else:
                 self.recorder.drop(CANCEL + job_id)
             return
         job = self.jobs.get(job_id)
@@ -565,3 +586,12 @@
         for index, binding in list(job.bound.items()):
             self.send_home(binding, frames.Stop(binding.machine, job_id, index, binding.attempt, 0.0))
         self._end_cancelled(job)
+
+    def _ask_for_tasks(self, job):
+        """A job that waited is cancelled, and its owner of before may have let it go, and started some: they
+        count, and the mark of its cancellation stays, until the homes have told of them."""
+        self._perhaps_started.pop(job, None)
+        job.release(self._time_of_day())
+        job.free.clear()
+        self._begin(job)
+        self.reconciliation.ask_all([job])
--- a/roadhead/jobs/teams.py
+++ b/roadhead/jobs/teams.py
@@ -79,6 +79,7 @@
     def sure(self, job):
         for account in self._of(job):
             account.unsure.discard(job.id)
+        self._drop_empty(job.spec.team)
 
     def enter(self, job):
         for account in self._of(job):
@@ -104,7 +105,9 @@
                 if not account.teams[job.spec.team]:
                     del account.teams[job.spec.team]
             account.unsure.discard(job.id)
-        team = job.spec.team
+        self._drop_empty(job.spec.team)
+
+    def _drop_empty(self, team):
         for name in (team, self._teams.group(team)):
             account = self._accounts.get(name)
             if account is not None and account.empty:
--- a/roadhead/local/rules.py
+++ b/roadhead/local/rules.py
@@ -1,5 +1,7 @@
 """Checks the Rules of the protocol at every step, against what really runs where."""
 
+from roadhead.local.scenario import FREE
+
 UNANSWERED_S = 75.0  # once all troubles are over, without an answer for that long a job counts as forgotten
 
 
@@ -57,7 +59,9 @@
         tenancy, most = self._world.tenancy, self._world.options["cpus_max"]
         if tenancy is not None and (over := tenancy.check_limits(task, self.running)):
             self.break_rule("quota", f"{over}: {task}")
-        if most and sum(self._world.job_of(t)["vcpus"] for t in self.running) > most + 1e-6:
+        team = self._world.job_of(task)["crew"]
+        ours = [job for t in self.running if (job := self._world.job_of(t))["crew"] == team]
+        if most and team != FREE and sum(job["vcpus"] for job in ours) > most + 1e-6:
             self.break_rule("quota", task)
 
     def off_machine(self, task, worker):
--- a/roadhead/local/scenario.py
+++ b/roadhead/local/scenario.py
@@ -14,7 +14,8 @@
     "capacity": 8,
     "fetch_s": 1.0,
     "until": 200.0,
-    "cpus_max": 0.0,
+    "cpus_max": 0.0,  # of each team
+    "teams": 1,  # `crew`, `crew-2` and so on; with more than one also `free`, without a limit
     "drift": 0.0005,
     "boot_s": 5.0,
     "gateways": 0,
@@ -29,6 +30,7 @@
     "next_txn_ops": 0,
     "settled": 0.0,  # when all troubles are over, for the rule that a job stays known
 }
+FREE = "free"  # a team without a limit
 
 
 @dataclass
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -11,7 +11,7 @@
 from roadhead.local.fault_windows import FaultWindows
 from roadhead.local.histories import History
 from roadhead.local.rules import RuleChecker
-from roadhead.local.scenario import parse_scenario
+from roadhead.local.scenario import FREE, parse_scenario
 from roadhead.local.scenario_verbs import ScenarioVerbs
 from roadhead.local.sim import HostLoop, Network, Sim
 from roadhead.local.state_service import StateService
@@ -127,7 +127,7 @@
             "deployment": {
                 "nodes": len(self.labels),
                 "zones": list(self.zones),
-                "teams": [{"name": "crew", "cpus_max": self.options["cpus_max"]}],
+                "teams": self._teams(),
                 "objectives": [{"kind": "finished", "class": "c", "within_s": 60.0, "share": 0.9}],
                 **({"quota": {"fd_limit": self.options["sockets"]}} if self.options["sockets"] else {}),
                 **self.settings,
@@ -142,6 +142,11 @@
             }
         return msgspec.json.encode(document)
 
+    def _teams(self):
+        names = ["crew", *(f"crew-{number}" for number in range(2, self.options["teams"] + 1))]
+        teams = [{"name": name, "cpus_max": self.options["cpus_max"]} for name in names]
+        return teams if len(teams) == 1 else [*teams, {"name": FREE, "cpus_max": 0.0}]
+
     def fronts_for(self, _job):
         """The controllers that a job's user may ask."""
         return self.fronts
--- a/roadhead/pipelines/line.py
+++ b/roadhead/pipelines/line.py
@@ -132,6 +132,7 @@
         for job in list(self.waits.jobs.values()):
             if job.foreign:
                 self.waits.remove(job)
+                self._book.forget_waiting(job)
         self.look_again()
 
     # Word of what is over
@@ -282,10 +283,17 @@
             if name not in self.waits.needed:
                 continue
             self._look_later(name)
-            if not self._book.knows(name):
+            if self._book.knows(name):
+                self._not_done(name)
+            else:
                 wanted.append(name)
         return wanted
 
+    def _not_done(self, name):
+        """A job is not done: nobody can have started those that need it."""
+        for job in self.waits.needed.get(name, ()):
+            self._book.never_started(job)
+
     def _look_later(self, name):
         self._later.pop(name, None)
         self._later[name] = self._loop.now() + self._lease_s
@@ -298,3 +306,5 @@
             return
         if record is not None and record["s"] != "open":
             self._book.remember(name, record)
+        else:
+            self._not_done(name)
--- a/tests/test_limits_and_failover.py
+++ b/tests/test_limits_and_failover.py
@@ -6,7 +6,11 @@
 from mutation import assert_noticed
 
 from roadhead.jobs.book import Book
+from roadhead.jobs.teams import Accounts
+from roadhead.local.user import Reply, User
+from roadhead.local.world import World
 from roadhead.membership.term import Term
+from roadhead.pipelines.line import Line
 
 MEMBERS = {"a": (1, 1, ""), "b": (2, 2, ""), "c": (3, 3, "")}
 
@@ -48,3 +52,74 @@
     Book.on_term(book, old, new)
     assert book._left == unread
     assert (book.warden_since[0] == new.number) == (bool(unread) or old.wardens != new.wardens)
+
+
+def counts_nothing_that_waits(patch):
+    """Work that a quota leader let go before it ended counts for nothing until its heir lets it go too."""
+    patch.setattr(Accounts, "unsure", lambda self, job: None)
+
+
+def asks_for_nothing_cancelled(patch):
+    """A job that waits at an heir is cancelled, and the homes are not asked for its tasks."""
+    patch.setattr(Book, "_ask_for_tasks", lambda self, job: self._perhaps_started.pop(job, None))
+    patch.setattr(Accounts, "unsure", lambda self, job: None)
+
+
+def reads_upstream_late(patch, seconds):
+    """What inherited jobs need is read that much later, as from a slow state service."""
+    real = Line._look
+
+    async def look(self, name):
+        await self._loop.sleep(seconds)
+        await real(self, name)
+
+    patch.setattr(Line, "_look", look)
+
+
+def nobody_asks(patch, begin, end):
+    """Users ask nothing meanwhile: a question about a job would show the controller what that needs."""
+    real = User._ask
+
+    async def ask(self, method, *args):
+        if method == "GET" and begin < self.sim.time < end:
+            return Reply(0, None, self.sim.time)
+        return await real(self, method, *args)
+
+    patch.setattr(User, "_ask", ask)
+
+
+LET_GO_BEFORE = """
+# The heir started after the end of the first job, so it has to read of it, and finds the second waiting.
+controllers 2
+cpus_max 8
+teams 2
+boot_s 1
+at 1 submit legs=24 crew=free runS=8 expectS=90
+at 1.5 submit legs=8 runS=400 expectS=400 upstream=1
+at 220 submit legs=24 crew=free runS=15 expectS=90
+at 231 crash 1 0.1
+at 228 crash 0 40
+"""
+
+
+@pytest.mark.parametrize(
+    ("mutation", "trouble"),
+    [
+        (counts_nothing_that_waits, ""),
+        (asks_for_nothing_cancelled, "at 235.4 deaf 1 16\nat 235.5 cancel 2\n"),
+    ],
+)
+def test_what_waits_at_an_heir_but_may_have_been_let_go_counts(monkeypatch, mutation, trouble):
+    text = LET_GO_BEFORE + "".join(f"at {at / 4} submit legs=4 runS=12\n" for at in range(932, 960)) + trouble
+    reads_upstream_late(monkeypatch, 8)
+    nobody_asks(monkeypatch, 230, 245)
+    for seed in range(1, 21):
+        with pytest.MonkeyPatch.context() as patch:
+            mutation(patch)
+            noticed = World(f"{text}until 260\nseed {seed}\n").run().broken
+        if any("quota" in broken for broken in noticed):
+            world = World(f"{text}until 900\nseed {seed}\nexpect rules\n").run()
+            assert world.check() == []
+            assert all(user.told in ("done", "cancelled") for user in world.users.values())
+            return
+    raise AssertionError(f"not noticed: {mutation.__doc__}")
