A gateway reads a tenant's record before it calls an access key unknown

Cause: a gateway that the state service refuses, or whose watch lags, answers by the table it has for up to stale_s. A key made through another gateway meanwhile was answered 401, which its user takes for final; what is not known for sure is to be 503. Found by lost answers of the tenants' records (tests/write_faults.py).

Change: TenantsApi reads the record of the tenant that the key names, once, before it answers 401; four reads at most are under way, and half of the burst of requests is left. Without an answer the request gets 503.

--- a/roadhead/gateway/tenants_api.py
+++ b/roadhead/gateway/tenants_api.py
@@ -7,11 +7,13 @@
 from roadhead.state.client import Unavailable, Unsure
 from roadhead.tenants import admission, ids
 from roadhead.tenants.keys import split_key
-from roadhead.tenants.records import ADMINISTRATORS
+from roadhead.tenants.records import ADMINISTRATORS, key_of
 from roadhead.wire import messages
 
 PAGE, PAGE_MOST = 100, 500
 PATIENCE_S = 4.0
+READ_MOST = 4  # records read at once for keys that are unknown here
+READ_SPARE = 0.5  # of the burst of requests must be left for that
 # What a controller may say of a submission that can never run: nothing else is passed on.
 REASONS = ("unknown team", "more than the team's limit", "fits no machine type")
 UPSTREAM = ("was never accepted", "is a service", "names itself")
@@ -82,13 +84,14 @@
         self._state = state
         self._time_of_day = time_of_day
         self._rates = admission.Rates(loop)
+        self._reading = 0  # records of tenants being read for keys unknown here
 
     async def handle(self, request):
         """(status, message) of a request. Raises Refused."""
         route, values = ROUTES.find(request)
         if route.scope is None:
             return 200, ROUTES.document("roadhead for tenants")
-        entry, key = authenticate(self._table, self._secrets, request.key(), self._time_of_day())
+        entry, key = await self._authenticate(request.key())
         if entry.tenant.number == ADMINISTRATORS:
             raise UNKNOWN_KEY  # administrators have no jobs
         if route.scope not in key.scopes:
@@ -109,6 +112,31 @@
             return await self._told(number, values["id"], "GET", f"/v1/jobs/{job_id}", 2.0)
         return await self._told(number, values["id"], "POST", f"/v1/jobs/{job_id}/cancel", PATIENCE_S)
 
+    async def _authenticate(self, text):
+        """(Entry, Key) of an access key. A key that is unknown here may have been made through another
+        gateway, and this one's watch may lag: only the tenant's record says that there is none."""
+        try:
+            return authenticate(self._table, self._secrets, text, self._time_of_day())
+        except Refused:
+            if (named := split_key(text)) is None:
+                raise
+        await self._read_tenant(named[0])
+        return authenticate(self._table, self._secrets, text, self._time_of_day())
+
+    async def _read_tenant(self, number):
+        """Takes the tenant's record as it is now. Raises NOT_SURE, also if that many are being read."""
+        if self._reading >= READ_MOST or not self._state.requests.spare(READ_SPARE):
+            raise NOT_SURE
+        self._reading += 1
+        try:
+            record, stamp = await self._state.get(key_of(number))
+        except (Unavailable, Unsure):
+            raise NOT_SURE from None
+        finally:
+            self._reading -= 1
+        if record is not None:
+            self._table.take(key_of(number), record, stamp)
+
     async def _told(self, number, own, method, target, within_s, body=b""):
         """(status, Job) by what a controller says of the tenant's job. Raises Refused."""
         status, answer, headers = await self._controllers.ask(number, method, target, body, within_s)
