Lost answers and late transactions, enumerated by kind of write and sender

Change: tests/write_faults.py meets the nth write of each of 21 kinds; its sender goes on, ends for 0.1 or 3 s, or is refused; other nodes are asked about its jobs within milliseconds, and terms, tokens and creations are checked from the service's log. Mutation tests for stamps, term, entry, marks, incarnations and the creator's own record; scenarios for a slow service, and for one refused to the leader as jobs are cancelled.

--- /dev/null
+++ b/tests/test_lost_answers.py
@@ -0,0 +1,200 @@
+"""A write is carried out and only its answer lost, or seconds late, while others read what it wrote."""
+
+import itertools
+
+import mutation
+import pytest
+from write_faults import KINDS, Fault, Sender, play
+
+from roadhead.gateway.tenants_api import TenantsApi, authenticate
+from roadhead.jobs.book import Book
+from roadhead.jobs.job import KEY
+from roadhead.membership.member import MEMBER, TERM
+from roadhead.membership.term import Term
+
+FATES = (
+    {"late_s": 0.0},
+    {"late_s": 0.0, "reset": True, "repeats": 2},
+    {"late_s": 4.5},
+    {"late_s": 7.0, "nth": 1},
+)
+
+
+def faults_of(kind):
+    """A sample of `write_faults.cases()`: each fate, each sender twice."""
+    senders = itertools.cycle(Sender)
+    for fate in FATES:
+        yield Fault(kind, sender=next(senders), **fate)
+        next(senders)
+        yield Fault(kind, sender=next(senders), **fate)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_write_whose_answer_is_lost_or_that_comes_late(kind):
+    outcomes = {fault: play(fault) for fault in faults_of(kind)}
+    assert {str(fault): outcome.faults for fault, outcome in outcomes.items() if outcome.faults} == {}
+    assert sum(bool(outcome.struck) for outcome in outcomes.values()) >= len(outcomes) // 2
+
+
+# Mutations, at the service: what the writers ask of it is taken out of their transactions.
+
+
+def without_conditions(wanted):
+    """Prepares a world whose service does not look at conditions that `wanted(key, stamp, writes)` names."""
+
+    def prepare(world):
+        real = world.state.handle
+
+        async def handle(method, path, args, body, host):
+            if path == "/multi":
+                body = {
+                    **body,
+                    "if": [
+                        condition
+                        for condition in body["if"]
+                        if not wanted(condition["k"], condition["stamp"], body["writes"])
+                    ],
+                }
+            return await real(method, path, args, body, host)
+
+        world.state.handle = handle
+
+    return prepare
+
+
+def stamps_of_records(key, stamp, _writes):
+    """5: records are written whatever is there."""
+    return key.startswith(KEY) and stamp != 0
+
+
+def creations_need_no_term(key, _stamp, writes):
+    """5: a creation takes effect although its owner was dropped meanwhile."""
+    return key == TERM and not any(write.get("put") == TERM for write in writes)
+
+
+def entry_without_its_own_stamp(key, _stamp, writes):
+    """Membership: an earlier entry that comes late replaces the newer one."""
+    return any(write.get("put") == key for write in writes) and key.startswith(MEMBER)
+
+
+def term_without_its_stamp(key, _stamp, writes):
+    """1: a term is written whatever term is there."""
+    return key == TERM and any(write.get("put") == TERM for write in writes)
+
+
+@pytest.mark.parametrize(
+    ("missing", "kind", "late_s"),
+    [
+        (stamps_of_records, "progress", (4.5, 7.0, 12.0)),
+        (creations_need_no_term, "creation", (0.6, 0.9)),
+        (term_without_its_stamp, "move", (2.0, 4.5)),
+        (term_without_its_stamp, "join", (2.0, 4.5)),
+    ],
+)
+def test_a_condition_that_is_missing_is_noticed(missing, kind, late_s):
+    for nth, late, sender in itertools.product((0, 1, 2, 3), late_s, Sender):
+        fault = Fault(kind, nth, late, sender)
+        if play(fault, prepare=without_conditions(missing)).faults:
+            assert play(fault).faults == ()
+            return
+    raise AssertionError(f"not noticed: {missing.__doc__}")
+
+
+def test_an_entry_without_its_own_stamp_costs_a_living_member_its_place():
+    fault = Fault("entry", late_s=2.0, reset=True)
+    assert play(fault).joins == 3
+    assert play(fault, prepare=without_conditions(entry_without_its_own_stamp)).joins > 3
+
+
+def incarnations_are_counted_from_the_members(patch):
+    """1: a number that a member had that was dropped since is given again."""
+    real = Term.join
+
+    def join(self, label, nonce):
+        newest = max((entry[0] for entry in self.members.values()), default=0)
+        return real(
+            Term(self.number, newest + 1, self.members, self.wardens, self.relieved, self.shares),
+            label,
+            nonce,
+        )
+
+    patch.setattr(Term, "join", join)
+
+
+def unknown_keys_are_refused_at_once(patch):
+    """Tenants: a gateway whose watch lags answers 401 on a key that was made through another."""
+
+    async def from_the_table(self, text):
+        return authenticate(self._table, self._secrets, text, self._time_of_day())
+
+    patch.setattr(TenantsApi, "_authenticate", from_the_table)
+
+
+def own_creation_is_not_recognized(patch):
+    """5: whoever finds its own record after a lost answer takes it for somebody else's."""
+    real = Book._conflict
+
+    def conflict(self, job, record, stamp):
+        pending = self._settled(job)
+        if pending is None:
+            return real(self, job, record, stamp)
+        self.recorder.unmark(job)
+        pending.set((False, record))
+        return None
+
+    patch.setattr(Book, "_conflict", conflict)
+
+
+@pytest.mark.parametrize(
+    ("mutate", "kind", "text"),
+    [
+        (incarnations_are_counted_from_the_members, "join", None),
+        # No controller ends here: else the heirs of the one that does would find the job.
+        (own_creation_is_not_recognized, "creation", "at 1 submit count=4 legs=2 runS=4\nuntil 90"),
+    ],
+)
+def test_a_guard_that_is_taken_out_is_noticed(mutate, kind, text):
+    for nth, sender in itertools.product(range(5), Sender):
+        fault = Fault(kind, nth, 0.0, sender, reset=True)
+        with pytest.MonkeyPatch.context() as patch:
+            mutate(patch)
+            noticed = play(fault, text).faults
+        if noticed:
+            assert play(fault, text).faults == ()
+            return
+    raise AssertionError(f"not noticed: {mutate.__doc__}")
+
+
+NEW_TENANTS = """
+gateways 2
+at 2 tenant first team=crew:cpus=4 cpus=8
+at 2 tenant second team=crew:cpus_max=6
+at 8 submit tenant=first id=a count=4 legs=2 runS=8
+at 14 limits second team=crew:cpus_max=4 cpus=4
+at 30 remove second
+until 120
+"""
+
+
+def test_a_new_key_is_good_at_a_gateway_that_the_service_refuses():
+    fault = Fault("tenant", 4, 2.0, Sender.REFUSED)
+    with pytest.MonkeyPatch.context() as patch:
+        unknown_keys_are_refused_at_once(patch)
+        assert any("gave up" in text for text in play(fault, NEW_TENANTS).faults)
+    assert play(fault, NEW_TENANTS).faults == ()
+
+
+def marks_are_dropped_early(patch):
+    """4: the mark of a cancellation goes as soon as its job's owner has heard of it."""
+    real = Book.cancelled
+
+    def cancelled(self, job_id, record=None):
+        if job_id in self.jobs:
+            self.recorder.drop(f"c/x/{job_id}")
+        return real(self, job_id, record)
+
+    patch.setattr(Book, "cancelled", cancelled)
+
+
+def test_a_mark_that_is_dropped_early_is_noticed():
+    mutation.assert_noticed(marks_are_dropped_early, "late-transaction-mark")
--- /dev/null
+++ b/tests/write_faults.py
@@ -0,0 +1,412 @@
+"""Faults of single transactions at the simulated state service, by kind of write, and what must hold.
+
+A write is carried out at once and its answer lost, or carried out seconds late, after newer ones of the
+same controller. Its sender goes on, ends at that moment, or is refused by the service. Other nodes are
+asked about the jobs concerned from that moment on. `python tests/write_faults.py` plays all cases.
+"""
+
+import argparse
+import enum
+import itertools
+import multiprocessing
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from roadhead.jobs.job import FINAL, KEY, NOBODY, SHELF
+from roadhead.local.world import World
+from roadhead.membership.gate import GATE
+from roadhead.membership.member import CANCEL, MEMBER, TENANT, TERM
+from roadhead.membership.term import Term
+from roadhead.pipelines.parts import PARTS
+from roadhead.runtime.loop import Future
+from roadhead.runtime.net import Closed
+
+LATE_S = (2.0, 4.5, 7.0, 12.0)  # within the sender's patience, after its first retry, long after
+READ_S = 6.0  # for which other nodes are asked after a fault
+READ_GAP_S = 0.05
+CUT_S = 8.0  # for which the service refuses a sender, less than its lease
+
+
+class Sender(enum.Enum):
+    """What becomes of the controller whose write the fault meets."""
+
+    GOES_ON = "goes on"
+    ENDS_BRIEFLY = "ends, back in 0.1 s"
+    ENDS = "ends, back in 3 s"
+    REFUSED = "is refused for a while"
+
+
+BACK_S = {Sender.ENDS_BRIEFLY: 0.1, Sender.ENDS: 3.0}
+
+
+@dataclass(frozen=True, slots=True)
+class Write:
+    """A request to the state service that changes something, as its kinds are told apart."""
+
+    path: str
+    conditions: dict  # key -> stamp
+    puts: dict  # key -> value
+    drops: frozenset
+    stored: Callable  # key -> the value stored now, or None
+
+    def puts_under(self, prefix):
+        return [(key, value) for key, value in self.puts.items() if key.startswith(prefix)]
+
+    def drops_under(self, prefix):
+        return any(key.startswith(prefix) for key in self.drops)
+
+    def replaced(self):
+        """(the value stored, the value put) of each record of an open job that is written anew."""
+        return [
+            (old, new)
+            for key, new in self.puts_under(KEY)
+            if new["s"] == "open" and (old := self.stored(key)) is not None and old["s"] == "open"
+        ]
+
+    def changes_term(self, field):
+        """Whether only the term is written, and that field of it changes."""
+        if set(self.puts) != {TERM} or self.drops or any(key.startswith(MEMBER) for key in self.conditions):
+            return False
+        return self.puts[TERM].get(field) != (self.stored(TERM) or {}).get(field)
+
+
+def _moves_shares(write):
+    return write.changes_term("shares") and not write.changes_term("relieved")
+
+
+KINDS = {
+    "creation": lambda w: any(w.conditions.get(key) == 0 for key, _ in w.puts_under(KEY)),
+    "end": lambda w: any(value["s"] == "done" for _, value in w.puts_under(KEY)),
+    "cancellation": lambda w: bool(w.puts_under(CANCEL)),
+    "progress": lambda w: any(len(new["done"]) and old["o"] == new["o"] for old, new in w.replaced()),
+    "adoption": lambda w: any(old["o"] != new["o"] for old, new in w.replaced()),
+    "release": lambda w: any("rel" in new and "rel" not in old for old, new in w.replaced()),
+    "mark dropped": lambda w: w.drops_under(CANCEL),
+    "archive": lambda w: bool(w.puts_under(SHELF)),
+    "join": lambda w: TERM in w.puts and bool(w.puts_under(MEMBER)),
+    "drop": lambda w: TERM in w.puts and any(key.startswith(MEMBER) for key in w.conditions),
+    "leave": lambda w: TERM in w.puts and w.drops_under(MEMBER),
+    "move": _moves_shares,
+    "relief": lambda w: w.changes_term("relieved"),
+    "gate": lambda w: GATE in w.puts,
+    "entry": lambda w: bool(w.puts_under(MEMBER)) and TERM not in w.puts,
+    "lease": lambda w: w.path == "/leases",
+    "renewal": lambda w: w.path.endswith("/touch"),
+    "parts": lambda w: bool(w.puts_under(PARTS)),
+    "parts collected": lambda w: w.drops_under(PARTS),
+    "tenant": lambda w: bool(w.puts_under(TENANT)),
+    "tenant removed": lambda w: bool(w.drops) and not w.puts and w.drops_under((KEY, SHELF)),
+}
+
+BUSY = """
+capacity 6
+txn_ops 5
+at 1 submit count=5 legs=4 runS=6
+at 2 submit legs=2 runS=40 expectS=40
+at 9 submit legs=4 runS=4 apartS=6 upstream=1
+at 9 submit legs=2 runS=4 upstream=7
+at 14 submit count=5 legs=3 runS=9
+at 15 submit legs=3 runS=50 expectS=50
+at 18 cancel 9,10 1
+at 24 crash 0 0.3
+at 26 cancel 6
+at 30 leave 1 0.3
+at 34 submit count=4 legs=2 runS=5
+at 36 crash 2 20
+at 38 cancel 17
+until 180
+"""
+RELIEF = """
+capacity 24
+at 1 submit count=8 legs=6 runS=30 expectS=30
+at 25 cut 1 workers 50
+at 30 cancel 2
+at 60 submit count=4 legs=2 runS=6
+until 200
+"""
+# The service refuses one controller until its lease has ended, and those that would drop it stand still.
+LAPSED = """
+capacity 6
+at 1 submit count=6 legs=4 runS=30 expectS=30
+at 30 refuse 0 6.2
+at 34 stall 1 4
+at 34 stall 2 4
+at 45 cancel 2,3 1
+at 50 submit count=4 legs=2 runS=6
+until 200
+"""
+WIDE = """
+capacity 10
+value_kb 1
+txn_ops 5
+at 1 submit count=80 legs=1 runS=1 expectS=1
+at 20 submit legs=1 runS=2 upstream=1-80
+at 30 cancel 81
+at 32 submit legs=1 runS=2 upstream=1-80
+at 60 crash 0 0.3
+until 230
+"""
+HOSTED = """
+gateways 2
+capacity 6
+at 2 tenant first team=crew:cpus=4 cpus=8
+at 2 tenant second team=crew:cpus_max=6
+at 24 submit tenant=first id=a count=4 legs=2 runS=8
+at 24 submit tenant=second id=a count=4 legs=2 runS=30
+at 30 limits second team=crew:cpus_max=4 cpus=4
+at 34 suspend second stop
+at 38 resume second
+at 42 crash 1 0.3
+at 46 remove second
+until 260
+"""
+
+TEXTS = {
+    **dict.fromkeys(KINDS, BUSY),
+    "relief": RELIEF,
+    "entry": LAPSED,
+    "parts": WIDE,
+    "parts collected": WIDE,
+    "tenant": HOSTED,
+    "tenant removed": HOSTED,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Meets the `nth` write of its kind, and `repeats` more in a row. `late_s` 0: carried out at once."""
+
+    kind: str
+    nth: int = 0
+    late_s: float = 0.0
+    sender: Sender = Sender.GOES_ON
+    reset: bool = False  # the connection is closed at once, else the sender waits in vain
+    repeats: int = 0
+
+    def __str__(self):
+        how = f"{self.late_s} s late" if self.late_s else "at once"
+        return f"{self.kind} {self.nth}+{self.repeats}, {how}, sender {self.sender.value}, reset {self.reset}"
+
+
+class Injector:
+    """Puts a fault between the controllers and the state service of a world."""
+
+    def __init__(self, world, fault):
+        self.world = world
+        self.fault = fault
+        self.seen = 0  # writes of the kind
+        self.struck = 0
+        self._handle = world.state.handle
+        world.state.handle = self._take
+        self.readers = {}  # job -> CloseReader
+
+    async def _take(self, method, path, args, body, host):
+        if method != "POST" or not KINDS[self.fault.kind](self._write(path, body)):
+            return await self._handle(method, path, args, body, host)
+        nth, self.seen = self.seen, self.seen + 1
+        if not self.fault.nth <= nth <= self.fault.nth + self.fault.repeats:
+            return await self._handle(method, path, args, body, host)
+        self.struck += 1
+        request = (method, path, args, body, host)
+        if self.fault.late_s:
+            self.world.sim.spawn(self._carry_out_late(request), "late write")
+        else:
+            await self._handle(*request)
+            self._read_closely(body)
+        if not self.fault.reset:
+            self._strike(host)
+            await Future()
+        self.world.sim.call_later(0.0, self._strike, host)
+        raise Closed
+
+    async def _carry_out_late(self, request):
+        await self.world.sim.sleep(self.fault.late_s)
+        await self._handle(*request)
+        self._read_closely(request[3])
+
+    def _write(self, path, body):
+        writes = body.get("writes", ()) if path == "/multi" else ()
+        return Write(
+            path,
+            {condition["k"]: condition["stamp"] for condition in body["if"]} if path == "/multi" else {},
+            {write["put"]: write["data"] for write in writes if "put" in write},
+            frozenset(write["drop"] for write in writes if "drop" in write),
+            lambda key: self.world.state.data.get(key, (None,))[0],
+        )
+
+    def _strike(self, host):
+        """Does to the sender what the fault says."""
+        network, _, number = host.rpartition(".")
+        if self.fault.sender in BACK_S:
+            back_s = BACK_S[self.fault.sender]
+            if network == "10.0.0":
+                self.world.crash(int(number) - 1, back_s)
+            else:
+                self.world.tenancy.crash(int(number) - 1, back_s)
+        elif self.fault.sender is Sender.REFUSED:
+            self.world.state.refuse(host, CUT_S)
+
+    def _read_closely(self, body):
+        for write in body.get("writes", ()) if body else ():
+            job = (write.get("put") or write["drop"]).rpartition("/")[2]
+            if job in self.world.users and self.world.tenancy is None and job not in self.readers:
+                self.readers[job] = CloseReader(self.world, job)
+
+
+class CloseReader:
+    """Asks all nodes in turn about a job, right after a write of it, and submits it again in between.
+
+    Once it was answered that a job is known, no question asked later may be answered as if it were not.
+    """
+
+    def __init__(self, world, job):
+        self.world = world
+        self.user = world.users[job]
+        world.user_loop.spawn(self._run(), "close reader")
+
+    async def _run(self):
+        loop, known = self.world.user_loop, False
+        end = loop.now() + READ_S
+        for number in itertools.count():
+            via = number % len(self.world.fronts)
+            before = self.user.accepted, self.user.told
+            status, answer = await self.user._ask("GET", f"/v1/jobs/{self.user.id}", None, 2.0, via)
+            if status == 404 and known:
+                self.world.break_rule("forgotten", f"{self.user.id}: known, then 404 from {via}")
+            known |= status == 200
+            if before == (self.user.accepted, self.user.told):  # else it may be of a moment before
+                self.user._hear(status, answer)
+            if number % 20 == 10 and self.user.accepted:
+                await self.user.submit_again()
+            if number % 20 == 15 and self.user.asked_to_cancel:
+                await self.user.cancel(via)
+            if loop.now() > end:
+                return
+            await loop.sleep(READ_GAP_S)
+
+
+class TermHistory:
+    """All terms that were in force, from the log of the state service, and what must hold of them."""
+
+    def __init__(self, world):
+        self.faults = []
+        self.joins = 0
+        self._incarnations = {}  # incarnation -> (label, nonce)
+        self._tokens = {}  # (share, token) -> (home, its incarnation)
+        self._newest = {}  # share -> token
+        self._term = Term()
+        known_jobs = set()
+        for event in world.state.log:
+            key = event.get("put", "")
+            if key == TERM:
+                self._take(event["data"])
+            elif key.startswith(KEY) and event["data"]["s"] == "open" and key not in known_jobs:
+                known_jobs.add(key)
+                self._created(key, event["data"])
+
+    def _take(self, record):
+        term = Term.from_record(record)
+        for label, (incarnation, _token, nonce) in term.members.items():
+            if incarnation not in self._incarnations:
+                self.joins += 1
+            if self._incarnations.setdefault(incarnation, (label, nonce)) != (label, nonce):
+                self.faults.append(f"incarnation {incarnation} is given twice")
+        self._term = term
+        if term.shares is None:
+            return
+        for share, (home, token) in enumerate(zip(term.shares.homes, term.shares.tokens, strict=True)):
+            holder = (home, term.incarnation(home))
+            if self._tokens.setdefault((share, token), holder) != holder:
+                self.faults.append(f"token {token} of share {share} is given twice")
+            if token < self._newest.get(share, 0):
+                self.faults.append(f"the token of share {share} falls to {token}")
+            self._newest[share] = token
+
+    def _created(self, key, record):
+        owner = tuple(record["o"])
+        if owner != NOBODY and not self._term.serves(*owner):
+            self.faults.append(f"{key} is created by {owner}, whom no term names")
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What came of a world with a fault in it."""
+
+    struck: int  # writes met
+    faults: tuple
+    joins: int
+    world: World
+
+
+def play(fault, text=None, prepare=None):
+    """Plays the world of the fault's kind, or the text, with it; `prepare(world)` first, for mutations."""
+    world = World(TEXTS[fault.kind] if text is None else text)
+    if prepare is not None:
+        prepare(world)
+    injector = Injector(world, fault)
+    world.run()
+    history = TermHistory(world)
+    faults = [*world.check(), *history.faults, *_unended(world)]
+    return Outcome(injector.struck, tuple(faults), history.joins, world)
+
+
+def _unended(world):
+    gone = {world.tenancy.numbers[name] for name in ("second",)} if world.tenancy is not None else ()
+    numbers = world.tenancy.numbers if world.tenancy is not None else {}
+    for job, user in world.users.items():
+        if numbers.get(getattr(user, "tenant", None)) in gone:
+            continue
+        if not user.accepted and not user.gave_up and job not in world.refusals:
+            yield f"{job} was never answered"
+        elif user.accepted and user.told not in FINAL:
+            yield f"{job} is {user.told}"
+        elif user.gave_up:
+            yield f"the user of {job} gave up"
+    for key, (record, *_rest) in world.state.data.items():
+        if key.startswith(KEY) and record["s"] == "open":
+            yield f"{key} is open"
+    if world.running:
+        yield f"{len(world.running)} tasks run on"
+
+
+NTH = {"renewal": (5, 17, 30), "progress": (0, 3), "join": (0, 1, 2, 3, 4)}
+OFTEN = {"creation", "end", "archive", "move", "tenant"}  # whose kinds' writes come by the dozen
+
+
+def cases():
+    """Yields all faults: each kind, its first and later writes, each fate and sender."""
+    for kind in KINDS:
+        places = NTH.get(kind, (0, 1, 4) if kind in OFTEN else (0, 1))
+        for nth, sender in itertools.product(places, Sender):
+            yield Fault(kind, nth, 0.0, sender, reset=False)
+            yield Fault(kind, nth, 0.0, sender, reset=True, repeats=2)
+            for late_s in LATE_S:
+                yield Fault(kind, nth, late_s, sender, reset=bool(nth % 2))
+
+
+def _played(fault):
+    outcome = play(fault)
+    return fault, outcome.struck, outcome.faults, outcome.joins
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--kind")
+    args = parser.parse_args()
+    wanted = [fault for fault in cases() if args.kind in (None, fault.kind)]
+    rows = {}
+    with multiprocessing.Pool(args.jobs) as pool:
+        for fault, struck, faults, _joins in pool.imap(_played, wanted):
+            row = rows.setdefault(fault.kind, [0, 0, 0])
+            for place, value in enumerate((1, bool(struck), bool(faults))):
+                row[place] += value
+            if faults:
+                print(f"{fault}: {len(faults)} faults: {'; '.join(faults[:3])[:400]}", flush=True)
+    print("kind | played | met | with faults")
+    for kind, row in rows.items():
+        print(" | ".join(map(str, (kind, *row))))
+
+
+if __name__ == "__main__":
+    main()
