--- a/tests/test_limits_and_failover.py
+++ b/tests/test_limits_and_failover.py
@@ -3,6 +3,7 @@
 from types import SimpleNamespace
 
 import pytest
+from limit_failovers import COURSES, combinations, played
 from mutation import assert_noticed
 
 from roadhead.jobs.book import Book
@@ -27,14 +28,65 @@
     patch.setattr(Book, "idle_slots", idle_slots)
 
 
+def lets_go_what_is_cancelled(patch):
+    """Tasks of a cancelled job count for nothing at once, whatever their machines still do."""
+    real = Book.cancelled
+
+    def cancelled(self, job_id, record=None):
+        real(self, job_id, record)
+        job = self.jobs.get(job_id)
+        for binding in job.bound.values() if job is not None else ():
+            self.accounts.let_go(job, binding)
+
+    patch.setattr(Book, "cancelled", cancelled)
+
+
+def second_heir_counts_nothing(patch):
+    """Cancelled tasks are waited for by the first heir alone: at a second change of leader nobody does."""
+    real, heirs = Book.all_read, []
+
+    def all_read(self, number, gone_at):
+        if gone_at is not None and self not in heirs:
+            heirs.append(self)
+        real(self, number, gone_at if heirs[:1] == [self] else None)
+
+    patch.setattr(Book, "all_read", all_read)
+
+
+def cancelled_count_for_nothing(patch):
+    """Tasks of jobs that were cancelled before the heir read the records are not thought of."""
+    real = Book.all_read
+    patch.setattr(Book, "all_read", lambda self, number, _gone_at: real(self, number, None))
+
+
+def starts_before_all_homes_told(patch):
+    """An heir starts new work before every home has told of what it inherited."""
+    patch.setattr(Accounts, "unsure", lambda self, job: None)
+
+
 @pytest.mark.parametrize(
     ("mutation", "scenario"),
-    [(hands_on_what_may_run_cancelled, "limit-slot-handed-on")],
+    [
+        (hands_on_what_may_run_cancelled, "limit-slot-handed-on"),
+        (lets_go_what_is_cancelled, "hang-cancelled"),
+        (second_heir_counts_nothing, "hang-second-failover"),
+        (starts_before_all_homes_told, "limit-takeover"),
+        (cancelled_count_for_nothing, "limit-lowered"),
+    ],
 )
 def test_a_guard_taken_out_is_noticed(mutation, scenario):
     assert_noticed(mutation, scenario)
 
 
+# One in so many; `limit_failovers.py` plays all of them.
+@pytest.mark.parametrize(
+    "case", list(combinations())[:: len(COURSES) * 4 + 1], ids=lambda case: "-".join(map(str, case[0]))
+)
+def test_a_team_at_its_limit_is_served_whatever_comes_together(case):
+    _which, faults, undone, left_behind = played(case)
+    assert (faults, undone, left_behind) == ([], [], [])
+
+
 @pytest.mark.parametrize(
     ("old", "new", "closing", "unread"),
     [
