Simulator: jobs left waiting, starts after cancellations, counts of strikes

Cause: Nothing in virtual time saw a job that waits for 90 s beside a machine with room once the troubles are over, nor counted starts after a confirmed cancellation; a scenario could not tell whether its trouble struck at all.

--- a/roadhead/local/expectations.py
+++ b/roadhead/local/expectations.py
@@ -54,6 +54,11 @@
     return _compare(f"the count of 503 to {question}", count, relation, bound)
 
 
+def _struck(world, name, relation, bound):
+    struck = getattr(world.fault_windows, name).struck
+    return _compare(f"the count of {name}", struck, relation, bound)
+
+
 def _counter(world, name, relation, bound):
     return _compare(f"counter {name}", world.counter(name), relation, bound)
 
@@ -156,6 +161,11 @@
     return _compare("the count of tasks recorded as done that ran anew", world.rules.reruns, "<=", most)
 
 
+def _cancelled_starts(world, _relation, most):
+    count = world.rules.cancelled_starts
+    return _compare("the count of starts after a confirmed cancellation", count, "<=", most)
+
+
 def _begun(world, before, numbers):
     begun = {task.rpartition("/")[0] for task, at in world.started.items() if at < float(before)}
     return [f"{name} did not begin before {before}" for name in _ids(numbers) if name not in begun]
@@ -177,6 +187,7 @@
     "refused": _refused,
     "odd_refused": _odd_refused,
     "unavailable": _unavailable,
+    "struck": _struck,
     "counter": _counter,
     "keys": _keys,
     "gone": _gone,
@@ -194,6 +205,7 @@
     "together": _together,
     "cancelled_gone": _cancelled_gone,
     "reruns": _reruns,
+    "cancelled_starts": _cancelled_starts,
     "begun": _begun,
     "mostly_done": _mostly_done,
     "no_rooms": _no_rooms,
--- a/roadhead/local/fault_windows.py
+++ b/roadhead/local/fault_windows.py
@@ -8,13 +8,16 @@
 
 @dataclass
 class FaultWindow:
-    """A trouble that strikes this share of what comes along, until then."""
+    """A trouble that strikes this share of what comes along, until then; `struck` counts how often it did."""
 
     share: float = 0.0
     until: float = 0.0
+    struck: int = 0
 
     def strikes(self, sim):
-        return sim.time < self.until and sim.random.random() < self.share
+        strikes = sim.time < self.until and sim.random.random() < self.share
+        self.struck += strikes
+        return strikes
 
 
 @dataclass
--- a/roadhead/local/rules.py
+++ b/roadhead/local/rules.py
@@ -17,6 +17,7 @@
         self.cancelled_at = {}  # job -> when its user was told so
         self.recorded = set()  # tasks that some record called done once, where a scenario asks for it
         self.reruns = 0  # starts of those
+        self.cancelled_starts = 0  # starts after a confirmed cancellation, also within `cancel_s`
         self.longest_gone = 0.0  # after its user was told of a cancellation, a task was still there
 
     def break_rule(self, rule, text):
@@ -33,6 +34,7 @@
         if other is not None and other is not worker:
             self.break_rule("ran_twice", f"{task} on {other.name} and {worker.name}")
         told = self.cancelled_at.get(job["id"])
+        self.cancelled_starts += told is not None
         if told is not None and self._world.sim.time > told + self._cancel_s:
             self.break_rule("ran_cancelled", f"{task} starts")
         self._check_place(task, job, worker)
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -17,6 +17,7 @@
 from roadhead.local.state_service import StateService
 from roadhead.local.tenancy import Tenancy
 from roadhead.local.user import User
+from roadhead.local.waiting import WaitingCheck
 from roadhead.node import Node
 from roadhead.settings import Tuning, parse
 
@@ -61,6 +62,7 @@
         for number in range(options["controllers"]):
             self.start(number)
         self.sim.spawn(self.rules.watch(), "checks")
+        self.sim.spawn(WaitingCheck(self).watch(), "waiting check")
 
     def _make_records(self):
         """What happened, and what is to happen, as the emulators and the checks need it."""
