--- a/tests/test_cancel_and_move.py
+++ b/tests/test_cancel_and_move.py
@@ -88,7 +88,7 @@
 
     def _relieved(self, then):
         self.relieved_at = self.sim.time
-        for host in self._hosts("workers"):
+        for host in [worker.host for worker in self.cloud.rented.values()]:
             self.network.heal("10.0.0.1", host)
         self.do(["cut", "0", "state", "40"])
         self.do(["cut", "0", "peers", "40"])
