Tests of lost answers: small modules, and the world's history of answers

Change: kinds of writes (write_kinds.py), the history of terms (term_history.py) and the faults apart; close readers only ask. No check is taken out: an older answer is now found by the history of all answers.

--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -4,7 +4,8 @@
 
 import mutation
 import pytest
-from write_faults import KINDS, Fault, Sender, play
+from write_faults import Fault, Sender, play
+from write_kinds import KINDS
 
 from roadhead.gateway.tenants_api import TenantsApi, authenticate
 from roadhead.jobs.book import Book
--- a/tests/write_faults.py
+++ b/tests/write_faults.py
@@ -9,15 +9,13 @@
 import enum
 import itertools
 import multiprocessing
-from collections.abc import Callable
 from dataclasses import dataclass
 
-from roadhead.jobs.job import FINAL, KEY, NOBODY, SHELF
+from term_history import TermHistory
+from write_kinds import KINDS, Write
+
+from roadhead.jobs.job import FINAL, KEY
 from roadhead.local.world import World
-from roadhead.membership.gate import GATE
-from roadhead.membership.member import CANCEL, MEMBER, TENANT, TERM
-from roadhead.membership.term import Term
-from roadhead.pipelines.parts import PARTS
 from roadhead.runtime.loop import Future
 from roadhead.runtime.net import Closed
 
@@ -39,65 +37,6 @@
 BACK_S = {Sender.ENDS_BRIEFLY: 0.1, Sender.ENDS: 3.0}
 
 
-@dataclass(frozen=True, slots=True)
-class Write:
-    """A request to the state service that changes something, as its kinds are told apart."""
-
-    path: str
-    conditions: dict  # key -> stamp
-    puts: dict  # key -> value
-    drops: frozenset
-    stored: Callable  # key -> the value stored now, or None
-
-    def puts_under(self, prefix):
-        return [(key, value) for key, value in self.puts.items() if key.startswith(prefix)]
-
-    def drops_under(self, prefix):
-        return any(key.startswith(prefix) for key in self.drops)
-
-    def replaced(self):
-        """(the value stored, the value put) of each record of an open job that is written anew."""
-        return [
-            (old, new)
-            for key, new in self.puts_under(KEY)
-            if new["s"] == "open" and (old := self.stored(key)) is not None and old["s"] == "open"
-        ]
-
-    def changes_term(self, field):
-        """Whether only the term is written, and that field of it changes."""
-        if set(self.puts) != {TERM} or self.drops or any(key.startswith(MEMBER) for key in self.conditions):
-            return False
-        return self.puts[TERM].get(field) != (self.stored(TERM) or {}).get(field)
-
-
-def _moves_shares(write):
-    return write.changes_term("shares") and not write.changes_term("relieved")
-
-
-KINDS = {
-    "creation": lambda w: any(w.conditions.get(key) == 0 for key, _ in w.puts_under(KEY)),
-    "end": lambda w: any(value["s"] == "done" for _, value in w.puts_under(KEY)),
-    "cancellation": lambda w: bool(w.puts_under(CANCEL)),
-    "progress": lambda w: any(len(new["done"]) and old["o"] == new["o"] for old, new in w.replaced()),
-    "adoption": lambda w: any(old["o"] != new["o"] for old, new in w.replaced()),
-    "release": lambda w: any("rel" in new and "rel" not in old for old, new in w.replaced()),
-    "mark dropped": lambda w: w.drops_under(CANCEL),
-    "archive": lambda w: bool(w.puts_under(SHELF)),
-    "join": lambda w: TERM in w.puts and bool(w.puts_under(MEMBER)),
-    "drop": lambda w: TERM in w.puts and any(key.startswith(MEMBER) for key in w.conditions),
-    "leave": lambda w: TERM in w.puts and w.drops_under(MEMBER),
-    "move": _moves_shares,
-    "relief": lambda w: w.changes_term("relieved"),
-    "gate": lambda w: GATE in w.puts,
-    "entry": lambda w: bool(w.puts_under(MEMBER)) and TERM not in w.puts,
-    "lease": lambda w: w.path == "/leases",
-    "renewal": lambda w: w.path.endswith("/touch"),
-    "parts": lambda w: bool(w.puts_under(PARTS)),
-    "parts collected": lambda w: w.drops_under(PARTS),
-    "tenant": lambda w: bool(w.puts_under(TENANT)),
-    "tenant removed": lambda w: bool(w.drops) and not w.puts and w.drops_under((KEY, SHELF)),
-}
-
 BUSY = """
 capacity 6
 txn_ops 5
@@ -254,10 +193,8 @@
 
 
 class CloseReader:
-    """Asks all nodes in turn about a job, right after a write of it, and submits it again in between.
-
-    Once it was answered that a job is known, no question asked later may be answered as if it were not.
-    """
+    """Asks all nodes in turn about a job, right after a write of it, and submits or cancels it again in
+    between. The world's history of answers notices one that is older than those before it."""
 
     def __init__(self, world, job):
         self.world = world
@@ -265,17 +202,11 @@
         world.user_loop.spawn(self._run(), "close reader")
 
     async def _run(self):
-        loop, known = self.world.user_loop, False
+        loop = self.world.user_loop
         end = loop.now() + READ_S
         for number in itertools.count():
             via = number % len(self.world.fronts)
-            before = self.user.accepted, self.user.told
-            status, answer = await self.user._ask("GET", f"/v1/jobs/{self.user.id}", None, 2.0, via)
-            if status == 404 and known:
-                self.world.break_rule("forgotten", f"{self.user.id}: known, then 404 from {via}")
-            known |= status == 200
-            if before == (self.user.accepted, self.user.told):  # else it may be of a moment before
-                self.user._hear(status, answer)
+            await self.user.poll(via)
             if number % 20 == 10 and self.user.accepted:
                 await self.user.submit_again()
             if number % 20 == 15 and self.user.asked_to_cancel:
@@ -285,49 +216,6 @@
             await loop.sleep(READ_GAP_S)
 
 
-class TermHistory:
-    """All terms that were in force, from the log of the state service, and what must hold of them."""
-
-    def __init__(self, world):
-        self.faults = []
-        self.joins = 0
-        self._incarnations = {}  # incarnation -> (label, nonce)
-        self._tokens = {}  # (share, token) -> (home, its incarnation)
-        self._newest = {}  # share -> token
-        self._term = Term()
-        known_jobs = set()
-        for event in world.state.log:
-            key = event.get("put", "")
-            if key == TERM:
-                self._take(event["data"])
-            elif key.startswith(KEY) and event["data"]["s"] == "open" and key not in known_jobs:
-                known_jobs.add(key)
-                self._created(key, event["data"])
-
-    def _take(self, record):
-        term = Term.from_record(record)
-        for label, (incarnation, _token, nonce) in term.members.items():
-            if incarnation not in self._incarnations:
-                self.joins += 1
-            if self._incarnations.setdefault(incarnation, (label, nonce)) != (label, nonce):
-                self.faults.append(f"incarnation {incarnation} is given twice")
-        self._term = term
-        if term.shares is None:
-            return
-        for share, (home, token) in enumerate(zip(term.shares.homes, term.shares.tokens, strict=True)):
-            holder = (home, term.incarnation(home))
-            if self._tokens.setdefault((share, token), holder) != holder:
-                self.faults.append(f"token {token} of share {share} is given twice")
-            if token < self._newest.get(share, 0):
-                self.faults.append(f"the token of share {share} falls to {token}")
-            self._newest[share] = token
-
-    def _created(self, key, record):
-        owner = tuple(record["o"])
-        if owner != NOBODY and not self._term.serves(*owner):
-            self.faults.append(f"{key} is created by {owner}, whom no term names")
-
-
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """What came of a world with a fault in it."""
