A creation and a takeover of the same job at once are kept apart

Cause: A job of a limited team (or one accepted where no shard is held) that needs others is created for nobody, and its quota leader takes it over; a submission repeated at that leader meanwhile creates it there a second time. Book._settled went by the id alone: the takeover's write counted as the creation's outcome (201 to a known job, and the job stayed among those being taken over, never started); and a creation settled twice, by the check of waiting creations and by its own write, took the taken-over job out of the store.

Change: Only the creation's own job settles it; a record that is ours but of another acceptance is not new; a conflict of a creation that is settled already is passed over.

--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -135,9 +135,14 @@
         return [*fresh, *word, *{**self._adopting, **self.reconciliation.inherited}]
 
     def _settled(self, job):
-        """The outcome of its creation is known: the Future that waits for it, or None."""
-        self._new.pop(job.id, None)
-        return self._creating.pop(job.id, None)
+        """The outcome of its creation is known: the Future that waits for it, or None.
+
+        None as well for a job being taken over while a repeated submission of it is still creating it here.
+        """
+        if self._new.get(job.id) is not job:
+            return None
+        del self._new[job.id]
+        return self._creating.pop(job.id)
 
     def _written(self, job, recorded, state):
         pending = self._settled(job)
@@ -324,9 +329,12 @@
             ):
                 job.stamp = stamp
                 self._created(job)
-                mine = True
-            pending.set((mine, record))
+                pending.set((True, record))
+            else:
+                pending.set((False, record))
             return
+        if not job.stamp:
+            return  # a creation whose outcome was found out meanwhile, by a check of creations that wait
         if record is None:
             log.error("record of %s is gone", job.id)
             self.recorder.unmark(job)
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,34 @@
+"""Mutation tests of repeated submissions that meet a job's being taken over."""
+
+import pytest
+from mutation import assert_noticed
+
+from roadhead.jobs.book import Book
+
+
+def outcomes_by_id_alone(patch):
+    """The write that takes a job over counts as the outcome of the creation of the same id."""
+
+    def settled(book, job):
+        book._new.pop(job.id, None)
+        return book._creating.pop(job.id, None)
+
+    patch.setattr(Book, "_settled", settled)
+
+
+def outcomes_twice(patch):
+    """A creation that was found out to exist then takes the job of its id out of the store."""
+    real = Book._conflict
+
+    def conflict(book, job, record, stamp):
+        if not job.stamp and book._new.get(job.id) is not job:
+            book._leave(job)
+            return
+        real(book, job, record, stamp)
+
+    patch.setattr(Book, "_conflict", conflict)
+
+
+@pytest.mark.parametrize("mutate", [outcomes_by_id_alone, outcomes_twice])
+def test_the_scenario_notices(mutate):
+    assert_noticed(mutate, "repeat-while-taken-over")
