A lost answer of the state service holds up nothing

Cause: the recorder had one transaction under way. One without an answer held all records for 3.25 s, then its whole batch was written again under the same stamps, conflicted, and each job was read one after the other, while retries and conflicts used up the writes.

Change: the wait for an answer follows from those seen (state/latency.py), for each writer that compares and sets; a late answer no longer holds up the next transaction (jobs/transactions.py); what became of one is read, not written again: one record tells that nothing took effect, else each is read. A job is in one transaction at a time. Comparisons are sent again at once. The administration API, which does not look up, waits as long as before. A record's tasks are those done when it was sent, and what is marked LATER while a write is under way keeps its turn: both were wrong whenever a task ended during a write. The recorder's queue, guards and check of creations are modules of their own, so the mutation test on the shelf now patches both modules that look there.

--- a/roadhead/gateway/admin_api.py
+++ b/roadhead/gateway/admin_api.py
@@ -205,7 +205,9 @@
         tenant = tenant.fitting(self._state.limits.value_bytes)
         key = key_of(tenant.number)
         revision = await self._state.multi(
-            [(key, stamp), *conditions], [{"put": key, "data": tenant.to_record()}, *writes]
+            [(key, stamp), *conditions],
+            [{"put": key, "data": tenant.to_record()}, *writes],
+            patient=True,
         )
         self._table.take(key, tenant.to_record(), revision)
 
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -10,9 +10,9 @@
 from roadhead.jobs.context import OwnerContext
 from roadhead.jobs.job import FINAL, NOBODY, Binding, Job, from_record
 from roadhead.jobs.reconciliation import Reconciliation
-from roadhead.jobs.recorder import LATER, SOON, URGENT
 from roadhead.jobs.task_reports import TaskReports
 from roadhead.jobs.teams import Accounts
+from roadhead.jobs.write_queue import LATER, SOON, URGENT
 from roadhead.runtime.loop import Future
 from roadhead.wire import frames
 
--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -1,42 +1,30 @@
 """Writes job records in batches, each guarded by the stamp last known.
 
-A write without an answer is simply tried again under the same stamp: if the first one
-went through, or does so late, exactly one of the two takes effect, and the conflict
-makes us read what is there.
+What became of a transaction without an answer is looked up in the state service; meanwhile
+other jobs' go on. What did not take effect is sent again under the same stamps: should the
+first one still be carried out late, exactly one of the two takes effect, and the conflict makes
+us read what is there. A job is in one transaction at a time, so its writes keep their order.
 """
 
-import heapq
-import itertools
 import logging
 
 from roadhead.jobs.job import KEY, SHELF, before, size_of
-from roadhead.jobs.records import find
+from roadhead.jobs.newness import Newness
+from roadhead.jobs.ranges import Ranges
+from roadhead.jobs.records import complete, find
+from roadhead.jobs.transactions import Entry, Lanes, Transaction
+from roadhead.jobs.write_queue import LATER, SOON, WriteQueue
 from roadhead.membership.member import TENANT, TERM
 from roadhead.pipelines.parts import PARTS
-from roadhead.runtime.loop import Signal
+from roadhead.runtime.loop import Cancelled, Signal
 from roadhead.state.client import Conflict, TooLarge, Unavailable, Unsure
 
 log = logging.getLogger("roadhead.recorder")
 
 MAX_BYTES = 60000
-URGENT, SOON, LATER = range(3)
+DROPS_MOST = 2  # in a transaction
+PAUSE_S = 0.25  # after the state service refused a transaction, or what became of one can't be read
 LEAST_PART = 1 / 16  # of the value limit: a record that does not fit that is set aside
-CHECK_PARTS = 64  # of the time between writes of progress, after which a creation is looked into
-
-
-class NoGuards:
-    """Where creations depend on nothing but the term."""
-
-    @staticmethod
-    def of(_job):
-        return None
-
-    @staticmethod
-    def later(_job):
-        return False
-
-
-NO_GUARDS = NoGuards()
 
 
 class Recorder:
@@ -46,8 +34,7 @@
     `guards.changed(key, record, stamp)` is told what is there now once it does not hold, and
     says whether nothing of it may be created any more. Then `on_refused(job)` is called for jobs
     of which nothing was written. `guards.later(job)`: whether its creation comes after others'.
-    `on_new()`: of creations that wait for their turn it was found that there is no record (`fresh`), or
-    that nobody can say (`unsure`).
+    `on_new()`: more is known of creations that wait for their turn (jobs/newness.py).
     """
 
     def __init__(
@@ -60,110 +47,77 @@
         self._on_written = on_written
         self._on_conflict = on_conflict
         self._on_refused = on_refused
-        self._on_new = on_new
         self._member = member
         self._guards = guards
-        self._dirty = {}  # job -> urgency
-        self._waiting = ({}, {})  # the urgent of them and those due soon, in order as sets
-        self._later = []  # heap of (when due, number, job) of the others; may name a job that is not
-        self._numbers = itertools.count()
+        self._queue = WriteQueue(loop, progress_s)
+        self._in_flight = {}  # job -> Entry: no other transaction has it until its outcome is known
+        self._lanes = Lanes(loop, state.answers)
         self._drops = []
         self._wake = Signal()
-        self._unchecked = Signal()
-        self._to_check = {}  # creations that wait, in order as a set
-        self.fresh = {}  # those that were looked into and found to be new
-        self.unsure = False  # whether nobody can say at present which are
+        self.newness = Newness(loop, state, progress_s, self._settle, on_new)
         self.failing_since = None
         self._shrink = {}  # job -> part of the value limit that its record may take: more was refused
         self._single = False  # a batch was too large: one record at a time, until that goes through
 
     def mark(self, job, urgency):
-        """The job's record is to be written."""
-        was = self._dirty.get(job, LATER + 1)
-        if was > urgency:
-            self._dirty[job] = urgency
-            if was < LATER:
-                self._waiting[was].pop(job, None)
-            if urgency < LATER:
-                self._waiting[urgency][job] = True
-            else:
-                heapq.heappush(self._later, (self._due_at(job), next(self._numbers), job))
+        """The job's record is to be written; once its write under way has an outcome, if there is one."""
+        entry = self._in_flight.get(job)
+        if entry is not None:
+            entry.again = urgency if entry.again is None else min(urgency, entry.again)
+            entry.over = False
+            return
+        self._queue.add(job, urgency)
         self._wake.set()
-        if not job.stamp and job not in self.fresh:
-            self._to_check[job] = True
-            self._unchecked.set()
+        if not job.stamp:
+            self.newness.add(job)
 
     def unmark(self, job):
-        self._take(job)
-        self._to_check.pop(job, None)
-        self.fresh.pop(job, None)
-
-    def _take(self, job):
-        """The job is written, or need not be; returns how urgent that was."""
-        urgency = self._dirty.pop(job, LATER)
-        if urgency < LATER:
-            del self._waiting[urgency][job]
-        return urgency
+        """The job's record need not be written any more."""
+        self._queue.take(job)
+        entry = self._in_flight.get(job)
+        if entry is not None:
+            entry.again, entry.over = None, True
+        self.newness.remove(job)
 
     def drop(self, key):
         """A key that is no longer needed."""
         if len(self._drops) < 1000 and key not in self._drops:
             self._drops.append(key)
 
-    async def _refuse(self, jobs):
+    async def _refuse(self, entries):
         """Their guard has closed: what a write without an answer has created stays, and is ours.
 
         No such write can take effect any more: it held under a stamp that is no longer there.
         """
-        for job in jobs:
-            record, stamp = await find(self._state, job.id)
+        for entry in entries:
+            record, stamp = await find(self._state, entry.job.id)
             if record is not None:
-                self._on_conflict(job, record, stamp)
+                self._changed(entry, record, stamp)
             else:
-                self.unmark(job)
-                self._on_refused(job)
+                self.unmark(entry.job)
+                self._release(entry)
+                self._on_refused(entry.job)
 
     def holds(self, job):
         """Whether a record of the job, with all that it needs, is small enough to be stored."""
         return size_of(job.spec) <= self._state.limits.value_bytes
 
     def backlog(self):
-        return len(self._waiting[URGENT])
+        return len(self._queue.urgent)
 
-    def _due_at(self, job):
-        return job.written_at + self._progress_s
+    @property
+    def fresh(self):
+        """Creations that wait and were found to be new."""
+        return self.newness.fresh
 
-    async def check(self):
-        """Duty: of the creations that have to wait, which are new and which are late retries.
+    @property
+    def unsure(self):
+        """Whether nobody can say at present which of those that wait are new."""
+        return self.newness.unsure
 
-        Users may submit a job again at any later time, and whoever has not seen its end can't
-        tell that from a new one. Many are compared in one request, which writes nothing.
-        """
-        while True:
-            await self._unchecked.wait()
-            await self._loop.sleep(self._progress_s / CHECK_PARTS)  # most are written by then
-            batch = list(itertools.islice(self._to_check, 2 * int(self._state.limits.txn_ops)))
-            if not batch:
-                continue
-            try:
-                await self._state.unchanged([(place + job.id, 0) for job in batch for place in (KEY, SHELF)])
-            except Conflict as error:
-                self.unsure = False
-                for job in batch:
-                    if not {KEY + job.id, SHELF + job.id}.isdisjoint(error.failed):
-                        await self._settle(job)
-            except (Unavailable, Unsure) as error:
-                log.debug("check of %d creations: %r", len(batch), error)
-                self.unsure = True
-                self._on_new()
-                await self._loop.sleep(self._progress_s / 16)
-            else:
-                self.unsure = False
-                for job in batch:
-                    if self._to_check.pop(job, False):
-                        self.fresh[job] = True
-                self._on_new()
-            self._unchecked.set()
+    async def check(self):
+        """Duty: looks into creations that have to wait."""
+        await self.newness.run()
 
     async def _settle(self, job):
         """Somebody else wrote the job's record, or a write of ours whose answer was lost."""
@@ -171,23 +125,70 @@
             record, stamp = await find(self._state, job.id)
         except (Unavailable, Unsure):
             return  # its own write finds the same
-        if record is not None and job in self._dirty:
+        if record is not None and job in self._queue:
             self._on_conflict(job, record, stamp)
 
     async def run(self):
-        while True:
-            batch = self._batch()
-            if not batch:
-                await self._wake.wait(self._loop, self._progress_s / 4 if self._dirty else None)
-                continue
-            try:
-                await self._write(batch)
-                self.failing_since, self.unsure = None, False
-            except (Unavailable, Unsure) as error:
-                log.debug("write of %d records: %r", len(batch), error)
-                if self.failing_since is None:
-                    self.failing_since = self._loop.now()
-                await self._loop.sleep(0.25)
+        """Duty: sends what is marked, in transactions of which several may be under way."""
+        try:
+            while True:
+                await self._lanes.turn()
+                batch = self._batch()
+                if not batch:
+                    await self._wake.wait(self._loop, self._progress_s / 4 if self._queue else None)
+                    continue
+                transaction = Transaction()
+                try:
+                    self._compose(transaction, batch)
+                    await self._state.writes.take(len(transaction.writes))
+                except BaseException:
+                    self._give_back(transaction)
+                    raise
+                self._lanes.begin(self._carry_out(transaction))
+        except Cancelled:
+            self._lanes.cancel()
+            raise
+
+    async def _carry_out(self, transaction):
+        """Sends one transaction, and finds out what became of each of its jobs."""
+        settled = False
+        try:
+            settled = await self._send(transaction)
+        except (Unavailable, Unsure) as error:
+            log.debug("write of %d records: %r", len(transaction.entries), error)
+            self._lanes.pause(PAUSE_S)
+        finally:
+            self._give_back(transaction)
+        if settled:
+            self.failing_since, self.newness.unsure = None, False
+        elif self.failing_since is None:
+            self.failing_since = self._loop.now()
+
+    def _give_back(self, transaction):
+        """What has no outcome yet is written again."""
+        for entry in transaction.entries:
+            self._again(entry)
+
+    async def _send(self, transaction):
+        """False if nothing took effect as far as is known, though nothing else is in its way."""
+        try:
+            revision = await self._state.send(transaction.conditions, transaction.writes)
+        except Conflict as conflict:
+            self._drops += transaction.drops
+            await self._resolve(transaction, conflict.failed)
+        except Unsure:
+            self._drops += transaction.drops
+            return await self._look_up(transaction)
+        except Unavailable as error:
+            self._drops += transaction.drops
+            if isinstance(error, TooLarge):
+                self._replan([entry.job for entry in transaction.entries])
+            raise
+        else:
+            self._single = False
+            for entry in transaction.entries:
+                self._confirm(entry, revision)
+        return True
 
     def _batch(self):
         """The records to be written next. Costs what it takes, not what waits."""
@@ -195,31 +196,18 @@
         # several controllers meet, and the store refuses what had been waited for.
         most = max(1, min(self._state.batch, int(self._state.writes.level()))) if not self._single else 1
         first, after = [], []
-        for job in self._waiting[URGENT]:
+        for job in self._queue.urgent:
             if not job.stamp and self._guards.later(job):
                 after.append(job)
                 continue
             first.append(job)
             if len(first) == most:
                 return first
-        batch = [*first, *after, *itertools.islice(self._waiting[SOON], most)][:most]
+        batch = [*first, *after, *self._queue.soon(most)][:most]
         if len(batch) < most and self._state.writes.spare(0.5):
-            batch += self._progress(most - len(batch))
+            batch += self._queue.progress(most - len(batch))
         return batch
 
-    def _progress(self, most):
-        """Up to `most` jobs of which no end is to be told, those due longest first."""
-        now = self._loop.now()
-        due = {}
-        while self._later and self._later[0][0] <= now and len(due) < most:
-            entry = heapq.heappop(self._later)
-            job = entry[2]
-            if self._dirty.get(job) == LATER and entry[0] == self._due_at(job):
-                due.setdefault(job, entry)
-        for entry in due.values():
-            heapq.heappush(self._later, entry)  # it stays due until it is written
-        return list(due)
-
     def _replan(self, jobs):
         """What was refused for its size would be refused for ever: smaller transactions, then smaller
         records, which leave out what machines remember (Job.record). What can't be smaller is set aside."""
@@ -237,87 +225,125 @@
                 self._shrink.pop(job)
                 self._on_refused(job)
 
-    async def _write(self, batch):
-        conditions = []
-        writes = []
-        written = []
+    def _compose(self, transaction, batch):
+        """Adds as much of the batch as fits into one transaction, and what keys are to be dropped."""
         size = 0
         largest = self._state.limits.value_bytes
         for job in batch:
             record, recorded = job.record(int(largest * self._shrink.get(job, 1.0)))
             # JSON of a range edge takes up to 7 bytes; the rest of a record is its description.
             size += 1200 + 7 * len(record.get("done", ())) + 34 * len(before(record))
-            if written and size > MAX_BYTES:
+            if transaction.entries and size > MAX_BYTES:
                 break
-            count = recorded.count
-            if written and len(conditions) + 5 > 4 * self._state.limits.txn_ops:
+            if transaction.entries and len(transaction.conditions) + 5 > 4 * self._state.limits.txn_ops:
                 break  # a creation takes four conditions, and the term's is to come
-            conditions.append((KEY + job.id, job.stamp))
-            if not job.stamp:
-                conditions.append((SHELF + job.id, 0))  # it may be over long since
-                guard = self._guards.of(job)
-                conditions += [
-                    condition
-                    for condition in (guard, job.head_if)
-                    if condition is not None and condition not in conditions
-                ]
-            writes.append({"put": KEY + job.id, "data": record})
-            self._to_check.pop(job, None)
-            written.append((job, self._take(job), recorded, count, job.state))
-        if any(not stamp for _key, stamp in conditions):
+            self._add(transaction, job, record, recorded)
+        if transaction.creates:
             # A job is created only while the term names its owner: the scan that follows a
             # drop would miss a creation that takes effect later.
-            conditions.append((TERM, self._member.revision))
-        drops = []
-        while self._drops and len(writes) < self._state.limits.txn_ops and len(drops) < 2:
-            drops.append(self._drops.pop())
-            writes.append({"drop": drops[-1]})
-        try:
-            revision = await self._state.multi(conditions, writes)
-        except (Unavailable, Unsure, Conflict) as error:
-            self._drops += drops
-            if isinstance(error, TooLarge):
-                self._replan([job for job, *_rest in written])
-            for job, urgency, *_rest in written:
-                if self._shrink.get(job, 1.0) > LEAST_PART:
-                    self.mark(job, urgency)
-            if isinstance(error, Conflict):
-                # One changed key must not hold up its neighbours: settle it, write the rest again.
-                for key in error.failed:
-                    if key == TERM:
-                        record, stamp = await self._state.get(TERM)
-                        self._member.adopt(record, stamp)
-                    for job, *_rest in written:
-                        if key in (KEY + job.id, SHELF + job.id):
-                            record, stamp = await find(self._state, job.id)
-                            self._on_conflict(job, record, stamp)
-                for key in error.failed:
-                    if key.startswith(PARTS):
-                        await self._refuse(
-                            [
-                                job
-                                for job, *_rest in written
-                                if job.head_if is not None and job in self._dirty and job.head_if[0] == key
-                            ]
-                        )
-                    if key.startswith(TENANT) and self._guards.changed(key, *await self._state.get(key)):
-                        await self._refuse(
-                            [
-                                job
-                                for job, *_rest in written
-                                if not job.stamp and job in self._dirty and self._guards.of(job)[0] == key
-                            ]
-                        )
-                return
-            raise
-        now = self._loop.now()
-        self._single = False
-        for job, _urgency, recorded, count, state in written:
-            self._shrink.pop(job, None)
-            job.stamp = revision
-            job.written_at = now
-            self.fresh.pop(job, None)
-            job.saved_count = count
-            self._on_written(job, recorded, state)
-            if job.state == "open" and job.done.count > count and job not in self._dirty:
-                self.mark(job, SOON if job.complete() else LATER)
+            transaction.require((TERM, self._member.revision))
+        most = min(DROPS_MOST, self._state.limits.txn_ops - len(transaction.writes))
+        while self._drops and len(transaction.drops) < most:
+            transaction.drops.append(self._drops.pop())
+        transaction.writes += [{"drop": key} for key in transaction.drops]
+
+    def _add(self, transaction, job, record, recorded):
+        transaction.require((KEY + job.id, job.stamp))
+        if not job.stamp:
+            transaction.require((SHELF + job.id, 0))  # it may be over long since
+            transaction.require(self._guards.of(job))
+            transaction.require(job.head_if)
+        transaction.writes.append({"put": KEY + job.id, "data": record})
+        self.newness.being_written(job)
+        if recorded is job.done:
+            recorded = Ranges(job.done.flat())  # tasks done from now on are not in this record
+        entry = Entry(job, self._queue.take(job), record, recorded, job.state)
+        transaction.entries.append(entry)
+        self._in_flight[job] = entry
+
+    # Outcomes
+
+    def _release(self, entry):
+        """Its outcome is known, or it is to be tried again. False if that was so already."""
+        job = entry.job
+        if self._in_flight.get(job) is not entry:
+            return False
+        del self._in_flight[job]
+        return True
+
+    def _again(self, entry):
+        """The job is written again, under the same stamp unless another is known by then."""
+        if not self._release(entry) or entry.over:
+            return
+        self.mark(entry.job, entry.urgency if entry.again is None else min(entry.urgency, entry.again))
+
+    def _confirm(self, entry, revision):
+        """The record as sent is stored since that revision."""
+        job, recorded = entry.job, entry.recorded
+        job.stamp = revision
+        job.written_at = self._loop.now()
+        job.saved_count = recorded.count
+        self._shrink.pop(job, None)
+        self.newness.remove(job)
+        self._release(entry)
+        if entry.again is not None:
+            self.mark(job, entry.again)
+        self._on_written(job, recorded, entry.state)
+        if job.state == "open" and job.done.count > recorded.count and job not in self._queue:
+            self.mark(job, SOON if job.complete() else LATER)
+
+    def _changed(self, entry, record, stamp):
+        """Something else than was sent last is stored."""
+        self._again(entry)
+        self._on_conflict(entry.job, record, stamp)
+
+    async def _look_up(self, transaction):
+        """The answer was lost: what is stored tells whether the transaction took effect. False if not.
+
+        All of it did or nothing, so one record that is as it was before tells it for all: they are
+        sent again under the same stamps. Should the first try be carried out late, or have been on its
+        way only, exactly one of the two takes effect. Else each record is read by itself: an earlier
+        try, with other jobs or other content, may be what was carried out. No job here is in another
+        transaction meanwhile.
+        """
+        for entry in transaction.entries:
+            job = entry.job
+            record, stamp = await self._state.get(KEY + job.id)
+            if stamp == job.stamp:
+                return False
+            if entry.is_stored_as(record):
+                self._confirm(entry, stamp)
+            elif record is None:
+                self._changed(entry, *await find(self._state, job.id))
+            else:
+                self._changed(entry, await complete(self._state, job.id, record), stamp)
+        return True
+
+    async def _resolve(self, transaction, failed):
+        """Conditions failed. One changed key must not hold up its neighbours: it is settled, and the rest
+        written again."""
+        if TERM in failed:
+            record, stamp = await self._state.get(TERM)
+            self._member.adopt(record, stamp)
+        entries = transaction.entries
+        guarded = [key for key in failed if key.startswith((PARTS, TENANT))]
+        if not guarded:
+            for entry in entries:
+                if set(entry.keys).isdisjoint(failed):
+                    self._again(entry)
+        for entry in entries:
+            if not set(entry.keys).isdisjoint(failed):
+                self._changed(entry, *await find(self._state, entry.job.id))
+        for key in guarded:
+            left = [entry for entry in entries if self._in_flight.get(entry.job) is entry]
+            if key.startswith(PARTS):
+                await self._refuse([entry for entry in left if self._depends(entry, entry.job.head_if, key)])
+            elif self._guards.changed(key, *await self._state.get(key)):
+                await self._refuse(
+                    [entry for entry in left if self._depends(entry, self._guards.of(entry.job), key)]
+                )
+
+    @staticmethod
+    def _depends(entry, guard, key):
+        """Whether the job is created only under that guard, a (key, stamp) or None."""
+        return not entry.job.stamp and guard is not None and guard[0] == key
--- a/roadhead/jobs/task_reports.py
+++ b/roadhead/jobs/task_reports.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from roadhead.jobs.job import Binding
-from roadhead.jobs.recorder import LATER, URGENT
+from roadhead.jobs.write_queue import LATER, URGENT
 from roadhead.wire import frames
 
 log = logging.getLogger("roadhead.jobs")
--- /dev/null
+++ b/roadhead/jobs/transactions.py
@@ -0,0 +1,103 @@
+"""Transactions that write job records, and how many of them may be under way at once."""
+
+from dataclasses import dataclass, field
+
+from roadhead.jobs.job import KEY, SHELF, Job
+from roadhead.jobs.ranges import Ranges
+from roadhead.runtime.loop import Signal
+
+LANES = 8  # transactions under way at once, with those whose outcome is being looked up
+
+
+@dataclass(eq=False, slots=True)
+class Entry:
+    """One job's record in a transaction under way."""
+
+    job: Job
+    urgency: int
+    record: dict
+    recorded: Ranges  # tasks that the record says are done, as it was sent
+    state: str
+    again: int | None = None  # urgency with which the job was marked since, if it was
+    over: bool = False  # unmarked since: it need not be written again
+
+    @property
+    def keys(self):
+        return KEY + self.job.id, SHELF + self.job.id
+
+    def is_stored_as(self, record):
+        """Whether that record is the one sent: nobody else writes an open one with this owner's name."""
+        return self.state == "open" and record == self.record
+
+
+@dataclass(eq=False, slots=True)
+class Transaction:
+    """What is sent to the state service: all of it takes effect, under one revision, or nothing."""
+
+    entries: list[Entry] = field(default_factory=list)
+    conditions: list[tuple[str, int]] = field(default_factory=list)
+    writes: list[dict] = field(default_factory=list)
+    drops: list[str] = field(default_factory=list)
+
+    def require(self, condition):
+        """`condition`, a (key, stamp) or None, has to hold."""
+        if condition is not None and condition not in self.conditions:
+            self.conditions.append(condition)
+
+    @property
+    def creates(self):
+        """Whether it creates a key."""
+        return any(not stamp for _key, stamp in self.conditions)
+
+
+class Lanes:
+    """Paces transactions. As long as answers come in their usual time one is under way at a time, so that
+    what is marked meanwhile goes into one batch; an answer that is late no longer holds up the next."""
+
+    def __init__(self, loop, answers):
+        self._loop = loop
+        self._answers = answers  # state.latency.AnswerTimes
+        self._under_way = {}  # routines, in the order in which they began, as a set
+        self._newest = None
+        self._began_at = 0.0
+        self._paused_until = 0.0
+        self._ended = Signal()
+
+    def __len__(self):
+        return len(self._under_way)
+
+    async def turn(self):
+        """Waits until the next transaction may begin."""
+        while (left := self._left()) != 0.0:
+            await self._ended.wait(self._loop, left)
+
+    def _left(self):
+        """Seconds until the next may begin if none ends; None: not before one ends."""
+        now = self._loop.now()
+        if now < self._paused_until:
+            return self._paused_until - now
+        if len(self._under_way) >= LANES:
+            return None
+        if self._newest not in self._under_way:
+            return 0.0
+        return max(0.0, self._began_at + self._answers.late_s - now)
+
+    def pause(self, seconds):
+        """The state service executes nothing at present: the next transaction waits that long."""
+        self._paused_until = self._loop.now() + seconds
+
+    def begin(self, work):
+        """Runs the coroutine `work`, which carries out a transaction."""
+        self._began_at = self._loop.now()
+        routine = self._newest = self._loop.spawn(work, "transaction")
+        self._under_way[routine] = True
+        routine.done.on_done(lambda _done: self._end(routine))
+
+    def _end(self, routine):
+        self._under_way.pop(routine, None)
+        self._ended.set()
+
+    def cancel(self):
+        """Nobody waits for their outcome any more."""
+        for routine in list(self._under_way):
+            routine.cancel()
--- /dev/null
+++ b/roadhead/jobs/write_queue.py
@@ -0,0 +1,69 @@
+"""Jobs whose records are to be written, by urgency."""
+
+import heapq
+from itertools import count, islice
+
+URGENT, SOON, LATER = range(3)
+
+
+class WriteQueue:
+    """A job marked LATER is due `progress_s` after its record was last written."""
+
+    def __init__(self, loop, progress_s):
+        self._loop = loop
+        self._progress_s = progress_s
+        self._urgency = {}  # job -> how urgent it is
+        self._waiting = ({}, {})  # the urgent of them and those due soon, in order as sets
+        self._later = []  # heap of (when due, number, job) of the others; may name a job that is not
+        self._numbers = count()
+
+    def __len__(self):
+        return len(self._urgency)
+
+    def __contains__(self, job):
+        return job in self._urgency
+
+    def add(self, job, urgency):
+        """One that is in it already may only become more urgent."""
+        was = self._urgency.get(job, LATER + 1)
+        if was <= urgency:
+            return
+        self._urgency[job] = urgency
+        if was < LATER:
+            self._waiting[was].pop(job, None)
+        if urgency < LATER:
+            self._waiting[urgency][job] = True
+        else:
+            heapq.heappush(self._later, (self._due_at(job), next(self._numbers), job))
+
+    def take(self, job):
+        """Takes the job out, if it is in; returns how urgent it was."""
+        urgency = self._urgency.pop(job, LATER)
+        if urgency < LATER:
+            del self._waiting[urgency][job]
+        return urgency
+
+    @property
+    def urgent(self):
+        """Those marked URGENT, in order."""
+        return self._waiting[URGENT]
+
+    def soon(self, most):
+        """Up to `most` of those marked SOON."""
+        return islice(self._waiting[SOON], most)
+
+    def progress(self, most):
+        """Up to `most` jobs of which no end is to be told, those due longest first."""
+        now = self._loop.now()
+        due = {}
+        while self._later and self._later[0][0] <= now and len(due) < most:
+            entry = heapq.heappop(self._later)
+            job = entry[2]
+            if self._urgency.get(job) == LATER and entry[0] == self._due_at(job):
+                due.setdefault(job, entry)
+        for entry in due.values():
+            heapq.heappush(self._later, entry)  # it stays due until it is written
+        return list(due)
+
+    def _due_at(self, job):
+        return job.written_at + self._progress_s
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -17,8 +17,9 @@
 from roadhead.homes.machine import Needs
 from roadhead.homes.workers import Workers
 from roadhead.jobs.book import Book
+from roadhead.jobs.guards import NO_GUARDS
 from roadhead.jobs.job import FINAL, FORMAT, KEY, SHELF, before, closing_above, shorten, size_of, spec_of
-from roadhead.jobs.recorder import NO_GUARDS, Recorder
+from roadhead.jobs.recorder import Recorder
 from roadhead.jobs.records import Shelf, complete, find
 from roadhead.jobs.risk import Risk
 from roadhead.jobs.teams import FixedTeams
--- a/roadhead/state/client.py
+++ b/roadhead/state/client.py
@@ -7,6 +7,7 @@
 import logging
 
 from roadhead.runtime.rate import Bucket
+from roadhead.state.latency import AnswerTimes
 from roadhead.wire import messages
 from roadhead.wire.http import Client, NoAnswer
 
@@ -14,6 +15,8 @@
 
 
 USABLE = 0.95  # of a limit
+ANSWER_MOST_S = 3.0  # the longest wait for an answer
+COMPARE_MOST_S = 1.5  # and for that of a transaction that only compares, for which users wait
 IDLE_PART = 0.2  # of its equal part is left to a controller that uses less
 
 
@@ -58,6 +61,7 @@
         rps, writes = self.limits.rps / nodes, self.limits.write_rps / nodes
         self.requests = Bucket(loop, USABLE * rps, rps)
         self.writes = Bucket(loop, USABLE * writes, writes)
+        self.answers = AnswerTimes(ANSWER_MOST_S)  # of transactions
         self.ok_at = -1e9  # when the last request that got a proper answer was sent
 
     @property
@@ -100,8 +104,11 @@
         if self._on_lowered is not None:
             self._on_lowered()
 
-    async def _call(self, method, target, body=b"", timeout=3.0):
+    async def _call(self, method, target, body=b"", timeout=ANSWER_MOST_S):
         await self.requests.take()
+        return await self._send(method, target, body, timeout)
+
+    async def _send(self, method, target, body, timeout):
         sent_at = self._loop.now()
         try:
             status, data, _headers = await self._http.request(method, target, body, timeout)
@@ -150,11 +157,16 @@
             found += items
         return found, revision
 
-    async def multi(self, conditions, writes):
-        """A transaction; returns its revision. `conditions` are (key, stamp) pairs."""
+    async def multi(self, conditions, writes, patient=False):
+        """A transaction; returns its revision. `conditions` are (key, stamp) pairs. `patient`: whoever sends
+        it won't look up what became of it, so it is waited for as long as for anything."""
         await self.writes.take(len(writes))
-        body = {"if": [{"k": key, "stamp": stamp} for key, stamp in conditions], "writes": writes}
-        status, answer = await self._call("POST", "/multi", messages.encode(body))
+        return await self.send(conditions, writes, patient)
+
+    async def send(self, conditions, writes, patient=False):
+        """As `multi`, for writes that were already taken from the budget."""
+        timeout_s = ANSWER_MOST_S if patient else self.answers.timeout_s
+        status, answer = await self._transact(conditions, writes, timeout_s)
         if status == 200:
             return answer["epoch"]
         if status == 409:
@@ -168,13 +180,28 @@
 
     async def unchanged(self, conditions):
         """Raises Conflict, naming keys that changed, unless every (key, stamp) still holds."""
-        body = {"if": [{"k": key, "stamp": stamp} for key, stamp in conditions], "writes": []}
-        status, answer = await self._call("POST", "/multi", messages.encode(body), timeout=1.5)
+        timeout_s = min(COMPARE_MOST_S, self.answers.timeout_s)
+        status, answer = await self._transact(conditions, [], timeout_s)
         if status == 409:
             raise Conflict(answer.get("failed", []))
         if status != 200:
             raise Unavailable(f"multi: {status}")
 
+    async def _transact(self, conditions, writes, timeout_s):
+        """(status, answer) of a transaction."""
+        body = {"if": [{"k": key, "stamp": stamp} for key, stamp in conditions], "writes": writes}
+        await self.requests.take()
+        sent_at = self._loop.now()
+        deadline = sent_at + timeout_s
+        try:
+            answered = await self._send("POST", "/multi", messages.encode(body), timeout_s)
+        except Unsure:
+            if self._loop.now() >= deadline:  # else the connection broke: that tells nothing of time
+                self.answers.lost()
+            raise
+        self.answers.seen(self._loop.now() - sent_at)
+        return answered
+
     async def lease(self, life_s):
         body = messages.encode({"lifeMs": int(life_s * 1000)})
         status, answer = await self._call("POST", "/leases", body)
--- a/roadhead/state/reader.py
+++ b/roadhead/state/reader.py
@@ -16,6 +16,7 @@
 KEPT_MOST = 5000
 AMPLE = 0.6  # of the burst of requests: with less left, polls are gathered
 GATHER = 0.05  # of the patience
+TRY_AGAIN = 0.25  # of the patience: a comparison whose answer was lost before that is sent again
 
 
 class Reader:
@@ -79,6 +80,7 @@
 
     async def _compare(self, batch, known):
         """Answers, and takes out of the batch, what has not changed since it was read."""
+        began_at = self._loop.now()
         for _ in range(ROUNDS):
             sent_at = self._loop.now()
             try:
@@ -98,6 +100,9 @@
                     return
                 continue
             except (Unavailable, Unsure) as error:
+                lost = isinstance(error, Unsure)
+                if lost and self._loop.now() - began_at < self._patience_s * TRY_AGAIN:
+                    continue
                 for name in known:
                     self._fail(batch.pop(name), error)
                 return
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -111,7 +111,8 @@
 
 def created_without_a_look_at_the_shelf(patch):
     """5: a retry of a job that is over, and whose record has moved, makes it anew."""
-    patch.setattr("roadhead.jobs.recorder.SHELF", "nowhere/")
+    for module in ("recorder", "newness"):
+        patch.setattr(f"roadhead.jobs.{module}.SHELF", "nowhere/")
 
 
 def polls_the_shelf_first(patch):
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -10,8 +10,9 @@
 from openapi_spec_validator import validate
 
 from roadhead.jobs.job import Binding, Job
-from roadhead.jobs.recorder import URGENT, Recorder
+from roadhead.jobs.recorder import Recorder
 from roadhead.jobs.teams import Account, Accounts
+from roadhead.jobs.write_queue import URGENT
 from roadhead.local.sim import Sim
 from roadhead.local.world import World
 from roadhead.runtime.rate import Bucket
@@ -135,7 +136,14 @@
     sim = Sim(1)
     member = type("Member", (), {"term": None})
     state = type(
-        "State", (), {"limits": type("L", (), {"txn_ops": 16}), "batch": 2, "writes": Bucket(sim, 6.0, 6.0)}
+        "State",
+        (),
+        {
+            "limits": type("L", (), {"txn_ops": 16}),
+            "batch": 2,
+            "writes": Bucket(sim, 6.0, 6.0),
+            "answers": None,
+        },
     )
     guards = type("Guards", (), {"later": staticmethod(lambda job: job.spec.team == "1/b")})
     recorder = Recorder(sim, state, 1.0, None, None, None, None, member, guards, Counters())
