Marks of cancellations go also where no record is written

Cause: keys to be dropped went along with records only.

Change: what waited for as long as progress does goes by itself, if writes are left.

--- a/roadhead/jobs/recorder.py
+++ b/roadhead/jobs/recorder.py
@@ -11,8 +11,8 @@
 from roadhead.jobs.job import KEY, SHELF, before, size_of
 from roadhead.jobs.newness import Newness
 from roadhead.jobs.ranges import Ranges
-from roadhead.jobs.records import complete, find
-from roadhead.jobs.transactions import Entry, Lanes, Transaction
+from roadhead.jobs.records import SPARE, complete, find
+from roadhead.jobs.transactions import Drops, Entry, Lanes, Transaction
 from roadhead.jobs.write_queue import LATER, SOON, WriteQueue
 from roadhead.membership.member import TENANT, TERM
 from roadhead.pipelines.parts import PARTS
@@ -22,7 +22,6 @@
 log = logging.getLogger("roadhead.recorder")
 
 MAX_BYTES = 60000
-DROPS_MOST = 2  # in a transaction
 PAUSE_S = 0.25  # after the state service refused a transaction, or what became of one can't be read
 LEAST_PART = 1 / 16  # of the value limit: a record that does not fit that is set aside
 
@@ -52,7 +51,7 @@
         self._queue = WriteQueue(loop, progress_s)
         self._in_flight = {}  # job -> Entry: no other transaction has it until its outcome is known
         self._lanes = Lanes(loop, state.answers)
-        self._drops = []
+        self._drops = Drops(loop, progress_s)
         self._wake = Signal()
         self.newness = Newness(loop, state, progress_s, self._settle, on_new)
         self.failing_since = None
@@ -81,8 +80,8 @@
 
     def drop(self, key):
         """A key that is no longer needed."""
-        if len(self._drops) < 1000 and key not in self._drops:
-            self._drops.append(key)
+        self._drops.add(key)
+        self._wake.set()
 
     async def _refuse(self, entries):
         """Their guard has closed: what a write without an answer has created stays, and is ours.
@@ -134,8 +133,9 @@
             while True:
                 await self._lanes.turn()
                 batch = self._batch()
-                if not batch:
-                    await self._wake.wait(self._loop, self._progress_s / 4 if self._queue else None)
+                if not batch and not (self._drops.due() and self._state.writes.spare(SPARE)):
+                    waits = self._queue or self._drops
+                    await self._wake.wait(self._loop, self._progress_s / 4 if waits else None)
                     continue
                 transaction = Transaction()
                 try:
@@ -174,13 +174,13 @@
         try:
             revision = await self._state.send(transaction.conditions, transaction.writes)
         except Conflict as conflict:
-            self._drops += transaction.drops
+            self._drops.give_back(transaction.drops)
             await self._resolve(transaction, conflict.failed)
         except Unsure:
-            self._drops += transaction.drops
+            self._drops.give_back(transaction.drops)
             return await self._look_up(transaction)
         except Unavailable as error:
-            self._drops += transaction.drops
+            self._drops.give_back(transaction.drops)
             if isinstance(error, TooLarge):
                 self._replan([entry.job for entry in transaction.entries])
             raise
@@ -243,9 +243,7 @@
             # A job is created only while the term names its owner: the scan that follows a
             # drop would miss a creation that takes effect later.
             transaction.require((TERM, self._member.revision))
-        most = min(DROPS_MOST, self._state.limits.txn_ops - len(transaction.writes))
-        while self._drops and len(transaction.drops) < most:
-            transaction.drops.append(self._drops.pop())
+        transaction.drops = self._drops.take(int(self._state.limits.txn_ops) - len(transaction.writes))
         transaction.writes += [{"drop": key} for key in transaction.drops]
 
     def _add(self, transaction, job, record, recorded, shelved):
--- a/roadhead/jobs/transactions.py
+++ b/roadhead/jobs/transactions.py
@@ -7,6 +7,8 @@
 from roadhead.jobs.records import SPARE
 from roadhead.runtime.loop import Signal
 
+DROPS_KEPT = 1000
+DROPS_MOST = 2  # in a transaction
 LANES = 8  # transactions under way at once, with those whose outcome is being looked up
 
 
@@ -71,6 +73,39 @@
         return any(not stamp for _key, stamp in self.conditions)
 
 
+class Drops:
+    """Keys that are no longer needed. They go along with records, a few at a time, and by themselves once
+    none was to be written for `progress_s`."""
+
+    def __init__(self, loop, progress_s):
+        self._loop = loop
+        self._progress_s = progress_s
+        self._keys = []
+        self._waiting_since = 0.0
+
+    def __len__(self):
+        return len(self._keys)
+
+    def add(self, key):
+        if not self._keys:
+            self._waiting_since = self._loop.now()
+        if len(self._keys) < DROPS_KEPT and key not in self._keys:
+            self._keys.append(key)
+
+    def give_back(self, keys):
+        """They may not have been dropped."""
+        for key in keys:
+            self.add(key)
+
+    def take(self, most):
+        most = min(most, DROPS_MOST)
+        taken, self._keys = self._keys[:most], self._keys[most:]
+        return taken
+
+    def due(self):
+        return bool(self._keys) and self._loop.now() - self._waiting_since >= self._progress_s
+
+
 class Lanes:
     """Paces transactions. As long as answers come in their usual time one is under way at a time, so that
     what is marked meanwhile goes into one batch; an answer that is late no longer holds up the next."""
