Mutation of a creation settled twice takes out both guards

Cause: since the recorder keeps what is in flight apart, it no longer settles a creation twice either, so that taking out the store's guard alone was not noticed any more.

Change: the mutation takes out the recorder's look at what still waits, too.

--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -4,6 +4,9 @@
 from mutation import assert_noticed
 
 from roadhead.jobs.book import Book
+from roadhead.jobs.recorder import Recorder
+from roadhead.jobs.records import find
+from roadhead.state.client import Unavailable, Unsure
 
 
 def outcomes_by_id_alone(patch):
@@ -17,15 +20,27 @@
 
 
 def outcomes_twice(patch):
-    """A creation that was found out to exist then takes the job of its id out of the store."""
+    """Neither the recorder nor the store sees that the outcome of a creation is known.
+
+    One found to exist while its own write is under way is settled again by that, which takes the job of its
+    id out of the store."""
     real = Book._conflict
 
+    async def settle(recorder, job):
+        try:
+            record, stamp = await find(recorder._state, job.id)
+        except (Unavailable, Unsure):
+            return
+        if record is not None:
+            recorder._on_conflict(job, record, stamp)
+
     def conflict(book, job, record, stamp):
         if not job.stamp and book._new.get(job.id) is not job:
             book._leave(job)
             return
         real(book, job, record, stamp)
 
+    patch.setattr(Recorder, "_settle", settle)
     patch.setattr(Book, "_conflict", conflict)
 
 
