A team with a limit rents no more than its limit can use

Cause: the owner of a limited team's jobs told the renter of all that waits, and each job as if it had the team's headroom for itself. Machines for work that its limit keeps from starting came, stood idle, were returned and rented again.

Change: what limits leave is shared out over the jobs in queue order, at each level (dispatch/headroom.py). What lies beyond is told apart: it says how fast the room within is needed, nobody rents for it. Rented is for room that was there throughout two list lags, less machines on their way, just up and empty. While an heir counts what still runs, idle machines that it will need are kept (fleet/limited.py).

--- a/roadhead/dispatch/demand.py
+++ b/roadhead/dispatch/demand.py
@@ -1,7 +1,8 @@
 """What waits, told to every home and to the renter."""
 
+from roadhead.dispatch.headroom import Part, SharedHeadroom
+from roadhead.fleet.limited import Mark, marked
 from roadhead.fleet.plan import DOUBTFUL
-from roadhead.homes.machine import times
 from roadhead.wire import frames
 
 ROWS_MOST = 256  # of a Demand, so that a frame stays far below its bound
@@ -12,7 +13,7 @@
 class Teller:
     """`listed()`: how many machines are on the idle list; `again()`: look at what waits once more."""
 
-    def __init__(self, loop, member, book, queue, send, counters, gap_s, listed, may_start, again):
+    def __init__(self, loop, member, book, queue, send, counters, gap_s, listed, again):
         self._loop = loop
         self._member = member
         self._book = book
@@ -21,7 +22,6 @@
         self._count = counters.add
         self._gap_s = gap_s
         self._listed = listed
-        self._may_start = may_start
         self._again = again
         self._told = None  # what homes go by; None: they may have lost count of it
         self._looked_at = -1e9
@@ -53,22 +53,24 @@
             if self._timer is None:
                 self._timer = self._loop.call_at(self._looked_at + self._gap_s, self._due)
             return
-        waiting = [job for job in self._queue.waiting() if self._may_start(job)]
-        coming = self._book.coming(ON_WORD * self._queue.capacity())
-        if not waiting and not coming and not self._told and self._told is not None:
+        parts = self._all_parts()
+        if not parts and not self._told and self._told is not None:
             return
         self._looked_at = now
         rows = {}
         images = {}
-        for job in waiting:
-            self._add_row(rows, job, True)
-            if job.rank == waiting[0].rank and job.spec.image:
-                images[job.spec.image] = True
-        for job in coming:
-            if job.free and not job.doubtful:
-                self._add_row(rows, job, False)
+        first = next((part for part in parts if part.startable and part.within), None)
+        for part in parts:
+            if part.within:
+                self._add_row(rows, part, part.within, part.mark)
+            if part.within and part.startable and part.job.rank == first.job.rank and part.job.spec.image:
+                images[part.job.spec.image] = True
         if self._queue.sharing is not None or any(leads for _shape, _startable, leads in rows):
             rows = dict(sorted(rows.items(), key=lambda item: item[1][3]))
+        for part in parts:
+            # These come last: where rows are cut, first those that no room is needed for.
+            if part.within < part.count and part.mark is not Mark.PENDING:
+                self._add_row(rows, part, part.count - part.within, Mark.BEYOND)
         told = {key: row[0] for key, row in rows.items()}
         if told == self._told:
             return
@@ -110,34 +112,45 @@
         self._timer = None
         self._again()
 
-    def _add_row(self, rows, job, startable):
-        for count, rank, place in self._parts(job, startable):
-            self._add_part(rows, job, startable, job.leads and place == job.place, count, rank, place)
+    def _all_parts(self):
+        """What waits and what will shortly, each with how much of it its team's limit leaves room for."""
+        parts = [part for job in self._queue.waiting() for part in self._parts(job, True)]
+        for job in self._book.coming(ON_WORD * self._queue.capacity()):
+            if job.free and not job.doubtful:
+                parts += self._parts(job, False)
+        if self._book.has_limits:
+            # What is startable comes first, and of that what comes first in the queue.
+            SharedHeadroom(self._book).share(sorted(parts, key=lambda part: (not part.startable, part.place)))
+        return parts
 
     def _parts(self, job, startable):
-        """(tasks, urgency, place in the queue) of what waits of a job: the task that leads, and the others;
-        where teams share, what is within its team's guarantee, and the rest as far as its limit leaves room
-        for it."""
+        """What waits of a job: the task that leads, and the others; where teams share, what is within its
+        team's guarantee, and the rest."""
         rank = DOUBTFUL if job.doubtful else job.rank
         count = max(1, job.startable() - job.gathered)
         if job.leads and startable:
-            return ((1, rank, job.place), (count - 1, rank, job.later))[:count]
+            first = Part(job, 1, rank, job.place, True, leads=True)
+            return [first, Part(job, count - 1, rank, job.later, True)][:count]
         if self._queue.sharing is None or not startable:
-            return ((count, rank, job.place),)
+            return [Part(job, count, rank, job.place, startable, leads=job.leads)]
         sure = min(job.sure, count)
-        more = min(count, times(job.need, self._book.headroom(job.spec.team))) - sure
-        parts = ((sure, rank, job.place), (more, rank + BORROWED, job.later))
-        return [part for part in parts if part[0] > 0]
+        parts = [
+            Part(job, sure, rank, job.place, True),
+            Part(job, count - sure, rank + BORROWED, job.later, True),
+        ]
+        return [part for part in parts if part.count > 0]
 
-    def _add_part(self, rows, job, startable, leads, count, rank, place):
+    def _add_row(self, rows, part, count, mark):
         # A group's tasks are of use only side by side: without a run time the renter
         # finds room for all of them at once.
+        job = part.job
         work = 0.0 if job.gang else count * job.spec.estimate_s
         slack = self._queue.slack(job)
-        shape = (rank, *job.shape[1:])
-        row = rows.get((shape, startable, leads))
+        shape = (marked(part.rank, mark), *job.shape[1:])
+        startable = part.startable and mark in (Mark.PLAIN, Mark.WITHIN)
+        row = rows.get((shape, startable, part.leads))
         if row is None:
-            rows[shape, startable, leads] = [count, work, slack, place]
+            rows[shape, startable, part.leads] = [count, work, slack, part.place]
         else:
             row[0] += count
             row[1] += work
--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -85,7 +85,6 @@
             counters,
             gap_s,
             lambda: len(self.idle),
-            self.may_start,
             self.changed,
         )
         # In a placing pass: listings that may still take a task, and shapes that fit none of them.
--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -3,6 +3,7 @@
 import logging
 
 from roadhead.cloud.client import CloudTrouble, NoCapacity
+from roadhead.fleet.limited import JustUp, Mark, SteadyRoom, returnable
 from roadhead.fleet.plan import Want, offers, plan
 from roadhead.runtime.loop import Signal
 from roadhead.shares.hashing import pick
@@ -13,6 +14,7 @@
 RELEASE_MOST = 100
 EARLY_S = 1e-3  # timers may fire that much early
 DEARER_WITHIN = 0.7  # of a time aim: what the cheapest kinds don't drain by then is rented for dearer
+SETTLED_LAGS = 2  # list lags, after which what starts on new machines is no longer told of as waiting
 SOONER = 0.2  # of the time that an idle machine is kept, if there is plenty of room without it
 
 
@@ -38,6 +40,8 @@
         self.fleet = {}  # label -> rows of its newest HomeNews
         self.running = []  # addresses of the machines last listed as running
         self._hired = {}  # machine -> (shape key, when), until it is listed as running
+        self._just_up = JustUp(SETTLED_LAGS * self._lag_s)
+        self._steady = SteadyRoom(SETTLED_LAGS * self._lag_s)
         self._refused = {}  # shape key -> (until, how often)
         self._names = 0
         self._moved = {}  # what waits -> (tasks, when that number last fell)
@@ -92,7 +96,9 @@
             if item.status == "running":
                 running.append(item.address)
             if item.status != "starting":
-                self._hired.pop(item.id, None)
+                hired = self._hired.pop(item.id, None)
+                if hired is not None and item.status == "running":
+                    self._just_up.add(item.id, hired[0], now)
             elif item.id not in self._hired:
                 self._hired[item.id] = ((item.type, item.zone, item.spot), now - item.age_s)
             if term.home(item.id) == self._member.label:
@@ -166,8 +172,9 @@
             return ratio * boot_s
 
         machines = self._home.idle(idle_s)
-        if machines:
-            self.release([machine.id for machine in machines])
+        count = returnable(len(machines), self._told(), self.fleet, self.types)
+        if count:
+            self.release([machine.id for machine in machines[:count]])
 
     def refused_kinds(self):
         """Kinds of machine that the cloud refused lately."""
@@ -205,31 +212,36 @@
             and pick(self._member.term.members, "renter") == self._member.label
         )
 
+    def _told(self):
+        """{label: rows} of what waits at the controllers of the term."""
+        return {label: rows for label, rows in self.demand.items() if label in self._member.term.members}
+
     def _wants(self):
         """What waits anywhere, less what the machines now busy will get to in time."""
         wants = {}
-        for label, rows in self.demand.items():
-            if label not in self._member.term.members:
-                continue
-            for rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, klass, slack, *_ in rows:
-                aim = self._aims.get(klass)
-                if aim is not None:
-                    wait_s = self._tuning.drain_ratio * aim
-                else:
-                    wait_s = max(slack, self._tuning.drain_ratio * estimate_s)
-                    wait_s = min(wait_s, self._tuning.drain_ratio * self._default_aim_s)
-                key = (rank, cpus, gpus, memory, spot, zone, tuple(types), klass)
-                want = wants.get(key)
-                if want is None:
-                    wants[key] = Want(rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, wait_s)
-                else:
-                    total = want.count + count
-                    want.estimate_s = (want.estimate_s * want.count + estimate_s * count) / total
-                    want.count = total
-                    want.wait_s = min(want.wait_s, wait_s)
+        for row in self._steady.rentable(self._told(), self._loop.now()):
+            rank, mark, cpus, gpus, memory, count, spot, zone, types, estimate_s, klass, slack, *_ = row
+            aim = self._aims.get(klass)
+            if aim is not None:
+                wait_s = self._tuning.drain_ratio * aim
+            else:
+                wait_s = max(slack, self._tuning.drain_ratio * estimate_s)
+                wait_s = min(wait_s, self._tuning.drain_ratio * self._default_aim_s)
+            key = (rank, mark, cpus, gpus, memory, spot, zone, tuple(types), klass)
+            want = wants.get(key)
+            if want is None:
+                want = Want(rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, wait_s, mark)
+                wants[key] = want
+            else:
+                total = want.count + count
+                want.estimate_s = (want.estimate_s * want.count + estimate_s * count) / total
+                want.count = total
+                want.wait_s = min(want.wait_s, wait_s)
         now = self._loop.now()
         moved = {}
         for key, want in wants.items():
+            if want.mark is Mark.BEYOND:
+                continue
             count, since = self._moved.get(key, (want.count, now))
             if want.count < count or self._hired:
                 since = now  # it moves, or machines for it are on their way
@@ -283,6 +295,7 @@
             refused,
             max(0, self._largest - size),
             DEARER_WITHIN / self._tuning.drain_ratio,
+            self._just_up.counts(now),
         )
         for shape, count in orders:
             count = min(count, HIRE_MOST)
--- a/roadhead/fleet/plan.py
+++ b/roadhead/fleet/plan.py
@@ -1,5 +1,7 @@
 """How many machines of which kind to rent: pure decisions."""
 
+from roadhead.fleet.limited import Mark
+
 DOUBTFUL = 4  # urgency of jobs that fail wherever they run, after those of the protocol
 
 
@@ -31,13 +33,15 @@
 
 
 class Want:
-    """Waiting tasks of one shape, summed over controllers. `stuck`: none of it started for long."""
+    """Waiting tasks of one shape, summed over controllers. `stuck`: none of it started for long; `mark`: how
+    a limit of its team bears on it."""
 
     __slots__ = (
         "count",
         "cpus",
         "estimate_s",
         "gpus",
+        "mark",
         "memory",
         "rank",
         "spot",
@@ -47,8 +51,11 @@
         "zone",
     )
 
-    def __init__(self, rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, wait_s):
+    def __init__(
+        self, rank, cpus, gpus, memory, count, spot, zone, types, estimate_s, wait_s, mark=Mark.PLAIN
+    ):
         self.rank = rank
+        self.mark = mark
         self.cpus = cpus
         self.gpus = gpus
         self.memory = memory
@@ -79,21 +86,27 @@
         return most
 
 
-def plan(wants, shapes, machines, idle, busy, coming, refused, largest, patience):
+def plan(wants, shapes, machines, idle, busy, coming, refused, largest, patience, fresh=None):
     """[(shape, count)] to rent, so that waiting work drains in time.
 
     `machines`: {shape key: machines up}; `idle`: {shape key: those of them with nothing on them};
     `busy`: the part of them in use; `coming`: {shape key: machines rented, not yet up}; `refused`:
     keys lately without capacity. A shape dearer than the cheapest is rented only for work that would
-    otherwise take `patience` times as long as it should.
+    otherwise take `patience` times as long as it should. `fresh`: machines that came up a moment ago, so that
+    what starts on them may still be told of as waiting.
+
+    For work at its team's limit, what waits beyond the limit says how much of the room within it is
+    needed in time; room that machines up and on their way have is not rented again.
     """
     by_key = {shape.key: shape for shape in shapes}
     rented = {}
     spare = {key: float(count) for key, count in coming.items() if key in by_key}
     unused = {key: float(count) for key, count in idle.items() if key in by_key}
     total = sum(machines.values())
+    just_up = {key: float(count) for key, count in (fresh or {}).items() if key in by_key}
     backlog = 0.0  # of what comes first, in seconds of a machine of the cheapest shape
-    for want in sorted(wants, key=lambda want: (want.rank, want.wait_s)):
+    beyond = 0.0  # the same of what waits beyond limits
+    for want in sorted(wants, key=lambda want: (want.rank, want.mark is not Mark.BEYOND, want.wait_s)):
         usable = sorted(
             ((shape.price / slots, shape.key, slots) for shape in shapes if (slots := want.slots(shape))),
         )
@@ -107,8 +120,13 @@
         ):
             continue  # it is tried on what there is
         cheapest, _key, per_machine = usable[0]
+        if want.mark is Mark.BEYOND:
+            beyond += want.count * want.estimate_s / per_machine
+            continue
         # Machines on their way serve what comes first.
         left = _served(want, float(want.count), spare, by_key)
+        if want.mark is Mark.WITHIN:
+            left = _served(want, _served(want, left, just_up, by_key), unused, by_key)
         backlog += want.count * want.estimate_s / per_machine
         up = sum(count * want.slots(by_key[key]) for key, count in machines.items() if key in by_key)
         arriving = sum(
@@ -127,7 +145,8 @@
                 # It will not drain, but nothing need be rented for what empty machines take.
                 short = _served(want, left, unused, by_key)
             elif want.estimate_s > 0:
-                needed = backlog * per_machine / max(1e-3, wait_s)
+                first = backlog + beyond if want.mark is Mark.WITHIN else backlog
+                needed = first * per_machine / max(1e-3, wait_s)
                 short = min(left, needed - arriving - up * max(0.0, 1 - running / wait_s))
             count = min(-int(-max(0.0, short - 1e-6) // slots), largest)
             if count > 0:
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -7,6 +7,7 @@
 import logging
 from bisect import insort
 
+from roadhead.homes.machine import NOTHING
 from roadhead.jobs.context import OwnerContext
 from roadhead.jobs.job import FINAL, NOBODY, Binding, Job, from_record
 from roadhead.jobs.reconciliation import Reconciliation
@@ -241,20 +242,30 @@
         may be on a machine: until then there is none. A slot held since a term for which all
         records were read has no jobs but those that are owned here, whatever changed since.
         """
-        term = self._member.term
+        rooms = self.level_rooms(team)
+        if rooms is None or not self.counted(team):
+            return NO_ROOM
+        return tuple(min(parts) for parts in zip((AMPLE, AMPLE), *rooms.values(), strict=True))
+
+    def counted(self, team):
+        """Whether every task of a limited team's group that may be on a machine is known of here."""
         group = self.teams.group(team)
         account = self.accounts.get(group)
+        return self._knows_slot(self._member.term.slot(group)) and not (account and account.unsure)
+
+    def level_rooms(self, team):
+        """{level: (cpus, gpus)}: what each limit on the team leaves, by the tasks known of so far; None if
+        nothing of the team starts from here."""
+        slot = self._member.term.slot(self.teams.group(team))
         levels = self.teams.levels(team)
-        if not self._knows_slot(term.slot(group)) or levels is None or (account and account.unsure):
-            return NO_ROOM
-        left = [AMPLE, AMPLE]
+        if slot not in self.warden_since or levels is None:
+            return None
+        rooms = {}
         for name, limits in levels:
             account = self.accounts.get(name)
-            for place, most in enumerate(limits):
-                if most:
-                    held = account.held[place] if account is not None else 0.0
-                    left[place] = min(left[place], most - held)
-        return tuple(left)
+            held = account.held if account is not None else NOTHING
+            rooms[name] = tuple(most - held[place] if most else AMPLE for place, most in enumerate(limits))
+        return rooms
 
     @property
     def has_limits(self):
--- a/roadhead/local/expectations.py
+++ b/roadhead/local/expectations.py
@@ -137,6 +137,10 @@
     return _compare("the count of requests to the state service", world.state.requests, "<=", most)
 
 
+def _hired(world, _relation, most):
+    return _compare("the count of machines ever rented", world.cloud.names, "<=", most)
+
+
 def _killed(world, _relation, most):
     return _compare("the count of tasks killed by their lease", world.killed, "<=", most)
 
@@ -201,6 +205,7 @@
     "answered": _answered,
     "state_requests": _state_requests,
     "killed": _killed,
+    "hired": _hired,
     "given_back": _given_back,
     "together": _together,
     "cancelled_gone": _cancelled_gone,
