Room is taken back for no more than a limit lets start

Cause: a team with a guarantee beside a limit (its own, or its tenant's) asked back room for all that waited within the guarantee; what its limit kept from starting stopped others' work for nothing, again each few seconds.

Change: what waits within guarantees shares out what the limits leave, as for renting.

--- a/roadhead/tenants/preemption.py
+++ b/roadhead/tenants/preemption.py
@@ -10,6 +10,7 @@
 
 import logging
 
+from roadhead.dispatch.headroom import Part, SharedHeadroom
 from roadhead.homes.machine import NOTHING, fits, times
 from roadhead.wire import frames
 
@@ -47,16 +48,20 @@
         self._asked = {job: asked for job, asked in self._asked.items() if job in waiting}
         rows = {}
         soonest = None
-        for job in jobs:
+        parts = [Part(job, job.sure, job.rank, job.place, startable=True) for job in jobs]
+        SharedHeadroom(self._book).share(parts)
+        for part in parts:
+            job = part.job
             left = self._since[job] + self._patience_s - now
             if left > 1e-6:
                 soonest = left if soonest is None else min(soonest, left)
                 continue
             until, tasks = self._asked.get(job, (0.0, 0))
-            count = job.sure - (tasks if until > now else 0)
+            # Room that its team's limit keeps from being used is left to those who borrow it.
+            count = part.within - (tasks if until > now else 0)
             if count <= 0:
                 continue
-            self._asked[job] = (now + self._settle_s, job.sure)
+            self._asked[job] = (now + self._settle_s, part.within)
             spec = job.spec
             key = (*job.need, spec.spot, spec.zone or "", tuple(spec.types or ()))
             rows[key] = rows.get(key, 0) + count
