A job cancelled before its heir has written it is no longer kept

Cause: an inherited job that was cancelled while its owner's write waited was unmarked, so no outcome of that write ever took it from the jobs being taken over. It stayed there for as long as the process: its quota partition never counted as idle, and the demand named it.

--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -152,11 +152,8 @@
             pending.set((True, None))
             return
         if self._adopting.pop(job, False):
-            job.adopting = job.foreign = False
+            self._taken(job)
             self._changed()
-            if not self._confirmed:
-                self._loop.call_soon(self._sync_confirmed)
-            self._confirmed.append(job)
         if state in FINAL:
             told = self._ending.pop(job.id, None) is not None
             self._over(job, job.final(state), told)
@@ -387,6 +384,13 @@
 
     # Taking over
 
+    def _taken(self, job):
+        """The job is ours from now on, or over: no other owner takes it from here."""
+        job.adopting = job.foreign = False
+        if not self._confirmed:
+            self._loop.call_soon(self._sync_confirmed)
+        self._confirmed.append(job)
+
     def _sync_confirmed(self):
         """Their records name this owner now. Another may have asked the homes for them meanwhile, before it
         found that out, and been told in our place since: they are to know whose they are."""
@@ -595,6 +599,8 @@
             return  # its end is being written; the conflict tells which came first
         job.state = "cancelled"
         self.recorder.unmark(job)
+        if self._adopting.pop(job, False):
+            self._taken(job)  # its write may never have an outcome
         if record is not None:
             self.remember(job_id, record)
         job.free.clear()
--- a/tests/test_limits_and_failover.py
+++ b/tests/test_limits_and_failover.py
@@ -87,6 +87,13 @@
     assert (faults, undone, left_behind) == ([], [], [])
 
 
+def test_a_job_cancelled_before_it_is_taken_over_is_let_go():
+    """Nothing of it is to be written any more: it was kept as one being taken over for ever."""
+    wanted = (2, "cut", "during", "back at once")
+    case = next(case for case in combinations() if case[0] == wanted)
+    assert played(case)[1:] == ([], [], [])
+
+
 @pytest.mark.parametrize(
     ("old", "new", "closing", "unread"),
     [
