--- a/tests/limit_failovers.py
+++ b/tests/limit_failovers.py
@@ -1,9 +1,9 @@
 """Every team at its limit, jobs cancelled on machines cut off, deaf or hung, and the quota leader changes.
 
-    python3 tests/limit_failovers.py [--jobs N] [--every N]
+    python3 tests/limit_failovers.py [--hosted] [--jobs N] [--every N]
 
-Plays the fault combinations in virtual time (all, or every Nth), and prints by course and machines how many
-broke a rule, left work undone, or left something behind.
+Plays the fault combinations in virtual time (all, or every Nth; of teams, or of tenants), and
+prints by course and machines how many broke a rule, left work undone, or left something behind.
 """
 
 import argparse
@@ -52,7 +52,10 @@
     def leader(self):
         terms = [node.member.term for node in self.nodes.values() if node.member.term is not None]
         newest = max(terms, key=lambda term: term.number, default=None)
-        return self.labels.index(newest.wardens[0]) if newest is not None and newest.wardens[0] else 0
+        leader = (
+            newest.warden("1") if newest is not None else None
+        )  # of the first tenant, where there are any
+        return self.labels.index(leader) if leader is not None else 0
 
     def do(self, words):
         super().do([str(self.leader()) if word == "leader" else word for word in words])
@@ -78,20 +81,40 @@
 
 def text_of(seed, teams, machines, cancelled, course):
     """The scenario of one fault combination."""
-    crews = ["crew", "crew-2", "crew-3"][:teams]
+    whose = [f"crew={crew}" for crew in ("crew", "crew-2", "crew-3")[:teams]]
+    names = [str(number + 1) for number in range(teams)]
+    lines = [f"cpus_max {LIMIT}", f"teams {teams}"]
+    lines += [f"at 1 {_full(own)}" for own in whose]
+    return "\n".join([*lines, *_troubles(seed, whose, names, machines, cancelled, course)])
+
+
+def hosted_text_of(seed, slots, machines, cancelled, course):
+    """The same with three tenants, whose quota partitions are also handed on by leaders that live."""
+    tenants = ("north", "south", "east")
+    lines = ["gateways 1", f"slots {slots}"]
+    lines += [f"at {2 + at / 4} tenant {name} cpus={LIMIT}" for at, name in enumerate(tenants)]
+    whose = [f"tenant={name} id=a" for name in tenants]
+    names = [f"{name}:a1" for name in tenants]
+    lines += [f"at 6 {_full(own)}" for own in whose]
+    return "\n".join([*lines, *_troubles(seed, whose, names, machines, cancelled, course)])
+
+
+def _full(own):
+    """A job that takes all of its team's limit."""
+    return f"submit {own} legs={LIMIT} runS=90 expectS=90"
+
+
+def _troubles(seed, whose, names, machines, cancelled, course):
+    """The lines after those of the deployment: `whose` work, `names` of the jobs that are cancelled."""
     cancel_at = END_AT + CANCELLED_AFTER_S[cancelled]
-    lines = [f"seed {seed}", f"cpus_max {LIMIT}", f"teams {teams}", "boot_s 1", f"until {ENDS_S}"]
-    lines += [f"at 1 submit crew={crew} legs={LIMIT} runS=90 expectS=90" for crew in crews]
-    lines += [
-        f"at {at} submit crew={crew} legs=4 runS=12" for at in (20, 33, 36, 39, 45, 51, 60) for crew in crews
-    ]
+    lines = [f"seed {seed}", "boot_s 1", f"until {ENDS_S}"]
+    lines += [f"at {at} submit {own} legs=4 runS=12" for at in (20, 33, 36, 39, 45, 51, 60) for own in whose]
     lines += [f"at {END_AT + after} {what}" for after, what in COURSES[course]]
     lines += [f"at {cancel_at - 0.1} {what}" for what in MACHINES[machines]]
-    numbers = ",".join(str(number + 1) for number in range(teams))
     via = seed % 4  # any that is up, or one that is named
-    lines.append(f"at {cancel_at} cancel {numbers}" + (f" {via - 1}" if via else ""))
+    lines.append(f"at {cancel_at} cancel {','.join(names)}" + (f" {via - 1}" if via else ""))
     lines += [f"at {END_AT} {what}" for what in BESIDES[seed // 4 % len(BESIDES)]]
-    return "\n".join([*lines, "expect rules"])
+    return [*lines, "expect rules"]
 
 
 def combinations():
@@ -101,6 +124,13 @@
         yield which, text_of(seed, *which)
 
 
+def hosted_combinations():
+    """Yields ((quota partitions, machines, cancelled, course), its text)."""
+    cases = itertools.product((1, 3, 6), MACHINES, CANCELLED_AFTER_S, COURSES)
+    for seed, which in enumerate(cases, 1):
+        yield which, hosted_text_of(seed, *which)
+
+
 def played(case):
     """(the case, rules broken, jobs that did not end, what was left behind)."""
     which, text = case
@@ -115,10 +145,11 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--every", type=int, default=1)
+    parser.add_argument("--hosted", action="store_true")
     args = parser.parse_args()
     rows = {}
     with multiprocessing.Pool(args.jobs) as pool:
-        cases = list(combinations())[:: args.every]
+        cases = list((hosted_combinations if args.hosted else combinations)())[:: args.every]
         for which, faults, undone, left in pool.imap_unordered(played, cases):
             row = rows.setdefault((which[3], which[1]), [0, 0, 0, 0])
             for place, value in enumerate((True, faults, undone, left)):
--- a/tests/test_limits_and_failover.py
+++ b/tests/test_limits_and_failover.py
@@ -3,7 +3,7 @@
 from types import SimpleNamespace
 
 import pytest
-from limit_failovers import COURSES, combinations, played
+from limit_failovers import COURSES, combinations, hosted_combinations, played
 from mutation import assert_noticed
 
 from roadhead.jobs.book import Book
@@ -79,9 +79,13 @@
 
 
 # One in so many; `limit_failovers.py` plays all of them.
-@pytest.mark.parametrize(
-    "case", list(combinations())[:: len(COURSES) * 4 + 1], ids=lambda case: "-".join(map(str, case[0]))
-)
+SAMPLE = [
+    *list(combinations())[:: len(COURSES) * 4 + 1],
+    *list(hosted_combinations())[:: len(COURSES) * 8 + 1],
+]
+
+
+@pytest.mark.parametrize("case", SAMPLE, ids=lambda case: "-".join(map(str, case[0])))
 def test_a_team_at_its_limit_is_served_whatever_comes_together(case):
     _which, faults, undone, left_behind = played(case)
     assert (faults, undone, left_behind) == ([], [], [])
