Answers keep real-time order while a creation is under way

Cause: a controller whose write of a new record was carried out, and whose answer was late, did not take in a cancellation through another controller: the job was neither among its own nor known to be over. It told a repeated submission that came after the confirmation 201 "pending", and kept the job open for ever. And who asked a controller cut from the state service waited: for a poll 1 s, for a submission or a cancellation 3 to 4 s.

Change: the job store remembers cancellations of jobs that are being created; a repeat that joins a creation is answered by a read sent after it came; a final record that became known meanwhile counts before what a read found; no record is called missing that was seen, without a second look. Once the state service has answered nothing for 0.5 s one poll at a time waits for it; after a quarter of the time for a creation (1 s) submissions and cancellations get 503 at once.

--- a/roadhead/api/cancellations.py
+++ b/roadhead/api/cancellations.py
@@ -30,6 +30,8 @@
             return NO_JOB
         until = self._loop.now() + self._wait_s
         await self._readiness.until(self._readiness.lacks_membership)
+        if job_id not in self._node.book.finals:
+            self._readiness.check_state()
         refused_before = False
         for _ in range(ROUNDS):
             try:
--- a/roadhead/api/readiness.py
+++ b/roadhead/api/readiness.py
@@ -26,6 +26,12 @@
         """The Cause for which submissions can't be decided yet, or None."""
         return self.lacks_membership() or (None if self._node.home.known.types else Cause.TYPES_UNKNOWN)
 
+    def check_state(self):
+        """Raises RefusedError if the state service has answered nothing for as long as users wait here: they
+        do better at another controller."""
+        if self._node.state.failing_s() > self._patience_s:
+            raise RefusedError(Cause.STATE_UNAVAILABLE)
+
     def changed(self):
         """This controller has joined, or knows the machine types."""
         for change in list(self._waiting):
--- a/roadhead/api/submissions.py
+++ b/roadhead/api/submissions.py
@@ -47,6 +47,7 @@
             return await self._join_creation(spec)
         if spec.upstream and not self._node.member.gate.open:
             raise RefusedError(Cause.FORMAT_GATE, FORMAT_RETRY_S)
+        self._readiness.check_state()
         fault, cancelled = await self._fault(spec)
         refused = Answer(422, messages.error(fault)) if fault else self._tenant_refusal(spec)
         if refused is not None:
@@ -103,6 +104,8 @@
             new, record = await self._loop.within(self._create_s, book.create(spec))
         except Timeout:
             raise RefusedError(Cause.CREATION_SLOW) from None
+        if new or record is not None:
+            self._node.reader.exists(spec.id)
         if new:
             if cancelled:
                 book.line.cancelled_above(spec)
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -73,6 +73,7 @@
         self.finals = {}  # id -> record of jobs known to be over
         self._creating = {}  # id -> Future of (is new, record)
         self._new = {}  # id -> Job whose record is being written
+        self._cancelled_early = set()  # those of them that another controller has read and cancelled
         self._adopting = {}  # those of which no record names this owner yet, in order as a set
         self.closing = set()  # slots of wardens about to be handed on: nothing of them comes to us
         self._attempts = 0
@@ -145,11 +146,26 @@
         del self._new[job.id]
         return self._creating.pop(job.id)
 
+    def _accepted(self, job):
+        """Its record stands, made here: (is new, record or None) for who waits for that.
+
+        Others can read a record before the answer to its write comes. Once one of them has cancelled the job,
+        nothing of it begins here.
+        """
+        if job.id not in self._cancelled_early:
+            self._created(job)
+            return True, None
+        self._cancelled_early.discard(job.id)
+        record = self.finals.get(job.id) or job.final("cancelled")
+        self.remember(job.id, record)
+        if job.owner == self._me:
+            self.recorder.drop(CANCEL + job.id)  # nobody else has started any of it
+        return False, record
+
     def _written(self, job, recorded, state):
         pending = self._settled(job)
         if pending is not None:
-            self._created(job)
-            pending.set((True, None))
+            pending.set(self._accepted(job))
             return
         if self._adopting.pop(job, False):
             self._taken(job)
@@ -336,9 +352,9 @@
                 and ((tuple(record["o"]), record["at"]) == (job.owner, job.accepted_at))
             ):
                 job.stamp = stamp
-                self._created(job)
-                pending.set((True, record))
+                pending.set(self._accepted(job))
             else:
+                self._cancelled_early.discard(job.id)
                 pending.set((False, record))
             return
         if not job.stamp:
@@ -500,6 +516,7 @@
     def _refused(self, job):
         """A creation that surely did not and will not come about: its user is to ask again."""
         pending = self._settled(job)
+        self._cancelled_early.discard(job.id)
         if pending is not None:
             pending.set((False, None))
 
@@ -581,6 +598,8 @@
         """The job is durably cancelled."""
         if job_id in self._ending:
             return  # its end is being written; the conflict tells of this one
+        if job_id in self._new:
+            self._cancelled_early.add(job_id)
         waiting = self.line.waits.jobs.get(job_id)
         if waiting is not None:
             self.line.waits.remove(waiting)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -542,8 +542,12 @@
         return max(1, int(self._create_s * self.state.writes.rate))
 
     async def read(self, job_id):
-        """A job's record for a user; turned away if duties need the state service more."""
-        return await self.reader.read(job_id)
+        """A job's record for a user, or None; turned away if duties need the state service more.
+
+        A final record that became known here while it was read is newer than what the read found.
+        """
+        record = await self.reader.read(job_id)
+        return self.book.finals.get(job_id) or record
 
     def cancelled(self, jobs):
         """Jobs that a user is about to be told to be cancelled: every home that can be reached has word of
--- a/roadhead/state/client.py
+++ b/roadhead/state/client.py
@@ -17,6 +17,7 @@
 USABLE = 0.95  # of a limit
 ANSWER_MOST_S = 3.0  # the longest wait for an answer
 COMPARE_MOST_S = 1.5  # and for that of a transaction that only compares, for which users wait
+FAILURES = 2  # one alone may be chance
 IDLE_PART = 0.2  # of its equal part is left to a controller that uses less
 
 
@@ -63,6 +64,8 @@
         self.writes = Bucket(loop, USABLE * writes, writes)
         self.answers = AnswerTimes(ANSWER_MOST_S)  # of transactions
         self.ok_at = -1e9  # when the last request that got a proper answer was sent
+        self._failing_since = None  # when the first of those was sent that failed since then
+        self._failures = 0  # and how many they are
 
     @property
     def batch(self):
@@ -104,6 +107,20 @@
         if self._on_lowered is not None:
             self._on_lowered()
 
+    def failing_s(self):
+        """For how long the service has answered nothing here; 0 while it does.
+
+        The member's duties go on asking, so that this ends soon after the trouble does.
+        """
+        return self._loop.now() - self._failing_since if self._failures >= FAILURES else 0.0
+
+    def _failed(self, sent_at):
+        if sent_at <= self.ok_at:
+            return
+        if not self._failures:
+            self._failing_since = sent_at
+        self._failures += 1
+
     async def _call(self, method, target, body=b"", timeout=ANSWER_MOST_S):
         await self.requests.take()
         return await self._send(method, target, body, timeout)
@@ -113,6 +130,7 @@
         try:
             status, data, _headers = await self._http.request(method, target, body, timeout)
         except NoAnswer as error:
+            self._failed(sent_at)
             if error.sent:
                 raise Unsure(str(error)) from None
             raise Unavailable(str(error)) from None
@@ -123,12 +141,15 @@
             self.lower()
             raise Unavailable("429")
         if status >= 500:
+            self._failed(sent_at)
             raise Unavailable(str(status))
         try:
             value = messages.decode_map(data) if data else {}
         except messages.Invalid as error:
             raise Unsure(str(error)) from None
         self.ok_at = max(self.ok_at, sent_at)
+        if self._failures and sent_at >= self._failing_since:
+            self._failures = 0
         return status, value
 
     async def get(self, key):
--- a/roadhead/state/reader.py
+++ b/roadhead/state/reader.py
@@ -17,6 +17,7 @@
 AMPLE = 0.6  # of the burst of requests: with less left, polls are gathered
 GATHER = 0.05  # of the patience
 TRY_AGAIN = 0.25  # of the patience: a comparison whose answer was lost before that is sent again
+FAILING = 0.5  # of the patience: once nothing was answered for longer, one poll at a time waits
 
 
 class Reader:
@@ -34,13 +35,34 @@
         self._most = 4 * int(state.limits.txn_ops)  # conditions of a transaction
         self._waiting = {}  # name -> [Future]
         self._known = {}  # name -> (record, conditions under which it is still what was read)
+        self._existing = {}  # names of which a record was read or made lately, in order as a set
         self._lanes = 0
 
+    def exists(self, name):
+        """A record of that name stands. Reads sent before, and answered later, may not find it."""
+        self._existing.pop(name, None)
+        self._existing[name] = True
+        if len(self._existing) > KEPT_MOST:
+            del self._existing[next(iter(self._existing))]
+
     async def read(self, name):
-        """The record of that name as it is now, or None. Raises Unavailable at once if it is too much."""
+        """The record of that name as it is now, or None. Raises Unavailable at once if it is too much, or
+        if nothing is answered at present.
+
+        Records vanish with their tenant alone, so one that was seen to exist is looked for once more before
+        it is called missing.
+        """
+        record = await self._ask(name)
+        if record is None and name in self._existing:
+            record = await self._ask(name)
+        return record
+
+    async def _ask(self, name):
         crowded = len(self._waiting) >= 4 * self._most and name not in self._waiting
         if crowded or not self._state.requests.spare(0.1):
             raise Unavailable("busy")
+        if self._lanes and self._state.failing_s() > FAILING * self._patience_s:
+            raise Unavailable("no answers from the state service")
         future = Future()
         self._waiting.setdefault(name, []).append(future)
         if self._lanes < LANES:
@@ -118,6 +140,7 @@
                 record, stamp = await self._state.get(place + name)
                 conditions.append((place + name, stamp))
                 if record is not None:
+                    self.exists(name)
                     del conditions[:-1]
                     record, more = await self._derive(self._shorten(await self._whole(name, record)))
                     conditions += more
