--- a/tests/test_read_order.py
+++ b/tests/test_read_order.py
@@ -7,11 +7,14 @@
 from roadhead.jobs.book import Book
 from roadhead.jobs.task_reports import TaskReports
 from roadhead.node import Node
+from roadhead.state.client import StateClient
 from roadhead.state.reader import Reader
 from roadhead.wire import messages
 
 OWNER = "10.0.0.1"  # the first controller's host
 READER = "10.0.0.3"  # the third controller's host
+AT_ONCE_S = 0.1
+ONE_IN_TURN = 3  # users who wait for a controller that is cut off, in the seconds around the events
 EVENTS = ("accepted", "called off", "ended", "cancelled", "both", "cancelled above")
 
 
@@ -237,3 +240,65 @@
         mutate(patch)
         world = played(event, condition)
     assert older_answers(world.answers) or world.ghosts(), mutate.__doc__
+
+
+def ended_while_it_is_cancelled():
+    """A world in which a job ends after a cancellation has read its record, and before that is written."""
+    world = AskedWorld("ended", "")
+    world.sim.run_until(39.0)
+    world.held["/store/j/req-000001"] = 1.0
+    world.user_loop.spawn(world.users["req-000001"].cancel(1), "cancel")
+    world.sim.run_until(39.1)
+    world._end(0)
+    return world.run()
+
+
+def test_an_end_and_a_cancellation_leave_one_answer():
+    world = ended_while_it_is_cancelled()
+    assert world.users["req-000001"].told == "done"
+    assert older_answers(world.answers) == [] and world.broken == []
+
+
+def test_a_cancellation_that_ignores_the_end_is_noticed():
+    """5: it is written although the job's record has changed since it was read."""
+    real = StateClient.multi
+
+    async def multi(self, conditions, writes):
+        cancels = any(write.get("put", "").startswith("c/x/") for write in writes)
+        return await real(self, [] if cancels else conditions, writes)
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(StateClient, "multi", multi)
+        world = ended_while_it_is_cancelled()
+    assert older_answers(world.answers) and world.broken
+
+
+@pytest.mark.parametrize("event", EVENTS)
+def test_users_of_controllers_that_are_well_get_no_503(event):
+    answers = played(event, "well").answers
+    assert [answer for answer in answers if answer.status == 503 and answer.asked_at > EVENT_S - 1] == []
+
+
+def late_refusals(event):
+    """503 answers of a controller cut from the state service 5 s ago for which a user waited."""
+    return [
+        answer
+        for answer in played(event, "cut from the state service").answers
+        if answer.status == 503
+        and answer.asked_at > EVENT_S - 1
+        and answer.answered_at - answer.asked_at > AT_ONCE_S
+    ]
+
+
+@pytest.mark.parametrize("event", EVENTS)
+def test_what_cannot_be_answered_is_refused_at_once(event):
+    """But to one at a time, who finds out whether the state service is back."""
+    waited = sorted(late_refusals(event), key=lambda answer: answer.asked_at)
+    assert len(waited) <= ONE_IN_TURN
+    assert all(answer.answered_at - answer.asked_at < 1.1 for answer in waited)
+
+
+def test_waiting_for_the_state_service_is_noticed():
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(StateClient, "failing_s", lambda self: 0.0)
+        assert len(late_refusals("cancelled")) > 5 * ONE_IN_TURN
