--- a/roadhead/api/readiness.py
+++ b/roadhead/api/readiness.py
@@ -29,18 +29,24 @@
     def check_state(self):
         """Raises RefusedError if the state service has answered nothing for as long as users wait here: they
         do better at another controller."""
-        if self._node.state.failing_s() > self._patience_s:
+        if self._state_fails():
             raise RefusedError(Cause.STATE_UNAVAILABLE)
 
+    def _state_fails(self):
+        return self._node.state.failing_s() > self._patience_s
+
     def changed(self):
         """This controller has joined, or knows the machine types."""
         for change in list(self._waiting):
             change.set()
 
     async def until(self, lacks):
-        """Returns once `lacks()` is None. Raises RefusedError with its Cause after the patience."""
+        """Returns once `lacks()` is None. Raises RefusedError with its Cause after the patience, or at once
+        if the state service answers nothing, without which nothing can change."""
         deadline = self._loop.now() + self._patience_s
         while (cause := lacks()) is not None:
+            if self._state_fails():
+                raise RefusedError(cause)
             change = Future()
             self._waiting[change] = True
             try:
