Lost answers: scenarios notice their guards; ends that go to the shelf at once

Cause: the new scenarios had no mutation tests of their own, and an end that is written to the archive at once was no longer met as an end.

Change: mutation tests for late-transaction-many (stamps), lost-refused-cancelled (cancellations passed on, guessed confirmations) and lost-slow-state (guessed confirmations); the kinds `end` and `archive` know both ways; the mutation of a creator's own record takes out both places that recognize it.

--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -7,11 +7,17 @@
 from write_faults import Fault, Sender, play
 from write_kinds import KINDS
 
+from roadhead.api.answers import Answer
+from roadhead.api.server import Api
 from roadhead.gateway.tenants_api import TenantsApi, authenticate
 from roadhead.jobs.book import Book
 from roadhead.jobs.job import KEY
+from roadhead.jobs.transactions import Entry
+from roadhead.local.state_service import StateService
 from roadhead.membership.member import MEMBER, TERM
 from roadhead.membership.term import Term
+from roadhead.node import Node
+from roadhead.wire import messages
 
 FATES = (
     {"late_s": 0.0},
@@ -143,6 +149,7 @@
         pending.set((False, record))
         return None
 
+    patch.setattr(Entry, "is_stored_as", lambda _self, _record: False)
     patch.setattr(Book, "_conflict", conflict)
 
 
@@ -199,3 +206,45 @@
 
 def test_a_mark_that_is_dropped_early_is_noticed():
     mutation.assert_noticed(marks_are_dropped_early, "late-transaction-mark")
+
+
+def records_without_stamps(patch):
+    """5: the service carries out writes of records whatever is there."""
+    real = StateService.multi
+
+    def multi(self, body):
+        kept = [
+            item for item in body["if"] if not stamps_of_records(item["k"], item["stamp"], body["writes"])
+        ]
+        return real(self, {**body, "if": kept})
+
+    patch.setattr(StateService, "multi", multi)
+
+
+def unsure_is_told_as_cancelled(patch):
+    """5: a cancellation that is not known to be durable is confirmed all the same."""
+    real = Api._cancel
+
+    async def cancel(self, job_id):
+        answer = await real(self, job_id)
+        return answer if answer.status != 503 else Answer(200, messages.job_status(job_id, "cancelled"))
+
+    patch.setattr(Api, "_cancel", cancel)
+
+
+def cancellations_are_not_passed_on(patch):
+    """4: who is refused by the service alone hears of cancellations from nobody."""
+    patch.setattr(Node, "_tell_cancelled", lambda self, label, jobs: None)
+
+
+@pytest.mark.parametrize(
+    ("mutate", "scenario"),
+    [
+        (records_without_stamps, "late-transaction-many"),
+        (unsure_is_told_as_cancelled, "lost-refused-cancelled"),
+        (unsure_is_told_as_cancelled, "lost-slow-state"),
+        (cancellations_are_not_passed_on, "lost-refused-cancelled"),
+    ],
+)
+def test_a_scenario_notices_a_guard_that_is_taken_out(mutate, scenario):
+    mutation.assert_noticed(mutate, scenario)
--- a/tests/write_kinds.py
+++ b/tests/write_kinds.py
@@ -33,6 +33,15 @@
             if new["s"] == "open" and (old := self.stored(key)) is not None and old["s"] == "open"
         ]
 
+    def ended(self):
+        """Ids of open jobs that are done by this write, wherever their final records are put."""
+        return {
+            key[len(prefix) :]
+            for prefix in (KEY, SHELF)
+            for key, new in self.puts_under(prefix)
+            if new["s"] == "done" and (self.stored(KEY + key[len(prefix) :]) or {}).get("s") == "open"
+        }
+
     def changes_term(self, field):
         """Whether only the term is written, and that field of it changes."""
         if set(self.puts) != {TERM} or self.drops or any(key.startswith(MEMBER) for key in self.conditions):
@@ -46,13 +55,13 @@
 
 KINDS = {
     "creation": lambda w: any(w.conditions.get(key) == 0 for key, _ in w.puts_under(KEY)),
-    "end": lambda w: any(value["s"] == "done" for _, value in w.puts_under(KEY)),
+    "end": lambda w: bool(w.ended()),
     "cancellation": lambda w: bool(w.puts_under(CANCEL)),
     "progress": lambda w: any(len(new["done"]) and old["o"] == new["o"] for old, new in w.replaced()),
     "adoption": lambda w: any(old["o"] != new["o"] for old, new in w.replaced()),
     "release": lambda w: any("rel" in new and "rel" not in old for old, new in w.replaced()),
     "mark dropped": lambda w: w.drops_under(CANCEL),
-    "archive": lambda w: bool(w.puts_under(SHELF)),
+    "archive": lambda w: len(w.puts_under(SHELF)) > len(w.ended()),
     "join": lambda w: TERM in w.puts and bool(w.puts_under(MEMBER)),
     "drop": lambda w: TERM in w.puts and any(key.startswith(MEMBER) for key in w.conditions),
     "leave": lambda w: TERM in w.puts and w.drops_under(MEMBER),
