The enumeration of handovers sees what is left of cancelled jobs again

Cause: the world keeps the times of cancellations with its rules now; the enumeration replaced the other reference, so that ran_cancelled was not checked there.

Change: both are replaced, and a test asserts that a case sees tasks of a cancelled job.

--- a/tests/handovers.py
+++ b/tests/handovers.py
@@ -126,7 +126,7 @@
                         world.sim.call_soon(world.do, line.split())
                 super().__setitem__(job, at)
 
-        self.cancelled_at = Told()
+        self.rules.cancelled_at = self.cancelled_at = Told()
 
     def on_machine(self, task, worker):
         told = self.cancelled_at.get(task.rpartition("/")[0])
--- a/tests/test_cancel_and_move.py
+++ b/tests/test_cancel_and_move.py
@@ -29,6 +29,12 @@
     assert (outcome.faults, outcome.unended) == ([], 0), outcome.case
 
 
+def test_what_is_left_of_cancelled_jobs_is_seen_in_a_case():
+    """Machines that are deaf keep tasks of cancelled jobs for a while: else the cases would check nothing."""
+    case = next(case for case in handovers.cases() if case.fault == "deaf" and case.offset == 1.0)
+    assert 1 < handovers.played(case).longest_gone < handovers.CANCEL_S
+
+
 def cancel_news_is_not_told(patch):
     """4: a cancellation is told to no link; whoever took work over has only the state service's watch."""
     patch.setattr(Node, "_tell_cancelled", lambda self, label, jobs: None)
@@ -72,8 +78,8 @@
     the state service and the others, so that it does not know; jobs come, and then machines. `then`: what
     happens so many seconds after."""
 
-    def __init__(self, seed, then=()):
-        super().__init__(f"seed {seed}{RELIEF}")
+    def __init__(self, seed, then=(), more=""):
+        super().__init__(f"seed {seed}{RELIEF}{more}")
         self.relieved_at = None
         commit = self.state.multi
 
