--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from roadhead.api.submissions import parse
+from roadhead.local.scenario import job_from
 from roadhead.local.world import World
 from roadhead.runtime.loop import Timeout
 from roadhead.wire import messages
@@ -26,7 +27,7 @@
 
 def described(**fields):
     """A whole submission, with some fields set otherwise, or left out if `...`."""
-    job = World._job({})
+    job = job_from({})
     job = {name: value for name, value in job.items() if name not in ("runS", "apartS", "faulty", "upstream")}
     return {name: value for name, value in {"id": ODD, **job, **fields}.items() if value is not ...}
 
