--- a/tests/handovers.py
+++ b/tests/handovers.py
@@ -22,14 +22,12 @@
 from roadhead.membership.member import MEMBER, TERM
 
 CANCEL_S = 32.0  # the emulators' (world.py, DEFAULTS)
-LEASE_S = 12.0
-FETCH_S = 1.0  # a start whose command was on its way shows that much later
 STEP_AT = 40.0
 CHANGE_S = 16.0  # the commits of so long count as the change's
 CHANGES_MOST, RECORDS_MOST = 4, 2  # commits of the term and entries, and of records, of a change
 KINDS = (TERM, MEMBER, KEY)
 OFFSETS = (-0.05, 0.0, 0.05, 0.3, 1.0)
-BEFORE_S = 1.1
+BEFORE_S = 1.1  # a task that starts then waits for its image at the cancellation
 GONE_S = 600.0  # a controller that is never back
 CANCELLED = "1,3,5,7,11,16,17"  # long tasks that run, jobs of short ones, one that starts right then
 
--- a/tests/test_cancel_and_move.py
+++ b/tests/test_cancel_and_move.py
@@ -78,8 +78,8 @@
     the state service and the others, so that it does not know; jobs come, and then machines. `then`: what
     happens so many seconds after."""
 
-    def __init__(self, seed, then=(), more=""):
-        super().__init__(f"seed {seed}{RELIEF}{more}")
+    def __init__(self, seed, then=()):
+        super().__init__(f"seed {seed}{RELIEF}")
         self.relieved_at = None
         commit = self.state.multi
 
