More work than room over slow links; the archive read first is a mutation again

Cause: the combination of urgent and other work beyond the room with slow links had no test.

Change: a test at 0.25 s a message, with a mutation that starts without a grant; `polls_the_shelf_first` is back beside the test that replaced it.

--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -7,8 +7,11 @@
 import test_safety
 
 from roadhead.dispatch.dispatcher import Dispatcher
+from roadhead.homes.commanding import Commanding
 from roadhead.homes.hearing import Hearing
+from roadhead.homes.machine import LAUNCHING, Task
 from roadhead.jobs.book import Book
+from roadhead.local.world import World
 
 CASES_MOST = 40  # played for a mutation that is not noticed
 SAMPLES = 4  # of each combination; `tests/fault_combinations.py` plays all
@@ -30,6 +33,56 @@
     assert (outcome.faults, outcome.open_jobs) == ([], 0)
 
 
+SLOW_LINK_S = 0.25  # one way, where it is usually a thousandth of a second
+MORE_WORK_THAN_ROOM = """
+capacity 3
+until 260
+settled 60
+at 1 submit count=10 legs=10 runS=12 expectS=12 urgency=low
+at 10 submit count=6 legs=6 runS=6 expectS=6 urgency=high
+at 20 submit count=6 legs=6 runS=6 expectS=6 urgency=critical
+at 30 crash 0 3
+at 50 submit count=4 legs=6 runS=6 expectS=6 urgency=critical
+expect told done all
+expect no_rooms
+"""
+
+
+def over_slow_links(seed):
+    """More work than room, urgent and not, while each message takes a quarter of a second."""
+    world = World(f"{MORE_WORK_THAN_ROOM}\nseed {seed}\n")
+    world.network.latency = SLOW_LINK_S
+    return world.run()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_more_work_than_room_over_slow_links(seed):
+    """Everything is done, no machine is given more than it has room for, and the critical don't wait."""
+    world = over_slow_links(seed)
+    assert world.check() == []
+    done_at = {job: user.told_at for job, user in world.users.items()}
+    low, critical = list(done_at.values())[:10], list(done_at.values())[16:22]
+    assert max(critical) < max(low)
+
+
+def test_starts_without_a_grant_over_slow_links_are_noticed():
+    """A home that starts whatever it is asked to gives machines more than they have room for."""
+
+    def start(self, label, incarnation, frame, machine, needs, index, attempt):
+        key = (frame.job, index, attempt)
+        if machine is None or key in machine.tasks:
+            return False
+        task = Task(*key, LAUNCHING, (label, incarnation))
+        task.needs = needs
+        machine.put(task)
+        return True
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Commanding, "_start", start)
+        worlds = map(over_slow_links, range(1, 11))
+        assert any("found no room" in fault for world in worlds for fault in world.check())
+
+
 def started_before_written(patch):
     """A job's tasks start before its record is written."""
     real_create, real_created = Book.create, Book._created
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -16,6 +16,7 @@
 from roadhead.membership.touch import Cancellations
 from roadhead.node import Node
 from roadhead.shares.map import Shares
+from roadhead.state.reader import Reader
 from roadhead.switchboard import Switchboard
 from roadhead.wire import frames, messages
 
@@ -115,6 +116,16 @@
         patch.setattr(f"roadhead.jobs.{module}.SHELF", "nowhere/")
 
 
+def polls_the_shelf_first(patch):
+    """5: a record that moves between two reads is not found in either place."""
+    real = Reader.__init__
+
+    def init(self, loop, state, patience_s, places, *more):
+        real(self, loop, state, patience_s, places[::-1], *more)
+
+    patch.setattr(Reader, "__init__", init)
+
+
 def up_taken_for_booting(patch):
     """3: machines that are up, too, count as never heard by the home of before."""
     real = Home.covered
@@ -223,6 +234,7 @@
         (handed_over_taken_for_heard, "cut-in-two"),
         (moved_without_a_fence, "stall-takeover"),
         (created_without_a_look_at_the_shelf, "shelf"),
+        (polls_the_shelf_first, "shelf-polled"),
         (never_fenced, "takeover-room"),
         (freed_when_silent, "hung-machine"),
         (started_unsynced, "takeover-running"),
