The scenario lost-slow-then-refused has its mutation test

Cause: it was the one scenario of this part whose guard had not been taken out.

Change: a cancellation that is not known to be durable is confirmed all the same; the scenario must notice.

--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -243,6 +243,7 @@
         (records_without_stamps, "late-transaction-many"),
         (unsure_is_told_as_cancelled, "lost-refused-cancelled"),
         (unsure_is_told_as_cancelled, "lost-slow-state"),
+        (unsure_is_told_as_cancelled, "lost-slow-then-refused"),
         (cancellations_are_not_passed_on, "lost-refused-cancelled"),
     ],
 )
