--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -247,6 +247,7 @@
         (frees_when_lapsed, "cut-in-two"),
         (never_fenced, "back-takeover-room"),
         (started_unsynced, "back-late-copies"),
+        (started_unsynced, "move-ten-leaders"),
     ],
 )
 def test_breaking_a_safety_rule_is_noticed(sabotage, scenario):
@@ -265,6 +266,14 @@
         assert any("ran anew" in fault for fault in World(text).run().check())
 
 
+def test_jobs_that_nobody_takes_over_after_all_were_away_are_noticed():
+    """All controllers were away for longer than a lease: what their owners had accepted stays as it was."""
+    text = mutation.text_of("hang-all-away")
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(Book, "adopt", lambda self, items: None)
+        assert any("was told" in fault for fault in World(text).run().check())
+
+
 def test_silence_of_who_is_no_member_is_noticed():
     """No rule breaks, but the others let go of their machines: the scenario's bound on that notices."""
     text = mutation.text_of("meeting-dropped-then-down")
