A controller that is cut off alone is not ready while the state service does not answer

Cause: since what can't be answered is refused at once, a controller cut from the state service and from all others drew users: a load balancer favours who has few open connections, and /ready said yes where no other was heard.

Change: who has reached the state service since it started, and hears nobody, is not ready while that does not answer. In an outage, and for those that start within one, all stays as it was.

Measured: tests/test_refusals.py passed; of the four new cases "cut off alone" fails without the change.

--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -500,7 +500,18 @@
             return False
         if not self.home.known.types and since_s > self._deployment.cloud.list_lag_s:
             return False
-        return self._state_ok() or not any(link.state_ok for link in self.peers.links.values())
+        return self._state_ok() or not self._others_do_better()
+
+    def _others_do_better(self):
+        """Whether the state service, which does not answer here, seems to answer others.
+
+        While it is down for all, controllers hear one another, but for those that have not reached it since
+        they started. One that did, and hears nobody, member or not, is cut off itself. A load balancer would
+        favour it as long as it is ready, since it refuses users at once.
+        """
+        if self.peers.links or self.peers.outside or not self.settings.members:
+            return any(link.state_ok for link in self.peers.links.values())
+        return self.state.ok_at >= self._began_at
 
     def impossible(self, spec):
         """Why no machine can ever run the job, or None."""
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -90,6 +90,22 @@
     assert "connection" not in asked.ask(1, "GET", "/v1/jobs/req-000001")[2]
 
 
+@pytest.mark.parametrize(
+    ("troubles", "ready"),
+    [
+        ("at 5 cut 0 state 30 lose\nat 5 cut 0 peers 30 lose", [False, True, True]),
+        ("at 5 outage 30", [True, True, True]),
+        ("at 5 outage 30\nat 7 crash 0 0.1\nat 7 crash 1 0.1\nat 7 crash 2 0.1", [True, True, True]),
+        ("controllers 1\nat 5 outage 30", [True]),
+    ],
+    ids=["cut off alone", "down for all", "down for all that start anew", "one controller"],
+)
+def test_who_hears_nobody_is_not_ready_while_the_state_service_does_not_answer(troubles, ready):
+    """It refuses at once, so that a load balancer would favour it; in an outage all stay as they are."""
+    world = World(f"at 1 submit legs=2 runS=30\n{troubles}\nuntil 20").run()
+    assert [world.nodes[number].ready() for number in sorted(world.nodes)] == ready
+
+
 def test_a_submission_repeated_while_its_creation_is_under_way_joins_it(monkeypatch):
     """However much waits: it adds nothing to that."""
     asked = AskedAlone("at 14 slow-state 3 10")
