--- a/roadhead/api/answers.py
+++ b/roadhead/api/answers.py
@@ -7,6 +7,7 @@
 from roadhead.state.client import Conflict, Unavailable, Unsure
 from roadhead.wire import messages
 
+UNAVAILABLE = 503  # HTTP status: not known for sure now, or no authority
 RETRY_S = 1  # users wait that long at the least before they ask again
 
 
@@ -86,7 +87,8 @@
         self.retry_after = retry_after
 
     def answer(self):
-        return Answer(503, messages.error(TEXTS[self.cause]), self.retry_after)
+        """What the user is told."""
+        return Answer(UNAVAILABLE, messages.error(TEXTS[self.cause]), self.retry_after)
 
 
 def refusal_of(error):
--- a/roadhead/api/server.py
+++ b/roadhead/api/server.py
@@ -4,6 +4,7 @@
 
 from roadhead.api.answers import (
     NO_PATH,
+    UNAVAILABLE,
     UNCERTAIN,
     UNSIGNED,
     WRONG_METHOD,
@@ -85,7 +86,7 @@
             return UNSIGNED
         if path == JOBS or path.startswith(JOBS + "/"):
             answer = await self._answer_user(request.method, path, request.body)
-            if answer.status == 503 and not self._node.ready():
+            if answer.status == UNAVAILABLE and not self._node.ready():
                 # The load balancer passes this controller over, for new connections alone.
                 request.close = True
             return answer
@@ -99,7 +100,7 @@
         """Requests of workers, the load balancer and operators."""
         handlers = {
             REPORT: ("POST", lambda: self._reports.answer(body)),
-            READY: ("GET", lambda: Answer(200 if self._node.ready() else 503)),
+            READY: ("GET", lambda: Answer(200 if self._node.ready() else UNAVAILABLE)),
             SUMMARY: ("GET", lambda: Answer(200, messages.encode(self._node.summary()))),
             SHARES: ("GET", lambda: Answer(200, messages.encode(self._node.shares()))),
         }
--- a/roadhead/dispatch/headroom.py
+++ b/roadhead/dispatch/headroom.py
@@ -13,7 +13,7 @@
 
     __slots__ = ("count", "job", "leads", "mark", "place", "rank", "startable", "within")
 
-    def __init__(self, job, count, rank, place, startable, leads=False):
+    def __init__(self, job, count, rank, place, startable, *, leads=False):
         self.job = job
         self.count = count
         self.rank = rank
--- a/roadhead/fleet/limited.py
+++ b/roadhead/fleet/limited.py
@@ -53,6 +53,7 @@
         self._machines = {}  # machine -> (shape key, until)
 
     def add(self, machine, key, now):
+        """The machine of that shape came up."""
         self._machines[machine] = (key, now + self._window_s)
 
     def counts(self, now):
--- a/roadhead/homes/relief.py
+++ b/roadhead/homes/relief.py
@@ -18,6 +18,7 @@
         return bool(self._unaware)
 
     def labels(self):
+        """Those that may not know."""
         return list(self._unaware)
 
     def begin(self, term):
--- a/roadhead/jobs/guards.py
+++ b/roadhead/jobs/guards.py
@@ -6,10 +6,12 @@
 
     @staticmethod
     def of(_job):
+        """The (key, stamp) under which alone the job may be created, or None."""
         return None
 
     @staticmethod
     def later(_job):
+        """Whether its creation comes after others'."""
         return False
 
 
--- a/roadhead/jobs/transactions.py
+++ b/roadhead/jobs/transactions.py
@@ -27,6 +27,7 @@
 
     @property
     def keys(self):
+        """Where the job's record may lie."""
         return KEY + self.job.id, SHELF + self.job.id
 
     def is_stored_as(self, record):
@@ -87,6 +88,7 @@
         return len(self._keys)
 
     def add(self, key):
+        """The key is no longer needed."""
         if not self._keys:
             self._waiting_since = self._loop.now()
         if len(self._keys) < DROPS_KEPT and key not in self._keys:
@@ -98,11 +100,13 @@
             self.add(key)
 
     def take(self, most):
+        """Up to so many keys, for a transaction."""
         most = min(most, DROPS_MOST)
         taken, self._keys = self._keys[:most], self._keys[most:]
         return taken
 
     def due(self):
+        """Whether they have waited long enough to go by themselves."""
         return bool(self._keys) and self._loop.now() - self._waiting_since >= self._progress_s
 
 
