Polls wait for the request rate; each kind of lost write has a mutation that is noticed

Six kinds of lost writes (lease, renewal, gate, parts, release, archive) and the scenario read-lost-answers had no mutation of their own.

Change: a poll that comes then waits until the rate allows a read, within its patience; what its user gave up is not read. The tenth stays with leases and starts. Mutations: leases asked for once, failed renewals count as made, gate without conditions (the history of terms checks that the format never falls), a move in two transactions, parts of tries mixed, a release without its stamp, records never compared.

--- a/roadhead/state/reader.py
+++ b/roadhead/state/reader.py
@@ -7,7 +7,7 @@
 
 from itertools import islice
 
-from roadhead.runtime.loop import Future
+from roadhead.runtime.loop import Future, Timeout
 from roadhead.state.client import Conflict, Unavailable, Unsure
 
 LANES = 2  # batches under way at once
@@ -15,6 +15,7 @@
 ROUNDS = 3  # of comparing what did not change; the rest is read
 KEPT_MOST = 5000
 AMPLE = 0.6  # of the burst of requests: with less left, polls are gathered
+RESERVED = 0.1  # of the burst of requests is left to leases and starts: polls wait meanwhile
 GATHER = 0.05  # of the patience
 TRY_AGAIN = 0.25  # of the patience: a comparison whose answer was lost before that is sent again
 FAILING = 0.5  # of the patience: once nothing was answered for longer, one poll at a time waits
@@ -46,8 +47,8 @@
             del self._existing[next(iter(self._existing))]
 
     async def read(self, name):
-        """The record of that name as it is now, or None. Raises Unavailable at once if it is too much, or
-        if nothing is answered at present.
+        """The record of that name as it is now, or None. Raises Unavailable at once if too many wait, or
+        if nothing is answered at present; Timeout once the patience is over.
 
         Records vanish with their tenant alone, so one that was seen to exist is looked for once more before
         it is called missing.
@@ -58,8 +59,7 @@
         return record
 
     async def _ask(self, name):
-        crowded = len(self._waiting) >= 4 * self._most and name not in self._waiting
-        if crowded or not self._state.requests.spare(0.1):
+        if len(self._waiting) >= 4 * self._most and name not in self._waiting:
             raise Unavailable("busy")
         if self._lanes and self._state.failing_s() > FAILING * self._patience_s:
             raise Unavailable("no answers from the state service")
@@ -68,11 +68,26 @@
         if self._lanes < LANES:
             self._lanes += 1
             self._loop.spawn(self._lane(), "read")
-        return await self._loop.within(self._patience_s, future)
+        try:
+            return await self._loop.within(self._patience_s, future)
+        except Timeout:
+            self._withdraw(name, future)
+            raise
+
+    def _withdraw(self, name, future):
+        """Whoever asked has gone: nothing is read for him alone."""
+        futures = self._waiting.get(name, ())
+        if future in futures:
+            futures.remove(future)
+            if not futures:
+                del self._waiting[name]
 
     async def _lane(self):
         try:
             while self._waiting:
+                if not self._state.requests.spare(RESERVED):
+                    await self._loop.sleep(self._patience_s * GATHER)
+                    continue
                 if not self._state.requests.spare(AMPLE):
                     # More is asked than could be read one by one: let a few come together.
                     await self._loop.sleep(self._patience_s * GATHER)
--- a/tests/term_history.py
+++ b/tests/term_history.py
@@ -1,6 +1,7 @@
-"""What must hold of all terms that were ever in force: incarnations, tokens and creations."""
+"""What must hold of all terms and formats that were in force: incarnations, tokens, creations, the gate."""
 
 from roadhead.jobs.job import KEY, NOBODY
+from roadhead.membership.gate import BEFORE, GATE
 from roadhead.membership.member import TERM
 from roadhead.membership.term import Term
 
@@ -15,11 +16,14 @@
         self._tokens = {}  # (share, token) -> (home, its incarnation)
         self._newest = {}  # share -> token
         self._term = Term()
+        self._format = BEFORE
         known_jobs = set()
         for event in world.state.log:
             key = event.get("put", "")
             if key == TERM:
                 self._take(event["data"])
+            elif key == GATE:
+                self._raise_format(event["data"])
             elif key.startswith(KEY) and event["data"]["s"] == "open" and key not in known_jobs:
                 known_jobs.add(key)
                 self._created(key, event["data"])
@@ -42,6 +46,11 @@
                 self.faults.append(f"the token of share {share} falls to {token}")
             self._newest[share] = token
 
+    def _raise_format(self, record):
+        if record["format"] < self._format:
+            self.faults.append(f"the format in force falls to {record['format']}")
+        self._format = record["format"]
+
     def _created(self, key, record):
         owner = tuple(record["o"])
         if owner != NOBODY and not self._term.serves(*owner):
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -1,9 +1,11 @@
 """A write is carried out and only its answer lost, or seconds late, while others read what it wrote."""
 
 import itertools
+from types import SimpleNamespace
 
 import mutation
 import pytest
+from test_read_order import never_compared
 from write_faults import Fault, Sender, play
 from write_kinds import KINDS
 
@@ -11,12 +13,17 @@
 from roadhead.api.server import Api
 from roadhead.gateway.tenants_api import TenantsApi, authenticate
 from roadhead.jobs.book import Book
-from roadhead.jobs.job import KEY
+from roadhead.jobs.job import KEY, SHELF
+from roadhead.jobs.records import Shelf
 from roadhead.jobs.transactions import Entry
 from roadhead.local.state_service import StateService
+from roadhead.membership.gate import GATE
 from roadhead.membership.member import MEMBER, TERM
 from roadhead.membership.term import Term
 from roadhead.node import Node
+from roadhead.pipelines import parts
+from roadhead.runtime.loop import Future
+from roadhead.state.client import StateClient, Unavailable, Unsure
 from roadhead.wire import messages
 
 FATES = (
@@ -93,6 +100,7 @@
     ("missing", "kind", "late_s"),
     [
         (stamps_of_records, "progress", (4.5, 7.0, 12.0)),
+        (stamps_of_records, "release", (7.0,)),
         (creations_need_no_term, "creation", (0.6, 0.9)),
         (term_without_its_stamp, "move", (2.0, 4.5)),
         (term_without_its_stamp, "join", (2.0, 4.5)),
@@ -113,6 +121,104 @@
     assert play(fault, prepare=without_conditions(entry_without_its_own_stamp)).joins > 3
 
 
+def gate_without_conditions(_key, _stamp, writes):
+    """The gate: whatever is there is replaced, also by an earlier record that comes late."""
+    return any(write.get("put") == GATE for write in writes)
+
+
+ONE_JOINS_LATER = """
+capacity 6
+at 0 crash 2 5
+at 1 submit count=5 legs=4 runS=6
+until 60
+"""
+
+
+def test_a_gate_without_conditions_is_noticed():
+    fault = Fault("gate", late_s=12.0)
+    outcome = play(fault, ONE_JOINS_LATER, prepare=without_conditions(gate_without_conditions))
+    assert "the format in force falls to 3" in outcome.faults
+    assert play(fault, ONE_JOINS_LATER).faults == ()
+
+
+def leases_are_asked_for_once(patch):
+    """Membership: whoever hears no answer to its lease waits for it for ever."""
+    real = StateClient.lease
+
+    async def lease(self, life_s):
+        try:
+            return await real(self, life_s)
+        except Unsure:
+            await Future()
+
+    patch.setattr(StateClient, "lease", lease)
+
+
+def test_a_lease_that_is_asked_for_once_costs_its_controller_its_place():
+    fault = Fault("lease", reset=True)
+    with pytest.MonkeyPatch.context() as patch:
+        leases_are_asked_for_once(patch)
+        joins = play(fault).joins
+    assert joins < play(fault).joins
+
+
+def failed_renewals_count_as_made(patch):
+    """Membership: a lease is believed in although no renewal of it was answered."""
+    real = StateClient.touch
+
+    async def touch(self, permit):
+        try:
+            await real(self, permit)
+        except (Unsure, Unavailable):
+            pass
+
+    patch.setattr(StateClient, "touch", touch)
+
+
+def test_a_renewal_that_failed_and_counts_as_made_is_noticed():
+    mutation.assert_noticed(failed_renewals_count_as_made, "meeting-boots-at-the-cut")
+
+
+def moves_in_two_transactions(patch):
+    """5: a record leaves its place before it is where it is looked for next."""
+
+    async def move(self, moves):
+        await self._state.multi([], [{"drop": KEY + job_id} for job_id, _record, _stamp in moves])
+        await self._state.multi([], [{"put": SHELF + job_id, "data": record} for job_id, record, _ in moves])
+
+    patch.setattr(Shelf, "_move", move)
+
+
+def parts_of_tries_mix(patch):
+    """Pipelines: a part without an answer goes under another key next, and all tries have one nonce."""
+    real = StateClient.multi
+    patch.setattr(parts, "secrets", SimpleNamespace(token_hex=lambda _count: "0"))
+
+    async def multi(self, conditions, writes, patient=False):
+        try:
+            return await real(self, conditions, writes, patient)
+        except Unsure:
+            if not writes or not writes[0].get("put", "").startswith(parts.PARTS):
+                raise
+            again = [{"put": f"{write['put']}-again", "data": write["data"]} for write in writes]
+            return await real(self, conditions, again, patient)
+
+    patch.setattr(StateClient, "multi", multi)
+
+
+PARTS_READ_BY_HEIRS = """
+capacity 10
+value_kb 1
+txn_ops 5
+at 1 submit count=80 legs=1 runS=20
+at 5 submit legs=1 runS=2 upstream=1-80
+at 12 crash 0 0.3
+at 12 crash 1 0.3
+at 12 crash 2 0.3
+until 120
+"""
+
+
 def incarnations_are_counted_from_the_members(patch):
     """1: a number that a member had that was dropped since is given again."""
     real = Term.join
@@ -159,6 +265,7 @@
         (incarnations_are_counted_from_the_members, "join", None),
         # No controller ends here: else the heirs of the one that does would find the job.
         (own_creation_is_not_recognized, "creation", "at 1 submit count=4 legs=2 runS=4\nuntil 90"),
+        (parts_of_tries_mix, "parts", PARTS_READ_BY_HEIRS),
     ],
 )
 def test_a_guard_that_is_taken_out_is_noticed(mutate, kind, text):
@@ -173,6 +280,14 @@
     raise AssertionError(f"not noticed: {mutate.__doc__}")
 
 
+def test_a_move_to_the_archive_in_two_transactions_is_noticed():
+    fault = Fault("archive", late_s=7.0, sender=Sender.ENDS)
+    with pytest.MonkeyPatch.context() as patch:
+        moves_in_two_transactions(patch)
+        assert any("forgotten" in text for text in play(fault).faults)
+    assert play(fault).faults == ()
+
+
 NEW_TENANTS = """
 gateways 2
 at 2 tenant first team=crew:cpus=4 cpus=8
@@ -245,6 +360,7 @@
         (unsure_is_told_as_cancelled, "lost-slow-state"),
         (unsure_is_told_as_cancelled, "lost-slow-then-refused"),
         (cancellations_are_not_passed_on, "lost-refused-cancelled"),
+        (never_compared, "read-lost-answers"),
     ],
 )
 def test_a_scenario_notices_a_guard_that_is_taken_out(mutate, scenario):
--- a/tests/test_refusals.py
+++ b/tests/test_refusals.py
@@ -10,6 +10,7 @@
 from roadhead.node import Node
 from roadhead.runtime.loop import Timeout
 from roadhead.state.client import Conflict, StateClient, Unavailable, Unsure
+from roadhead.state.reader import RESERVED
 
 OPERATIONS = Path(__file__).parent.parent / "docs" / "operations.md"
 
@@ -140,6 +141,33 @@
     assert asked.count(Question.SUBMISSION, Cause.NOT_A_MEMBER) == 1
 
 
+def test_a_poll_waits_while_leases_and_starts_need_the_requests(monkeypatch):
+    asked, real, left = AskedAlone("until 30"), StateClient.get, []
+    asked.world.sim.run_until(30)
+    requests = asked.world.nodes[0].state.requests
+
+    async def get(self, key):
+        left.append(requests.spare(RESERVED))
+        return await real(self, key)
+
+    monkeypatch.setattr(StateClient, "get", get)
+    requests.empty()
+    assert asked.ask(0, "GET", "/v1/jobs/req-000001")[0] == 200
+    assert left and all(left)
+    assert asked.took_s < 0.5
+
+
+def test_a_poll_that_waits_in_vain_is_refused_and_read_no_more(monkeypatch):
+    asked = AskedAlone("until 30")
+    asked.world.sim.run_until(30)
+    node = asked.world.nodes[0]
+    monkeypatch.setattr(node.state.requests, "spare", lambda share: False)
+    job_of_nobody = "req-700001"  # no other user asks about it
+    assert asked.ask(0, "GET", f"/v1/jobs/{job_of_nobody}")[0] == 503
+    assert asked.count(Question.POLL, Cause.READ_SLOW) >= 1
+    assert job_of_nobody not in node.reader._waiting
+
+
 def test_a_cancellation_reads_what_came_of_a_lost_answer(monkeypatch):
     """Also when the answer to the read before is lost."""
     asked, real, lost = AskedAlone(""), StateClient.get, []
