roadhead scale: a real cluster of processes with hollow workers, measured

Need: the size of the next two years has to be planned from measured slopes, and shown by a run.

Change: roadhead/scale plays a TOML plan with real controllers, the state service and cloud emulators as processes, hollow workers many to a process on loopback addresses of their own, and users in an open loop whose latencies count from when a job was due. On the way: the state emulator's watch searches its log by bisection; machines of ./try can be returned (the cloud emulator failed on release: its machines had no tasks, its world no count).

--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -43,8 +43,12 @@
     local.add_argument("--keep", metavar="DIR", help="keep everything in DIR; without --run: serve on")
     local.add_argument("--crash", metavar="N", type=int, default=0, help="kill controllers N times meanwhile")
     local.add_argument("--timeout", metavar="SECONDS", type=float, default=50.0, help="for --run")
-    part = verbs.add_parser("local-part")
-    part.add_argument("arguments", nargs="+")
+    scale = verbs.add_parser("scale", help="a cluster with hollow workers on this machine, measured")
+    scale.add_argument("file", metavar="FILE", help="sizes, load and failures (TOML)")
+    scale.add_argument("--report", metavar="FILE", help="write the figures there, as JSON")
+    scale.add_argument("--keep", metavar="DIR", help="keep logs and settings in DIR")
+    for name in ("local-part", "scale-part"):
+        verbs.add_parser(name).add_argument("arguments", nargs="+")
 
     def client(name, about):
         verb = verbs.add_parser(name, help=about)
@@ -255,6 +259,14 @@
         return commands.main(args)
     if args.verb == "local":
         return local(args)
+    if args.verb == "scale":
+        from roadhead.scale import command
+
+        return command.main(args, [os.path.abspath(sys.argv[0])])
+    if args.verb == "scale-part":
+        from roadhead.scale import command
+
+        return command.part(args.arguments)
     if args.verb == "local-part":
         from roadhead.local import processes
 
--- a/roadhead/local/processes.py
+++ b/roadhead/local/processes.py
@@ -55,6 +55,7 @@
         self.sim = Clock(self.loop)
         self.network = self
         self.fetch_s, self.stuck_boots, self.no_rooms, self.killed = 0.05, 0, 0, 0
+        self.given_back = 0
         self.fault_windows = FaultWindows()
         self.completed, self.gangs = set(), {}
 
@@ -122,6 +123,7 @@
     def __init__(self, ground, name, kind, zone, spot):
         self.name, self.kind, self.zone, self.spot = name, kind, zone, spot
         self.born = ground.sim.time
+        self.tasks = {}  # known to its worker alone
         self.address = free_address()
         self.process = subprocess.Popen(
             [
--- a/roadhead/local/state_service.py
+++ b/roadhead/local/state_service.py
@@ -1,5 +1,6 @@
 """The emulated state service: versioned keys, leases, transactions, watches and limits."""
 
+import bisect
 import json
 
 from roadhead.local.server import Server
@@ -112,10 +113,11 @@
             while True:
                 if after < self.log_from:
                     return 410, {}
+                newer = bisect.bisect_right(self.log, after, key=lambda event: event["stamp"])
                 found = [
-                    e
-                    for e in self.log
-                    if e["stamp"] > after and (e.get("put") or e.get("drop")).startswith(prefix)
+                    event
+                    for event in self.log[newer:]
+                    if (event.get("put") or event.get("drop")).startswith(prefix)
                 ]
                 if not refused() and (found or self.sim.time >= ends):
                     return 200, {"epoch": self.epoch, "log": found}
--- a/roadhead/runtime/net.py
+++ b/roadhead/runtime/net.py
@@ -128,10 +128,11 @@
 
 
 class Net:
-    """Listens and connects. `limit` bounds the streams accepted at once."""
+    """Listens and connects. `stream`: the class of its connections."""
 
-    def __init__(self, loop):
+    def __init__(self, loop, stream=Stream):
         self.loop = loop
+        self._stream = stream
         self._listeners = []
 
     def listen(self, address, on_stream):
@@ -155,10 +156,17 @@
                     continue
                 peer.setblocking(False)
                 peer.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                on_stream(Stream(self.loop, peer))
+                on_stream(self._stream(self.loop, peer))
 
         self.loop.selector.register(sock, READ, accept)
 
+    def stop_listening(self):
+        """Takes no more connections; those that are open go on."""
+        for sock in self._listeners:
+            self.loop.selector.unregister(sock)
+            sock.close()
+        self._listeners.clear()
+
     async def connect(self, address, timeout):
         """A stream to `address`; raises Closed or Timeout."""
         loop = self.loop
@@ -183,4 +191,4 @@
         except BaseException:
             sock.close()
             raise
-        return Stream(loop, sock)
+        return self._stream(loop, sock)
--- /dev/null
+++ b/roadhead/scale/layout.py
@@ -0,0 +1,116 @@
+"""Addresses and files of a run: what its processes need to find each other."""
+
+import itertools
+import json
+from pathlib import Path
+
+import msgspec
+
+from roadhead.local.processes import free_address
+from roadhead.scale.plan import Plan
+
+LAYOUT = "cluster.json"
+WORKER_PORT = 9000
+WORKERS_A_SUBNET = 250
+SOCKETS = 4096  # of a controller
+KEPT_IDLE = 1e6  # of a machine's boot time: workers of a scale run are not returned when idle
+
+
+def zone_name(number):
+    """The name of a zone by its number."""
+    return f"zone-{number}"
+
+
+def worker_address(number):
+    """A loopback address of a worker's own, so that thousands can listen."""
+    subnet, place = divmod(number, WORKERS_A_SUBNET)
+    return f"127.{10 + subnet // 250}.{subnet % 250}.{place + 1}:{WORKER_PORT}"
+
+
+class Layout:
+    """The directory of a run. `document`: what `local.processes.Ground` reads, and addresses more."""
+
+    def __init__(self, directory):
+        self.directory = Path(directory)
+        self.document = json.loads((self.directory / LAYOUT).read_text())
+        self.plan = msgspec.convert(self.document["plan"], Plan)
+
+    @classmethod
+    def create(cls, directory, plan, program):
+        """Writes the directory's files for a Plan. `program`: arguments that start roadhead."""
+        directory = Path(directory)
+        labels = [f"controller-{number}" for number in range(plan.cluster.controllers)]
+        document = {
+            "plan": msgspec.to_builtins(plan),
+            "program": program,
+            "labels": labels,
+            "fronts": [free_address() for _ in labels],
+            "internal": [free_address() for _ in labels],
+            "state": free_address(),
+            "cloud": free_address(),
+            "hosts": [free_address() for _ in range(plan.cluster.hosts)],
+            "settings": {
+                "workers": {name: getattr(plan.timing, name) for name in ("report_s", "lease_s", "cancel_s")},
+                "state": msgspec.to_builtins(plan.state),
+                "cloud": {"rps": plan.cloud_rps, "list_lag_s": plan.timing.list_lag_s},
+            },
+        }
+        (directory / LAYOUT).write_text(json.dumps(document))
+        (directory / "tuning.toml").write_text(f"[fleet]\nidle_ratio = {KEPT_IDLE}\n")
+        layout = cls(directory)
+        for number in range(len(labels)):
+            (directory / f"{labels[number]}.json").write_text(json.dumps(layout._settings_of(number)))
+        return layout
+
+    def zone_of(self, number):
+        """The zone of a controller or worker, by its number."""
+        return zone_name(number % self.plan.cluster.zones)
+
+    def _settings_of(self, number):
+        document, plan = self.document, self.plan
+        members = [
+            {"label": label, "location": self.zone_of(other), "endpoint": document["internal"][other]}
+            for other, label in enumerate(document["labels"])
+            if other != number
+        ]
+        return {
+            "label": document["labels"][number],
+            "location": self.zone_of(number),
+            "front": document["fronts"][number],
+            "internal_addr": document["internal"][number],
+            "members": members,
+            "external": {"cloud": document["cloud"], "state": document["state"]},
+            "deployment": {
+                "nodes": plan.cluster.controllers,
+                "zones": [zone_name(zone) for zone in range(plan.cluster.zones)],
+                "teams": [
+                    {"name": f"team-{team}", "cpus_max": plan.teams.cpus_max}
+                    for team in range(plan.teams.count)
+                ],
+                "quota": {"fd_limit": SOCKETS},
+                **document["settings"],
+            },
+        }
+
+    def processes(self):
+        """Yields (role, name, arguments of roadhead) of each process, in the order in which they start."""
+        directory = str(self.directory)
+        yield "state", "state", ["scale-part", "state", directory]
+        for number in range(self.plan.cluster.hosts):
+            yield "workers", f"workers-{number}", ["scale-part", "workers", directory, str(number)]
+        yield "cloud", "cloud", ["scale-part", "cloud", directory]
+        for label in self.document["labels"]:
+            yield "controller", label, self.controller_arguments(label)
+
+    def controller_arguments(self, label):
+        """Arguments of roadhead that start a controller."""
+        config, tuning = self.directory / f"{label}.json", self.directory / "tuning.toml"
+        return ["serve", "--config", str(config), "--tuning", str(tuning)]
+
+    def host_of(self, number):
+        """The process of a worker, by the worker's number."""
+        return number % self.plan.cluster.hosts
+
+    def numbers(self):
+        """Numbers for workers, never given twice."""
+        return itertools.count(1)
