--- a/roadhead/scale/layout.py
+++ b/roadhead/scale/layout.py
@@ -1,7 +1,8 @@
 """Addresses and files of a run: what its processes need to find each other."""
 
-import itertools
 import json
+import random
+import socket
 from pathlib import Path
 
 import msgspec
@@ -12,6 +13,7 @@
 LAYOUT = "cluster.json"
 WORKER_PORT = 9000
 WORKERS_A_SUBNET = 250
+NETWORKS = range(10, 250)  # second parts of loopback addresses
 SOCKETS = 4096  # of a controller
 KEPT_IDLE = 1e6  # of a machine's boot time: workers of a scale run are not returned when idle
 
@@ -21,10 +23,24 @@
     return f"zone-{number}"
 
 
-def worker_address(number):
-    """A loopback address of a worker's own, so that thousands can listen."""
+def worker_address(network, number):
+    """A loopback address of a worker's own, so that thousands can listen. `network`: the run's own."""
     subnet, place = divmod(number, WORKERS_A_SUBNET)
-    return f"127.{10 + subnet // 250}.{subnet % 250}.{place + 1}:{WORKER_PORT}"
+    return f"127.{network}.{subnet}.{place + 1}:{WORKER_PORT}"
+
+
+def reserve_network():
+    """(a network for workers that no other run uses, the socket that reserves it as long as it is open)."""
+    for network in random.sample(NETWORKS, len(NETWORKS)):
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{network}.255.254", WORKER_PORT))
+            lock.listen()
+        except OSError:
+            lock.close()
+            continue
+        return network, lock
+    raise OSError("no network is left for the workers of this run")
 
 
 class Layout:
@@ -32,6 +48,7 @@
 
     def __init__(self, directory):
         self.directory = Path(directory)
+        self._lock = None  # reserves the workers' network while the run lasts
         self.document = json.loads((self.directory / LAYOUT).read_text())
         self.plan = msgspec.convert(self.document["plan"], Plan)
 
@@ -39,10 +56,12 @@
     def create(cls, directory, plan, program):
         """Writes the directory's files for a Plan. `program`: arguments that start roadhead."""
         directory = Path(directory)
+        network, lock = reserve_network()
         labels = [f"controller-{number}" for number in range(plan.cluster.controllers)]
         document = {
             "plan": msgspec.to_builtins(plan),
             "program": program,
+            "network": network,
             "labels": labels,
             "fronts": [free_address() for _ in labels],
             "internal": [free_address() for _ in labels],
@@ -58,6 +77,7 @@
         (directory / LAYOUT).write_text(json.dumps(document))
         (directory / "tuning.toml").write_text(f"[fleet]\nidle_ratio = {KEPT_IDLE}\n")
         layout = cls(directory)
+        layout._lock = lock
         for number in range(len(labels)):
             (directory / f"{labels[number]}.json").write_text(json.dumps(layout._settings_of(number)))
         return layout
@@ -110,7 +130,3 @@
     def host_of(self, number):
         """The process of a worker, by the worker's number."""
         return number % self.plan.cluster.hosts
-
-    def numbers(self):
-        """Numbers for workers, never given twice."""
-        return itertools.count(1)
--- a/roadhead/scale/services.py
+++ b/roadhead/scale/services.py
@@ -87,7 +87,7 @@
 
     def __init__(self, cloud, name, number, kind, zone, spot):
         self.name, self.number, self.kind, self.zone, self.spot = name, number, kind, zone, spot
-        self.address = worker_address(number)
+        self.address = worker_address(cloud.network, number)
         self.born = cloud.sim.time
         self.boot_s = kind["startupS"] * cloud.sim.random.uniform(0.6, 1.5)
         self.tasks = {}  # known to its worker alone
@@ -138,6 +138,7 @@
         super().__init__(ground, [kind], capacity, ground.plan["cloud"])
         self._hosts = [Client(self.loop, Net(self.loop), address) for address in ground.plan["hosts"]]
         self.started, self.ended, self._restarted = [], [], []
+        self.network = ground.plan["network"]
         for number in range(plan.cluster.workers):
             self.rent(CPUS_TYPE, zones[number % len(zones)], spot=True, count=1)
         self.loop.spawn(self._give_orders(), "first workers")
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -9,6 +9,7 @@
 import pytest
 
 from roadhead.scale import analysis, plan
+from roadhead.scale.layout import reserve_network, worker_address
 from roadhead.scale.load import JobResult
 from roadhead.scale.workload import Workload
 
@@ -62,6 +63,13 @@
     assert first.get("req-999999") is None
 
 
+def test_two_runs_at_once_have_workers_of_their_own():
+    (first, lock), (second, other_lock) = reserve_network(), reserve_network()
+    with lock, other_lock:
+        assert worker_address(first, 3000) != worker_address(second, 3000)
+        assert worker_address(first, 1) == f"127.{first}.0.2:9000"
+
+
 def events(text):
     """TaskEvents of lines `at sign task worker`."""
     return [
