--- a/roadhead/dispatch/demand.py
+++ b/roadhead/dispatch/demand.py
@@ -118,9 +118,11 @@
         for job in self._book.coming(ON_WORD * self._queue.capacity()):
             if job.free and not job.doubtful:
                 parts += self._parts(job, False)
-        if self._book.has_limits:
+        if self._book.quota.has_limits:
             # What is startable comes first, and of that what comes first in the queue.
-            SharedHeadroom(self._book).share(sorted(parts, key=lambda part: (not part.startable, part.place)))
+            SharedHeadroom(self._book.quota).share(
+                sorted(parts, key=lambda part: (not part.startable, part.place))
+            )
         return parts
 
     def _parts(self, job, startable):
--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -235,9 +235,9 @@
 
     def may_start(self, job):
         """Whether its team's limit leaves room for one more task."""
-        if not self._book.limited(job.spec.team):
+        if not self._book.quota.limited(job.spec.team):
             return True
-        return times(job.need, self._book.headroom(job.spec.team)) >= (len(job.free) if job.gang else 1)
+        return times(job.need, self._book.quota.headroom(job.spec.team)) >= (len(job.free) if job.gang else 1)
 
     def _groups(self, waiting):
         """Runs of the queue due at about the same time: there images decide who goes first."""
@@ -301,8 +301,8 @@
         alone = self.queue.sharing is None
         left = None
         started = False
-        if self._book.limited(spec.team):
-            left = self._book.headroom(spec.team)
+        if self._book.quota.limited(spec.team):
+            left = self._book.quota.headroom(spec.team)
         while job.free and fitting and (alone or job.part > 0):
             place = self._random.randrange(len(fitting))
             listing = fitting[place]
--- a/roadhead/dispatch/headroom.py
+++ b/roadhead/dispatch/headroom.py
@@ -27,8 +27,8 @@
 class SharedHeadroom:
     """One sharing out of what limits leave: what a job gets is no longer there for those behind it."""
 
-    def __init__(self, book):
-        self._book = book
+    def __init__(self, quota):
+        self._quota = quota
         self._left = {}  # level -> [cpus, gpus] still free under its limit
         self._levels = {}  # team -> names of its levels, None: nothing of it starts from here
         self._cut = set()  # levels with more work than room
@@ -36,7 +36,7 @@
 
     def share(self, parts):
         """Sets `within` and `mark` of each part; `parts` in the order in which they would start."""
-        limited = [part for part in parts if self._book.limited(part.job.spec.team)]
+        limited = [part for part in parts if self._quota.limited(part.job.spec.team)]
         for part in limited:
             part.within = self._take(part.job, part.count)
         for part in limited:
@@ -44,7 +44,7 @@
 
     def _mark(self, team):
         levels = self._levels[team]
-        if levels is None or not self._book.counted(team):
+        if levels is None or not self._quota.counted(team):
             return Mark.PENDING
         return Mark.PLAIN if self._cut.isdisjoint(levels) else Mark.WITHIN
 
@@ -72,7 +72,7 @@
 
     def _levels_of(self, team):
         if team not in self._levels:
-            rooms = self._book.level_rooms(team)
+            rooms = self._quota.level_rooms(team)
             self._levels[team] = None if rooms is None else tuple(rooms)
             for name, room in (rooms or {}).items():
                 self._left.setdefault(name, room)
--- a/roadhead/homes/commanding.py
+++ b/roadhead/homes/commanding.py
@@ -123,7 +123,7 @@
                     machine.forget(task)
             self._ask(machine)
 
-    def spec(self, job, spec, over):
+    def spec(self, job, spec, *, over):
         """The needs of a job's tasks, read from its record; `over`: it is done or cancelled."""
         if spec is not None:
             self._known.specs[job] = spec
--- a/roadhead/jobs/book.py
+++ b/roadhead/jobs/book.py
@@ -7,9 +7,9 @@
 import logging
 from bisect import insort
 
-from roadhead.homes.machine import NOTHING
 from roadhead.jobs.context import OwnerContext
 from roadhead.jobs.job import FINAL, NOBODY, Binding, Job, from_record
+from roadhead.jobs.quota import QuotaPartitions
 from roadhead.jobs.reconciliation import Reconciliation
 from roadhead.jobs.task_reports import TaskReports
 from roadhead.jobs.teams import Accounts
@@ -24,8 +24,6 @@
 LARGEST_PART = 10  # of a class's jobs one in so many is among its largest
 LARGER_PART = 2.5  # and one in so many among the larger ones: more than a quarter, as others own the rest
 SIZES_MOST = 2000  # jobs of a class by which that is judged
-NO_ROOM = (-1.0, -1.0)  # not even for a task that takes nothing
-AMPLE = 1e12  # CPUs or GPUs of a team without a limit on them
 
 
 class Book:
@@ -55,12 +53,9 @@
         self._on_finished = on_finished
         self.teams = teams
         self.accounts = Accounts(teams)
-        self.warden_since = {}  # slot of wardens held here -> number of the term that gave it
+        self.quota = QuotaPartitions(loop, member, teams, self.accounts)
         self._on_orphan = on_orphan
         self._shelve = shelve  # (job id, final record, its stamp)
-        self.scanned = 0  # number of the term for which all records were read
-        self._left = set()  # slots whose warden of before ended: it may have left cancelled tasks running
-        self._gone_at = {}  # slot -> by then those are gone
         self.jobs = {}  # open jobs owned here, by id
         self.started_at = {}  # class -> when a task of it was last started
         self.seen = {}  # class -> number of its jobs that were ever owned here
@@ -75,9 +70,8 @@
         self._new = {}  # id -> Job whose record is being written
         self._cancelled_early = set()  # those of them that another controller has read and cancelled
         self._adopting = {}  # those of which no record names this owner yet, in order as a set
-        self.closing = set()  # slots of wardens about to be handed on: nothing of them comes to us
         self._attempts = 0
-        self._unowned = []  # accepted while slots were closing
+        self._unowned = []  # accepted while quota partitions were closing
         self._ending = {}  # cancelled with a job that they need, to be written; by id
         self._to_sync = []  # inherited and let go in this turn
         context = OwnerContext(loop, member, send, changed, counters.add, time_of_day, lease_s)
@@ -104,8 +98,8 @@
         if pending is None:
             pending = self._creating[spec.id] = Future()
             owner = self._me
-            if not self.owns(spec.team):
-                owner = NOBODY  # the warden takes it over
+            if not self.quota.owns(spec.team):
+                owner = NOBODY  # the quota leader takes it over
             job = self._new[spec.id] = Job(spec, owner, self._time_of_day())
             if not job.waits or self.recorder.holds(job):
                 self.recorder.mark(job, URGENT)
@@ -179,7 +173,7 @@
 
     def _created(self, job):
         if job.owner == NOBODY:
-            if self.closing:
+            if self.quota.closing:
                 self._unowned.append(job)
             self._on_orphan(job)
         elif not self.line.enter(job):
@@ -187,105 +181,12 @@
 
     # Limits
 
-    def owns(self, team):
-        """Whether jobs of the team may be owned here: those of a limited one are its warden's."""
-        group = self.teams.group(team)
-        if group is None:
-            return True
-        term = self._member.term
-        return term.warden(group) == self._member.label and term.slot(group) not in self.closing
-
-    def idle_slots(self):
-        """Slots held here of which nothing is owned, being created or taken over, nor may run cancelled:
-        whoever is given one starts at once."""
+    def idle_partitions(self):
+        """Quota partitions held here of which nothing is owned, being created or taken over, nor may run
+        cancelled."""
         groups = {self.teams.group(job.spec.team) for job in (*self._new.values(), *self._adopting)}
         groups |= {self.teams.group(team) for team in self.line.waits.by_team}
-        busy = {
-            self._member.term.slot(group) for group in (*self.accounts.groups(), *groups) if group is not None
-        }
-        return [slot for slot in self.warden_since if slot not in busy and self._knows_slot(slot)]
-
-    def on_term(self, old, new):
-        """Which slots of wardens are held here, and since which term."""
-        label = self._member.label
-        same = old is not None and old.incarnation(label) == new.incarnation(label)
-        held = {slot for slot, warden in enumerate(old.wardens) if warden == label} if same else set()
-        # In a term that was not seen here it may have gone to one that started tasks, and ended.
-        skipped = old is None or new.number > old.number + 1
-        if skipped:
-            held -= self.closing
-        self.warden_since = {
-            slot: self.warden_since.get(slot, new.number) if slot in held else new.number
-            for slot, warden in enumerate(new.wardens)
-            if warden == label
-        }
-        for slot in self.warden_since.keys() - held:
-            before = old.wardens[slot] if old is not None and slot < len(old.wardens) else None
-            # One that gave it away had nothing of it any more.
-            if skipped or before is None or old.incarnation(before) != new.incarnation(before):
-                self._left.add(slot)
-        self._left &= self.warden_since.keys()
-
-    def inherits_limits(self):
-        """Whether a slot of wardens came from one that ended, and its records were not all read since."""
-        return self.has_limits and bool(self._left)
-
-    def all_read(self, number, gone_at):
-        """All records were read under that term. `gone_at`: by then all tasks of jobs found cancelled are
-        gone, None if there were none."""
-        for slot in self._left:
-            self._gone_at[slot] = -1e9 if gone_at is None else gone_at
-        self._left.clear()
-        self.scanned = number
-
-    def _knows_slot(self, slot):
-        """Whether all jobs of a slot are known here, and those cancelled before that are gone."""
-        since = self.warden_since.get(slot)
-        return (
-            since is not None
-            and self.scanned >= since
-            and slot not in self._left
-            and self._loop.now() >= self._gone_at.get(slot, -1e9)
-        )
-
-    def headroom(self, team):
-        """How many (cpus, gpus) the tasks of a limited team may still take.
-
-        The warden alone starts them, and only while it knows of every task of the group that
-        may be on a machine: until then there is none. A slot held since a term for which all
-        records were read has no jobs but those that are owned here, whatever changed since.
-        """
-        rooms = self.level_rooms(team)
-        if rooms is None or not self.counted(team):
-            return NO_ROOM
-        return tuple(min(parts) for parts in zip((AMPLE, AMPLE), *rooms.values(), strict=True))
-
-    def counted(self, team):
-        """Whether every task of a limited team's group that may be on a machine is known of here."""
-        group = self.teams.group(team)
-        account = self.accounts.get(group)
-        return self._knows_slot(self._member.term.slot(group)) and not (account and account.unsure)
-
-    def level_rooms(self, team):
-        """{level: (cpus, gpus)}: what each limit on the team leaves, by the tasks known of so far; None if
-        nothing of the team starts from here."""
-        slot = self._member.term.slot(self.teams.group(team))
-        levels = self.teams.levels(team)
-        if slot not in self.warden_since or levels is None:
-            return None
-        rooms = {}
-        for name, limits in levels:
-            account = self.accounts.get(name)
-            held = account.held if account is not None else NOTHING
-            rooms[name] = tuple(most - held[place] if most else AMPLE for place, most in enumerate(limits))
-        return rooms
-
-    @property
-    def has_limits(self):
-        return self.teams.limited
-
-    def limited(self, team):
-        return self.teams.group(team) is not None
+        return self.quota.idle({*groups, *self.accounts.groups()})
 
     def _leave(self, job):
         """The job is no longer among those owned here."""
@@ -432,12 +333,12 @@
         adopted = []
         for record, stamp in items:
             job = from_record(record, self._me, stamp)
-            if not self.knows(job.id) and self.owns(job.spec.team):
+            if not self.knows(job.id) and self.quota.owns(job.spec.team):
                 job.foreign = True
                 if not self.line.enter(job):
                     adopted.append(job)
                     self._take(job)
-                elif record["o"][0] and self.limited(job.spec.team) and job.id in self.line.waits.jobs:
+                elif record["o"][0] and self.quota.limited(job.spec.team) and job.id in self.line.waits.jobs:
                     self._perhaps_started[job] = True
                     self.accounts.unsure(job)
         if adopted:
@@ -468,8 +369,7 @@
         nobody knows what of its team's work may run."""
         if job in self._perhaps_started:
             self.never_started(job)
-            self._left.add(self._member.term.slot(self.teams.group(job.spec.team)))
-            self._left &= self.warden_since.keys()
+            self.quota.read_anew(job.spec.team)
 
     def released(self, job):
         """All that the job needs is durably done. One whose owner ended before may have been let go by
@@ -524,16 +424,11 @@
         """Ids of jobs that are being created."""
         return self._creating
 
-    def knows_all(self, group):
-        """Whether the warden of a group, this controller, knows of every job of it."""
-        since = self.warden_since.get(self._member.term.slot(group))
-        return since is not None and self.scanned >= since
-
     def creating(self, group):
         return sum(self.teams.group(job.spec.team) == group for job in self._new.values())
 
     def reconsider(self):
-        """Slots that were closing are ours after all, or surely not: jobs without an owner are told of."""
+        """Partitions that were closing are ours after all, or surely not: their quota leaders are told."""
         for job in self._unowned:
             self._on_orphan(job)
         self._unowned = []
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -5,20 +5,20 @@
 import time
 from functools import partial
 
-import msgspec
-
+from roadhead.admission.feasibility import why_never
 from roadhead.admission.sockets import Sockets
 from roadhead.api.answers import Cause, RefusedError, refusal_events
 from roadhead.api.server import Api
 from roadhead.cloud.client import CloudClient
+from roadhead.dispatch.aims import class_aims, shortest_aims
 from roadhead.dispatch.dispatcher import Dispatcher
 from roadhead.fleet.fleet import Fleet
 from roadhead.homes.home import SILENT_REPORTS, Home
-from roadhead.homes.machine import Needs
+from roadhead.homes.spec_lookup import SpecLookup
 from roadhead.homes.workers import Workers
 from roadhead.jobs.book import Book
 from roadhead.jobs.guards import NO_GUARDS
-from roadhead.jobs.job import FINAL, FORMAT, KEY, SHELF, before, closing_above, shorten, size_of, spec_of
+from roadhead.jobs.job import FORMAT, KEY, SHELF, before, closing_above, shorten
 from roadhead.jobs.recorder import Recorder
 from roadhead.jobs.records import Shelf, complete, find
 from roadhead.jobs.risk import Risk
@@ -125,20 +125,8 @@
             on_down=self._on_down,
         )
         self._default_aim_s = 15 * workers.lease_s
-        self.aims = {}
-        for objective in deployment.objectives:
-            if objective.within_s:
-                aim = self.aims.get(objective.klass, objective.within_s)
-                self.aims[objective.klass] = min(aim, objective.within_s)
-        self.stages = {}
-        for objective in deployment.objectives:
-            within, times, waits = self.stages.setdefault(objective.klass, ([], [], []))
-            if objective.kind == "finished" and objective.within_s:
-                within.append(objective.within_s)
-            elif objective.kind == "wait" and objective.within_s:
-                waits.append(objective.within_s)
-            elif objective.kind == "deadline":
-                times.append(objective.times)
+        self.aims = shortest_aims(deployment.objectives)
+        self._class_aims = class_aims(deployment.objectives)
         self._sockets = Sockets(deployment.quota.fd_limit, self.counters.add)
         create_s = min(workers.lease_s / 3, ANSWER_PART * SUBMIT_S)
         self._create_s = create_s
@@ -187,7 +175,7 @@
         self._leaving = self._judging = False
         self.workers = None
         self._duties = []
-        self._looking = set()
+        self._spec_lookup = SpecLookup(loop, self.state, self._beat_s)
         self._reset()
 
     def _reset(self):
@@ -220,7 +208,7 @@
             random=self._random,
             send=self.send,
             ask=self.workers.ask,
-            need_spec=self._need_spec,
+            need_spec=self._spec_lookup.need,
             counters=self.counters,
         )
         self.home.known.types = types
@@ -242,7 +230,7 @@
         parts = Parts(loop, self.state, self.member, self._time_of_day, workers.lease_s)
 
         def line_of(book):
-            times = {klass: times for klass, (_within, times, _waits) in self.stages.items()}
+            times = {name: aims.times for name, aims in self._class_aims.items()}
             return Line(
                 loop,
                 self.member,
@@ -278,7 +266,7 @@
             self.label,
             self.member,
             self.book,
-            self.stages,
+            self._class_aims,
             self._random,
             self.send,
             self.counters,
@@ -305,7 +293,7 @@
         self.dispatcher.queue.capacity = self.fleet.capacity
         if self.desk is not None:
             self.desk.share(self)
-        self._looking.clear()
+        self._spec_lookup.begin(self.home)
         self.takeover.begin(self.book, self.shelf)
         self._summary.begin(self.book, self.home, self.dispatcher, self.fleet)
         self._switchboard.begin(
@@ -515,26 +503,7 @@
 
     def impossible(self, spec):
         """Why no machine can ever run the job, or None."""
-        if self.teams.get(spec.team) is None:
-            return "unknown team"
-        head = msgspec.structs.replace(spec, upstream=None)
-        if size_of(head) > self.state.limits.value_bytes:
-            return "its description is larger than the state service takes"
-        times = spec.tasks if spec.kind == "daemon" else 1
-        for limits in self.teams.most(spec.team):
-            for need, most in zip((spec.cpus, spec.gpus), limits, strict=True):
-                if most and need * times > most:
-                    return "more than the team's limit"
-        for kind in self.home.known.types.values():
-            if (
-                spec.cpus <= kind.cpus
-                and spec.gpus <= kind.gpus
-                and spec.memory <= kind.memory
-                and (spec.types is None or kind.name in spec.types)
-                and (spec.zone is None or spec.zone in kind.zones)
-            ):
-                return None
-        return "fits no machine type"
+        return why_never(spec, self.teams, self.home.known.types, self.state.limits.value_bytes)
 
     def own(self, spec):
         """Whether whoever submits the job may know of another: a tenant knows of its own alone."""
@@ -589,41 +558,6 @@
         for at in range(0, len(jobs), NEWS_MOST):
             self.send(label, frames.CancelNews(jobs[at : at + NEWS_MOST]))
 
-    def _need_spec(self, job):
-        if job not in self._looking:
-            self._looking.add(job)
-            self._loop.spawn(self._look_up(job, self.home), f"look up {job}")
-
-    async def _look_up(self, job, home):
-        """A task was found on a machine without its job being known here."""
-        while home is self.home:
-            try:
-                record, _stamp = await find(self.state, job)
-            except (Unavailable, Unsure):
-                await self._loop.sleep(self._beat_s)
-                continue
-            if record is None:
-                log.error("task of unknown job %s found", job)
-                home.commanding.spec(job, None, True)
-            elif record["s"] in FINAL:
-                home.commanding.spec(job, None, True)
-            else:
-                spec = spec_of(record)
-                home.known.owners.setdefault(job, tuple(record["o"]))
-                home.commanding.spec(
-                    job,
-                    Needs(
-                        (spec.cpus, spec.gpus, spec.memory),
-                        spec.image or "",
-                        spec.image_gb,
-                        spec.save_s,
-                        spec.checkpoint_s > 0,
-                    ),
-                    False,
-                )
-            break
-        self._looking.discard(job)
-
     def summary(self):
         return self._summary.whole()
 
@@ -656,7 +590,7 @@
             for label, told in self.home.on_term(old, new).items():
                 for frame in told:
                     self.send(label, frame)
-        self.book.on_term(old, new)
+        self.book.quota.on_term(old, new)
         if self.desk is not None:
             self.desk.on_term()
         self.dispatcher.on_term(old, new)
@@ -753,7 +687,7 @@
                 part = self._summary.part()
                 for label in self.member.term.members:
                     self.send(label, part)
-            if every % 30 == 0 and self.book.has_limits and self.label in self.member.term.wardens:
+            if every % 30 == 0 and self.book.quota.has_limits and self.label in self.member.term.wardens:
                 # Word of a job accepted for the warden may have been lost.
                 self.takeover.scan()
             if every % 10 == 0:
--- a/roadhead/recovery/takeover.py
+++ b/roadhead/recovery/takeover.py
@@ -40,10 +40,10 @@
     def on_term(self, old, new):
         """Only if others own jobs than before is there anything to inherit."""
         # Between two terms that are alike a quota partition may have gone to another and come back.
-        doubtful = old is not None and new.number > old.number + 1 and self._book.inherits_limits()
+        doubtful = old is not None and new.number > old.number + 1 and self._book.quota.inherits_limits()
         if old is not None and old.roster() == new.roster() and not doubtful:
-            if self._book.scanned == old.number:
-                self._book.scanned = new.number
+            if self._book.quota.scanned == old.number:
+                self._book.quota.scanned = new.number
             return
         self._roster = new.roster()
         self._book.line.on_roster()
@@ -97,7 +97,7 @@
                 after = items[-1][0]
                 continue
             gone_at = None
-            if self._book.inherits_limits():
+            if self._book.quota.inherits_limits():
                 # What was cancelled before this scan saw it is nobody's, but may run, and counts.
                 try:
                     newest = await member.newest_mark()
@@ -109,7 +109,7 @@
                 if newest is not None:
                     gone_at = newest + self._cancel_s * (1 + DRIFT)
                     self._loop.call_later(max(0.0, gone_at - self._loop.now()), self._changed)
-            self._book.all_read(member.term.number, gone_at)
+            self._book.quota.all_read(member.term.number, gone_at)
             self._changed()
             return
 
--- a/roadhead/summary.py
+++ b/roadhead/summary.py
@@ -96,7 +96,9 @@
         if all(job.doubtful for job in jobs):
             return "its jobs fail wherever they run"
         teams = self._book.teams
-        if all(self._book.limited(job.spec.team) and teams.levels(job.spec.team) is None for job in jobs):
+        if all(
+            self._book.quota.limited(job.spec.team) and teams.levels(job.spec.team) is None for job in jobs
+        ):
             return "nothing of its tenant or team may start now"
         if not any(self._dispatcher.may_start(job) for job in jobs):
             return "the team's limit is reached"
--- a/roadhead/tenants/desk.py
+++ b/roadhead/tenants/desk.py
@@ -213,6 +213,6 @@
             {
                 "teams": teams,
                 "classes": rows,
-                "warden": bool(warden and node.book.knows_all(str(number))),
+                "warden": bool(warden and node.book.quota.knows_all(str(number))),
             }
         )
--- a/roadhead/tenants/preemption.py
+++ b/roadhead/tenants/preemption.py
@@ -49,7 +49,7 @@
         rows = {}
         soonest = None
         parts = [Part(job, job.sure, job.rank, job.place, startable=True) for job in jobs]
-        SharedHeadroom(self._book).share(parts)
+        SharedHeadroom(self._book.quota).share(parts)
         for part in parts:
             job = part.job
             left = self._since[job] + self._patience_s - now
--- a/roadhead/tenants/spreading.py
+++ b/roadhead/tenants/spreading.py
@@ -44,14 +44,14 @@
             if not self._member.joined or self._member.lapsed():
                 continue
             term = self._member.term
-            given = surplus(term.wardens, self._member.label, term.members, self._book.idle_slots())
+            given = surplus(term.wardens, self._member.label, term.members, self._book.idle_partitions())
             if not given:
                 continue
-            self._book.closing = set(given)
+            self._book.quota.closing = set(given)
             outcome = None
             while outcome is None and self._member.joined and self._member.term is term:
                 outcome = await self._member.give(given)
                 if outcome is None:
                     await self._loop.sleep(self._every_s / 4)
-            self._book.closing = set()
+            self._book.quota.closing = set()
             self._book.reconsider()
--- a/tests/capacity_slopes.py
+++ b/tests/capacity_slopes.py
@@ -2,10 +2,12 @@
 
     python3 tests/capacity_slopes.py run DIRECTORY [--at-once N] [--seeds N] [--driver NAME]
     python3 tests/capacity_slopes.py table DIRECTORY
+    python3 tests/capacity_slopes.py predict DIRECTORY --size workers=3500 running=21000 starts=1200 ...
 
 `run` plays the base plan and, for each driver, plans that differ from it in that driver alone, and leaves a
 report for each in DIRECTORY. `table` fits a line and a power of the driver to each figure and prints them
-with the spread over the seeds. Figures are of hollow workers and emulators on the machine at hand.
+with the spread over the seeds. `predict` fits all drivers at once, by least squares over all runs, and adds
+up what those of another size cost. Figures are of hollow workers and emulators on the machine at hand.
 """
 
 import argparse
@@ -68,6 +70,7 @@
     "running": [Size(run_s=seconds) for seconds in (5.0, 10.0, 20.0, 40.0)],
     "starts": [Size(starts=rate, run_s=400.0 / rate) for rate in (20.0, 40.0, 80.0, 160.0)],
     "jobs": [Size(jobs=rate) for rate in (0.5, 2.0, 8.0, 20.0)],
+    "open": [Size(starts=2.0, run_s=seconds) for seconds in (5.0, 20.0, 60.0)],
     "teams": [Size(teams=count) for count in (2, 20, 80)],
     "controllers": [Size(controllers=count) for count in (3, 6, 12, 21)],
 }
@@ -76,24 +79,31 @@
     "running": lambda size: size.starts * size.run_s,
     "starts": lambda size: size.starts,
     "jobs": lambda size: size.jobs,
+    "open": lambda size: size.jobs * size.run_s,
     "teams": lambda size: size.teams,
     "controllers": lambda size: size.controllers,
 }
-FIGURES = {
-    "controllers' cores, all": lambda report: (
-        report["roles"]["controller"]["cores"] * report["roles"]["controller"]["processes"]
+FIGURES = {  # all of them sums over the processes of a role, so that what the drivers cost adds up
+    "controllers' cores": lambda report: in_all(report, "controller", "cores"),
+    "controllers' MB": lambda report: in_all(report, "controller", "megabytes"),
+    "controllers' open files": lambda report: in_all(report, "controller", "files"),
+    "workers' cores": lambda report: in_all(report, "workers", "cores"),
+    "workers' KB/s": lambda report: (
+        report["worker_bytes_per_s"] * report["plan"]["cluster"]["workers"] / 1024
     ),
-    "a controller's MB": lambda report: report["roles"]["controller"]["megabytes"],
-    "a controller's open files": lambda report: report["roles"]["controller"]["files"],
-    "a worker's cores": lambda report: report["worker_cores"],
-    "a worker's KB/s": lambda report: report["worker_bytes_per_s"] / 1024,
-    "state service's cores": lambda report: report["roles"]["state"]["cores"],
+    "state service's cores": lambda report: in_all(report, "state", "cores"),
     "state requests/s": lambda report: sum(report["state_requests_per_s"].values()),
     "state changes/s": lambda report: report["state_changes_per_s"],
     "state KB/s": lambda report: report["state_bytes_per_s"] / 1024,
 }
 
 
+def in_all(report, role, name):
+    """The sum over a role's processes; for memory and files the largest process times their number."""
+    figures = report["roles"][role]
+    return figures[name] * figures["processes"]
+
+
 def play(directory, driver, number, seed):
     """Plays one plan; its report, or None if the run was cut short or broke a rule."""
     size = DRIVERS[driver][number]
@@ -155,17 +165,52 @@
             print(f"| {name} | {cells} | {start:.4g} + {slope:.4g} n | {verdict(power)} ({power:.2f}) |")
 
 
+def fitted_at_once(directory):
+    """({driver: (figure's name: its cost)}, that of nothing under None), by least squares over all runs."""
+    sizes, reports = [], []
+    for driver in DRIVERS:
+        for number, size in enumerate(DRIVERS[driver]):
+            for file in directory.glob(f"{driver}-{number}-*.json"):
+                sizes.append([1.0, *(value(size) for value in VALUES.values())])
+                reports.append(json.loads(file.read_text()))
+    costs = {}
+    for name, figure in FIGURES.items():
+        found, *_rest = numpy.linalg.lstsq(numpy.array(sizes), numpy.array(list(map(figure, reports))), None)
+        for driver, cost in zip((None, *VALUES), found, strict=True):
+            costs.setdefault(driver, {})[name] = cost
+    return costs
+
+
+def predict(directory, wanted):
+    """Prints each figure for a size {driver: its value}, and what each driver adds to it."""
+    costs = fitted_at_once(directory)
+    for name in FIGURES:
+        added = {driver: costs[driver][name] * wanted[driver] for driver in VALUES}
+        parts = ", ".join(f"{driver} {value:+.3g}" for driver, value in added.items())
+        print(f"{name}: {costs[None][name] + sum(added.values()):.4g} ({costs[None][name]:.3g}, {parts})")
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("verb", choices=("run", "table"))
+    parser.add_argument("verb", choices=("run", "table", "predict"))
     parser.add_argument("directory", type=Path)
     parser.add_argument("--at-once", type=int, default=2)
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--driver", choices=DRIVERS)
+    parser.add_argument("--size", nargs="*", default=[], metavar="DRIVER=VALUE", help="for predict")
     args = parser.parse_args()
     if args.verb == "table":
         table(args.directory)
-        return
+    elif args.verb == "predict":
+        predict(
+            args.directory, {name: float(value) for name, value in (word.split("=") for word in args.size)}
+        )
+    else:
+        run(args)
+
+
+def run(args):
+    """Plays the base plan and those of each driver, some at once."""
     args.directory.mkdir(parents=True, exist_ok=True)
     wanted = [
         (driver, number, seed)
--- a/tests/handovers.py
+++ b/tests/handovers.py
@@ -1,6 +1,6 @@
 """Cancellations at each write of a change of hands: every order and spacing, played in virtual time.
 
-    python3 tests/handovers.py [--jobs N] [--every N] [--step STEP]
+    python3 tests/handovers.py [--jobs N] [--every N] [--first N] [--step STEP]
 
 A change of hands is a planned move of shares, an orderly end, relief and restore, a takeover after a crash,
 or a restart. Each is played once without a cancellation to learn when the state service commits a change of
@@ -248,12 +248,13 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--every", type=int, default=1, help="plays one case in so many")
+    parser.add_argument("--first", type=int, default=0, help="and leaves out so many before the first")
     parser.add_argument("--step", choices=STEPS)
     args = parser.parse_args()
     chosen = (case for case in cases() if args.step in (None, case.step))
     rows = {}
     with multiprocessing.Pool(args.jobs) as pool:
-        for outcome in pool.imap_unordered(played, itertools.islice(chosen, 0, None, args.every)):
+        for outcome in pool.imap_unordered(played, itertools.islice(chosen, args.first, None, args.every)):
             case = outcome.case
             rows.setdefault((case.step, case.fault), Row()).add(outcome)
             if outcome.faults or outcome.unended:
--- a/tests/limit_failovers.py
+++ b/tests/limit_failovers.py
@@ -70,7 +70,7 @@
             kept = {
                 "adopting": book._adopting,
                 "inherited": book.reconciliation.inherited,
-                "left": book._left,
+                "left": book.quota.unread,
                 "jobs": book.jobs,
                 "perhaps started": book._perhaps_started,
             }
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -2,6 +2,7 @@
 
 import random
 import sys
+from functools import partial
 import tracemalloc
 
 import pytest
@@ -203,8 +204,8 @@
     few, many = home_of(100, 4), home_of(400, 4)
     assert (
         0
-        < calls(many.commanding.spec, "req-7", NEEDS, False)
-        <= (calls(few.commanding.spec, "req-7", NEEDS, False) + 2)
+        < calls(partial(many.commanding.spec, over=False), "req-7", NEEDS)
+        <= (calls(partial(few.commanding.spec, over=False), "req-7", NEEDS) + 2)
     )
     assert 0 < calls(many.commanding.cancel, ["req-7"]) <= calls(few.commanding.cancel, ["req-7"]) + 2
 
@@ -228,18 +229,23 @@
     assert 0 < again(400) <= 4.2 * again(100)
 
 
-class Book:
+class Unlimited:
+    """The quota partitions of a controller without limited teams."""
+
     has_limits = False
 
+    def limited(self, _team):
+        return False
+
+
+class Book:
     def __init__(self, jobs):
+        self.quota = Unlimited()
         self.jobs = {job.id: job for job in jobs}
         self.version = 1
         self.arrived = []
         self.seen = {}
 
-    def limited(self, _team):
-        return False
-
     def coming(self, _on_word):
         return []
 
@@ -349,8 +355,8 @@
             ),
             None,
         )
-        self.book.on_term(None, self.member.term)
-        self.book.scanned = 1
+        self.book.quota.on_term(None, self.member.term)
+        self.book.quota.scanned = 1
         self.desk._node = self
         for number in range(jobs):
             job = Job(self.spec(number), ("here", 1), 0.0)
@@ -397,7 +403,7 @@
     spec = few.spec(900_000)
     assert 0 < calls(many.desk.refusal, spec, 10) <= calls(few.desk.refusal, spec, 10) + 2
     assert 0 < calls(many.sharing.arrange, many.jobs) <= 1.05 * calls(few.sharing.arrange, few.jobs)
-    assert calls(many.book.headroom, "1/team3") <= calls(few.book.headroom, "1/team3") + 2
+    assert calls(many.book.quota.headroom, "1/team3") <= calls(few.book.quota.headroom, "1/team3") + 2
     record = records.Tenant(7, "tenant-7", version=2, teams=[records.Team("team1")]).to_record()
     few.dispatcher = many.dispatcher = Changed()
     for node in (few, many):
--- a/tests/test_limited_demand.py
+++ b/tests/test_limited_demand.py
@@ -14,7 +14,7 @@
 BOX = ("box", "north", True)
 
 
-class Book:
+class Quota:
     """Teams `crew` and `night` under one limit, and each under its own; `free` has none."""
 
     def __init__(self, crew, night, both, sure=True):
@@ -45,15 +45,15 @@
     return Part(job, count, 2, 0.0, True)
 
 
-def shared(book, *parts):
-    SharedHeadroom(book).share(parts)
+def shared(quota, *parts):
+    SharedHeadroom(quota).share(parts)
     return [(part.within, part.mark.name) for part in parts]
 
 
 def test_what_a_limit_leaves_is_shared_in_queue_order_over_all_levels():
     """Whoever comes later gets what is left of its own limit and of the one that both count in."""
     assert shared(
-        Book(crew=(6.0, 9.0), night=(20.0, 9.0), both=(10.0, 9.0)),
+        Quota(crew=(6.0, 9.0), night=(20.0, 9.0), both=(10.0, 9.0)),
         part("crew", 4),
         part("free", 50),
         part("crew", 3),
@@ -64,14 +64,14 @@
 
 
 def test_a_limit_that_cuts_nothing_marks_nothing():
-    assert shared(Book((6.0, 9.0), (6.0, 9.0), (9.0, 9.0)), part("crew", 4), part("night", 5)) == [
+    assert shared(Quota((6.0, 9.0), (6.0, 9.0), (9.0, 9.0)), part("crew", 4), part("night", 5)) == [
         (4, "PLAIN"),
         (5, "PLAIN"),
     ]
 
 
 def test_a_gang_gets_room_for_all_of_it_or_none():
-    assert shared(Book((6.0, 9.0), (9.0, 9.0), (9.0, 9.0)), part("crew", 7, gang=True), part("crew", 8)) == [
+    assert shared(Quota((6.0, 9.0), (9.0, 9.0), (9.0, 9.0)), part("crew", 7, gang=True), part("crew", 8)) == [
         (0, "WITHIN"),
         (6, "WITHIN"),
     ]
@@ -79,8 +79,8 @@
 
 def test_until_all_that_runs_is_known_nothing_is_startable():
     """What would start then is told, so that its machines are kept; of a team owned elsewhere nothing is."""
-    book = Book((6.0, 9.0), (9.0, 9.0), (9.0, 9.0), sure=False)
-    assert shared(book, part("crew", 8), part("away", 8)) == [(6, "PENDING"), (0, "PENDING")]
+    quota = Quota((6.0, 9.0), (9.0, 9.0), (9.0, 9.0), sure=False)
+    assert shared(quota, part("crew", 8), part("away", 8)) == [(6, "PENDING"), (0, "PENDING")]
 
 
 def row(mark, count, cpus=1.0):
--- a/tests/test_limits_and_failover.py
+++ b/tests/test_limits_and_failover.py
@@ -7,6 +7,7 @@
 from mutation import assert_noticed
 
 from roadhead.jobs.book import Book
+from roadhead.jobs.quota import QuotaPartitions
 from roadhead.jobs.teams import Accounts
 from roadhead.local.user import Reply, User
 from roadhead.local.world import World
@@ -18,14 +19,14 @@
 
 def hands_on_what_may_run_cancelled(patch):
     """A heir hands on a quota partition although tasks cancelled before it read the records may run."""
-    real = Book.idle_slots
+    real = QuotaPartitions.idle
 
-    def idle_slots(self):
+    def idle(self, groups):
         with pytest.MonkeyPatch.context() as inner:
-            inner.setattr(Book, "_knows_slot", lambda _self, _slot: True)
-            return real(self)
+            inner.setattr(QuotaPartitions, "knows_partition", lambda _self, _place: True)
+            return real(self, groups)
 
-    patch.setattr(Book, "idle_slots", idle_slots)
+    patch.setattr(QuotaPartitions, "idle", idle)
 
 
 def lets_go_what_is_cancelled(patch):
@@ -43,20 +44,20 @@
 
 def second_heir_counts_nothing(patch):
     """Cancelled tasks are waited for by the first heir alone: at a second change of leader nobody does."""
-    real, heirs = Book.all_read, []
+    real, heirs = QuotaPartitions.all_read, []
 
     def all_read(self, number, gone_at):
         if gone_at is not None and self not in heirs:
             heirs.append(self)
         real(self, number, gone_at if heirs[:1] == [self] else None)
 
-    patch.setattr(Book, "all_read", all_read)
+    patch.setattr(QuotaPartitions, "all_read", all_read)
 
 
 def cancelled_count_for_nothing(patch):
     """Tasks of jobs that were cancelled before the heir read the records are not thought of."""
-    real = Book.all_read
-    patch.setattr(Book, "all_read", lambda self, number, _gone_at: real(self, number, None))
+    real = QuotaPartitions.all_read
+    patch.setattr(QuotaPartitions, "all_read", lambda self, number, _gone_at: real(self, number, None))
 
 
 def starts_before_all_homes_told(patch):
@@ -109,12 +110,13 @@
     ],
 )
 def test_a_partition_that_may_have_changed_hands_unseen_is_read_anew(old, new, closing, unread):
-    book = SimpleNamespace(_member=SimpleNamespace(label="a"), warden_since={}, closing=closing, _left=set())
-    book.warden_since = {0: 2} if old[1] == "a" else {}
+    quota = QuotaPartitions(None, SimpleNamespace(label="a"), None, None)
+    quota.closing = closing
+    quota.held_since = {0: 2} if old[1] == "a" else {}
     old, new = (Term(number, 9, MEMBERS, (leader,)) for number, leader in (old, new))
-    Book.on_term(book, old, new)
-    assert book._left == unread
-    assert (book.warden_since[0] == new.number) == (bool(unread) or old.wardens != new.wardens)
+    quota.on_term(old, new)
+    assert quota.unread == unread
+    assert (quota.held_since[0] == new.number) == (bool(unread) or old.wardens != new.wardens)
 
 
 def counts_nothing_that_waits(patch):
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -11,6 +11,7 @@
 from roadhead.homes.sureness import Sureness
 from roadhead.jobs.book import Book
 from roadhead.jobs.job import Job, from_record
+from roadhead.jobs.quota import QuotaPartitions
 from roadhead.jobs.teams import Accounts
 from roadhead.local.world import World
 from roadhead.membership.touch import Cancellations
@@ -91,18 +92,21 @@
     """Limits: every controller starts tasks of a limited team, up to the whole limit each."""
 
     def level_rooms(self, team):
-        used = sum(len(job.bound) * job.spec.cpus for job in self.jobs.values())
-        return {team: (self.teams.get(team).cpus_max - used, float("inf"))}
+        account = self._accounts.get(team)
+        jobs = account.jobs if account is not None else ()
+        used = sum(len(job.bound) * job.spec.cpus for job in jobs)
+        return {team: (self._teams.get(team).cpus_max - used, float("inf"))}
 
-    patch.setattr(Book, "level_rooms", level_rooms)
-    patch.setattr(Book, "counted", lambda self, team: True)
-    patch.setattr(Book, "owns", lambda self, team: True)
+    patch.setattr(QuotaPartitions, "level_rooms", level_rooms)
+    patch.setattr(QuotaPartitions, "counted", lambda self, team: True)
+    patch.setattr(QuotaPartitions, "owns", lambda self, team: True)
 
 
 def inherits_limits_unsure(patch):
     """Limits: a warden counts only what it has heard of, before its takeover is complete."""
     patch.setattr(Accounts, "unsure", lambda self, job: None)
-    patch.setattr(Book, "scanned", property(lambda self: 1 << 60, lambda self, number: None), raising=False)
+    scanned = property(lambda self: 1 << 60, lambda self, number: None)
+    patch.setattr(QuotaPartitions, "scanned", scanned, raising=False)
 
 
 def frees_when_lapsed(patch):
@@ -195,8 +199,8 @@
 
 def cancelled_count_for_nothing(patch):
     """Limits: tasks of jobs that were cancelled before the heir read the records are not thought of."""
-    real = Book.all_read
-    patch.setattr(Book, "all_read", lambda self, number, _gone_at: real(self, number, None))
+    real = QuotaPartitions.all_read
+    patch.setattr(QuotaPartitions, "all_read", lambda self, number, _gone_at: real(self, number, None))
 
 
 def covers_what_it_left(patch):
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -702,15 +702,16 @@
         binding = job.bound[job.free.pop()] = Binding(machine, "a", number, "running", 100.0 - ran_s)
         accounts.hold(job, binding)
 
+    class Quota:
+        def limited(self, team):
+            return False
+
     class Book:
-        stopped = []
+        stopped, quota = [], Quota()
 
         def stop(self, job, _index, binding):
             self.stopped.append((job.spec.team, binding.machine))
 
-        def limited(self, team):
-            return False
-
     book, send = Book(), Frames()
     book.stopped, book.accounts = [], accounts
     sharing = Sharing(hosted, accounts, lambda: (100.0, 0.0, 400.0), 1e6, 1e7)
