--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -2,8 +2,8 @@
 
 import random
 import sys
-from functools import partial
 import tracemalloc
+from functools import partial
 
 import pytest
 
