membership.quota_partitions: the settings' limited teams may be led by several controllers

Tenants have had several partitions since hosting began.

Change: an operators' setting (default 1, as before) divides them; idle partitions are spread by the duty that did so for tenants (jobs/quota_spreading.py, was tenants/spreading.py). Scale plans have teams.partitions, scenarios the option partitions; limit_failovers.py plays a third family. capacity_slopes.py: collect, and a driver for tasks named in reports.

--- /dev/null
+++ b/roadhead/jobs/quota_spreading.py
@@ -0,0 +1,61 @@
+"""Quota partitions spread over the controllers: idle ones are handed to whoever leads fewer.
+
+Whoever joins first leads every partition, and one that comes back leads none. A partition is handed on by
+its own leader, and only while nothing of it is owned, being created or taken over there: then no
+account has to move, and the limits of its teams hold whoever starts the next of their tasks.
+From before the compare-and-set until its outcome is known the partition is closing: jobs of it
+that are accepted meanwhile have no owner, and the successor's scan finds them.
+"""
+
+import math
+
+
+def surplus(leaders, label, members, idle):
+    """{partition: new leader} for idle ones that `label` leads beyond an equal part, to those with fewest.
+
+    `leaders`: the label of each partition's leader.
+    """
+    most = math.ceil(len(leaders) / max(1, len(members)))
+    counts = {member: leaders.count(member) for member in sorted(members)}
+    given = {}
+    for partition in idle:
+        if counts.get(label, 0) <= most:
+            break
+        fewest = min(counts, key=counts.get)
+        if counts[fewest] >= most or fewest == label:
+            break
+        given[partition] = fewest
+        counts[label] -= 1
+        counts[fewest] += 1
+    return given
+
+
+class QuotaSpreading:
+    """A duty of each controller. `every_s`: how often it looks for idle partitions."""
+
+    def __init__(self, loop, member, book, every_s):
+        self._loop = loop
+        self._member = member
+        self._book = book
+        self._every_s = every_s
+
+    async def run(self):
+        """The duty. An outcome that is not known is asked for again, under the same revision, until it is."""
+        while True:
+            await self._loop.sleep(self._every_s)
+            if not self._member.joined or self._member.lapsed():
+                continue
+            term = self._member.term
+            given = surplus(term.wardens, self._member.label, term.members, self._book.idle_partitions())
+            if given:
+                await self._give(term, given)
+
+    async def _give(self, term, given):
+        self._book.quota.closing = set(given)
+        outcome = None
+        while outcome is None and self._member.joined and self._member.term is term:
+            outcome = await self._member.give(given)
+            if outcome is None:
+                await self._loop.sleep(self._every_s / 4)
+        self._book.quota.closing = set()
+        self._book.reconsider()
--- a/roadhead/local/scenario.py
+++ b/roadhead/local/scenario.py
@@ -20,6 +20,7 @@
     "boot_s": 5.0,
     "gateways": 0,
     "slots": 24,
+    "partitions": 1,  # of the settings' teams with limits
     "preempt": 1,
     "sockets": 0,
     "rps": 300.0,
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -177,7 +177,7 @@
             loop,
             net,
             read(self._settings_of(number)),
-            tuning(),
+            self._tuned(tuning()),
             random.Random(self.sim.random.random()),
             time_of_day=lambda: 1e9 + self.sim.time,
             hosted=self.tenancy.desk(loop) if self.tenancy is not None else None,
@@ -185,6 +185,12 @@
         self.nodes[number] = node
         node.start()
 
+    def _tuned(self, tuning):
+        """The operators' settings of a controller; the version that serves today may know fewer."""
+        if self.options["partitions"] > 1:
+            tuning.membership.quota_partitions = self.options["partitions"]
+        return tuning
+
     def crash(self, number, back_after=3.0):
         self.network.kill(f"10.0.0.{number + 1}")
         self.nodes.pop(number, None)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -19,6 +19,7 @@
 from roadhead.jobs.book import Book
 from roadhead.jobs.guards import NO_GUARDS
 from roadhead.jobs.job import FORMAT, KEY, SHELF, before, closing_above, shorten
+from roadhead.jobs.quota_spreading import QuotaSpreading
 from roadhead.jobs.recorder import Recorder
 from roadhead.jobs.records import Shelf, complete, find
 from roadhead.jobs.risk import Risk
@@ -97,6 +98,7 @@
         self._touch = Touch(blind_s, KEPT * workers.cancel_s)
         self.cancellations = Cancellations(KEPT * workers.cancel_s)
         self._beat_s = workers.lease_s / 12
+        self._partitions = tuning.membership.quota_partitions if hosted is None else hosted.slots
         self.member = Member(
             loop,
             self.state,
@@ -107,7 +109,7 @@
             on_lost=self._on_lost,
             on_cancel=self.on_cancelled,
             gate=Gate(FORMAT, [self.label, *(member.label for member in settings.members)]),
-            slots=1 if hosted is None else hosted.slots,
+            slots=self._partitions,
             on_tenant=None if hosted is None else hosted.table.take,
             time_of_day=time_of_day,
         )
@@ -315,6 +317,8 @@
             self._tick,
             *self.fleet.duties(),
         ]
+        if self._partitions > 1:
+            duties.append(QuotaSpreading(loop, self.member, self.book, workers.lease_s / 4).run)
         if self.desk is not None:
             duties += self.desk.begin(self)
         self._duties = [loop.spawn(self._keep(duty), duty.__name__) for duty in duties]
--- a/roadhead/scale/layout.py
+++ b/roadhead/scale/layout.py
@@ -75,7 +75,9 @@
             },
         }
         (directory / LAYOUT).write_text(json.dumps(document))
-        (directory / "tuning.toml").write_text(f"[fleet]\nidle_ratio = {KEPT_IDLE}\n")
+        (directory / "tuning.toml").write_text(
+            f"[fleet]\nidle_ratio = {KEPT_IDLE}\n[membership]\nquota_partitions = {plan.teams.partitions}\n"
+        )
         layout = cls(directory)
         layout._lock = lock
         for number in range(len(labels)):
--- a/roadhead/scale/plan.py
+++ b/roadhead/scale/plan.py
@@ -63,10 +63,12 @@
 
 
 class Teams(Table, frozen=True):
-    """`count` teams with the same limit in CPUs each; 0: none."""
+    """`count` teams with the same limit in CPUs each, 0 for none, divided into `partitions` among the
+    controllers."""
 
     count: int = 1
     cpus_max: float = 0.0
+    partitions: int = 1
 
 
 class JobClass(Table, frozen=True):
@@ -153,7 +155,7 @@
     yield from _not_positive("cluster.", cluster, cluster.__struct_fields__)
     yield from _not_positive("timing.", plan.timing, plan.timing.__struct_fields__)
     yield from _not_positive("state.", plan.state, plan.state.__struct_fields__)
-    yield from _not_positive("teams.", plan.teams, ("count",))
+    yield from _not_positive("teams.", plan.teams, ("count", "partitions"))
     for name in ("warm_s", "drain_s"):
         if not 0 <= getattr(plan, name) < math.inf:
             yield f"{name}: must not be negative, is {getattr(plan, name)}"
--- a/roadhead/settings.py
+++ b/roadhead/settings.py
@@ -146,9 +146,11 @@
 
 
 class Membership(Struct, forbid_unknown_fields=True):
-    """Ratios to the workers' lease."""
+    """`lease_ratio`: a controller's own lease, to the workers'; `quota_partitions`: into how many parts the
+    settings' teams with limits are divided, each with a quota leader of its own."""
 
     lease_ratio: float = 0.5
+    quota_partitions: int = 1
 
 
 class Grants(Struct, forbid_unknown_fields=True):
@@ -188,6 +190,7 @@
     return [] if good else [f"{name}: {address!r} is not IPv4:port"]
 
 
+PARTITIONS_MOST = 64  # quota partitions, each a label in the term's record
 TXN_LEAST = 3  # a cancellation: the record, its mark, and the key that all of them change
 
 
@@ -289,6 +292,8 @@
                 faults.append(f"{part}.{name}: must be above 0, is {value}")
     if tuning.membership.lease_ratio > 1:
         faults.append("membership.lease_ratio: must be at most 1")
+    if tuning.membership.quota_partitions > PARTITIONS_MOST:
+        faults.append(f"membership.quota_partitions: must be at most {PARTITIONS_MOST}")
     if faults:
         raise SettingsError(faults)
     return tuning
--- a/roadhead/tenants/desk.py
+++ b/roadhead/tenants/desk.py
@@ -11,7 +11,6 @@
 from roadhead.tenants.preemption import Preemption
 from roadhead.tenants.records import ACTIVE, key_of
 from roadhead.tenants.removal import Removal
-from roadhead.tenants.spreading import Spreading
 from roadhead.tenants.table import Table
 from roadhead.tenants.teams import Sharing, TenantTeams
 from roadhead.wire import frames, messages
@@ -43,10 +42,7 @@
         """A new incarnation starts: its duties."""
         self._node = node
         self._removal = Removal(self._loop, node, self.table)
-        spreading = Spreading(
-            self._loop, node.member, node.book, every_s=node.settings.deployment.workers.lease_s / 4
-        )
-        return [self._removal.run, spreading.run]
+        return [self._removal.run]
 
     def share(self, node):
         """A new incarnation starts: its queue goes by guarantees and weights."""
--- a/tests/capacity_slopes.py
+++ b/tests/capacity_slopes.py
@@ -1,13 +1,15 @@
 """What a cluster costs as a function of one driver at a time, by scale runs: docs/CAPACITY.md's figures.
 
     python3 tests/capacity_slopes.py run DIRECTORY [--at-once N] [--seeds N] [--driver NAME]
-    python3 tests/capacity_slopes.py table DIRECTORY
-    python3 tests/capacity_slopes.py predict DIRECTORY --size workers=3500 running=21000 starts=1200 ...
+    python3 tests/capacity_slopes.py collect DIRECTORY FILE
+    python3 tests/capacity_slopes.py table FILE
+    python3 tests/capacity_slopes.py predict FILE --size workers=3500 running=21000 starts=1200 ...
 
 `run` plays the base plan and, for each driver, plans that differ from it in that driver alone, and leaves a
-report for each in DIRECTORY. `table` fits a line and a power of the driver to each figure and prints them
-with the spread over the seeds. `predict` fits all drivers at once, by least squares over all runs, and adds
-up what those of another size cost. Figures are of hollow workers and emulators on the machine at hand.
+report for each in DIRECTORY; `collect` keeps their figures in FILE (JSON). `table` fits a power of the driver
+to each figure and prints them with the spread over the seeds. `predict` fits all drivers at once, by least
+squares over all runs, and adds up what those of another size cost. Figures are of hollow workers and
+emulators on the machine at hand.
 """
 
 import argparse
@@ -73,6 +75,13 @@
     "open": [Size(starts=2.0, run_s=seconds) for seconds in (5.0, 20.0, 60.0)],
     "teams": [Size(teams=count) for count in (2, 20, 80)],
     "controllers": [Size(controllers=count) for count in (3, 6, 12, 21)],
+    # Tasks named by workers in reports of changes: more tasks on each, that change more often.
+    "reported": [
+        Size(starts=80.0, run_s=20.0),
+        Size(starts=160.0, run_s=10.0),
+        Size(starts=320.0, run_s=5.0),
+        Size(workers=960, starts=320.0, run_s=10.0),
+    ],
 }
 VALUES = {  # what a driver counts
     "workers": lambda size: size.workers,
@@ -82,6 +91,7 @@
     "open": lambda size: size.jobs * size.run_s,
     "teams": lambda size: size.teams,
     "controllers": lambda size: size.controllers,
+    "reported": lambda size: size.starts * size.run_s * size.starts / size.workers,
 }
 FIGURES = {  # all of them sums over the processes of a role, so that what the drivers cost adds up
     "controllers' cores": lambda report: in_all(report, "controller", "cores"),
@@ -120,70 +130,66 @@
     print(name, "; ".join(faults) or "fine", done.stderr[-200:], flush=True)
 
 
-def rows(directory, driver):
-    """{value of the driver: [report of each seed]}."""
-    found = {}
-    for number, size in enumerate(DRIVERS[driver]):
-        reports = [
-            json.loads(file.read_text()) for file in sorted(directory.glob(f"{driver}-{number}-*.json"))
-        ]
-        if reports:
-            found[VALUES[driver](size)] = reports
-    return found
+def collect(directory, file):
+    """Keeps the figures of all reports of a directory in a file: a row for each run."""
+    rows = []
+    for driver, sizes in DRIVERS.items():
+        for number, size in enumerate(sizes):
+            for path in sorted(directory.glob(f"{driver}-{number}-*.json")):
+                report = json.loads(path.read_text())
+                figures = {name: round(figure(report), 5) for name, figure in FIGURES.items()}
+                drivers = {name: value(size) for name, value in VALUES.items()}
+                rows.append({"varied": driver, "drivers": drivers, "figures": figures})
+    file.write_text("[\n" + ",\n".join(map(json.dumps, rows)) + "\n]\n")
 
 
-def fitted(points):
-    """(value at 0, slope, power) of [(driver, figure)], by least squares; the power by that of logarithms."""
+def power_of(points):
+    """The power with which a figure grows with its driver, by least squares of the logarithms."""
     drivers, figures = (numpy.array(side, dtype=float) for side in zip(*points, strict=True))
-    slope, start = numpy.polyfit(drivers, figures, 1)
-    power = numpy.polyfit(numpy.log(drivers), numpy.log(numpy.maximum(figures, 1e-9)), 1)[0]
-    return start, slope, power
+    return numpy.polyfit(numpy.log(drivers), numpy.log(numpy.maximum(figures, 1e-9)), 1)[0]
 
 
 def verdict(power):
     """How a figure grows, in words."""
     if power > WORSE:
         return "worse than linear"
-    return "flat" if power < FLAT else "linear or less"
+    return "flat" if abs(power) < FLAT else "linear or less"
 
 
-def table(directory):
-    """Prints a Markdown table for each driver."""
+def table(rows):
+    """Prints a Markdown table for each driver: means, half of the spread over the seeds, growth."""
     for driver in DRIVERS:
-        found = rows(directory, driver)
-        if not found:
-            continue
+        found = {}
+        for row in rows:
+            if row["varied"] == driver:
+                found.setdefault(row["drivers"][driver], []).append(row["figures"])
         print(f"\n### {driver}\n")
-        print("| figure | " + " | ".join(f"{value:g}" for value in found) + " | at 0 + slope | growth |")
-        print("| --- |" + " --- |" * (len(found) + 2))
-        for name, figure in FIGURES.items():
-            values = {driven: [figure(report) for report in reports] for driven, reports in found.items()}
-            start, slope, power = fitted([(driven, each) for driven, some in values.items() for each in some])
+        print("| figure | " + " | ".join(f"{value:g}" for value in found) + " | growth |")
+        print("| --- |" + " --- |" * (len(found) + 1))
+        for name in FIGURES:
+            values = {driven: [figures[name] for figures in some] for driven, some in found.items()}
+            power = power_of([(driven, each) for driven, some in values.items() for each in some])
             cells = " | ".join(
-                f"{mean(some):.4g} ±{(max(some) - min(some)) / 2:.2g}" for some in values.values()
+                f"{mean(some):.3g} ±{(max(some) - min(some)) / 2:.1g}" for some in values.values()
             )
-            print(f"| {name} | {cells} | {start:.4g} + {slope:.4g} n | {verdict(power)} ({power:.2f}) |")
+            print(f"| {name} | {cells} | {verdict(power)} ({power:.2f}) |")
 
 
-def fitted_at_once(directory):
-    """({driver: (figure's name: its cost)}, that of nothing under None), by least squares over all runs."""
-    sizes, reports = [], []
-    for driver in DRIVERS:
-        for number, size in enumerate(DRIVERS[driver]):
-            for file in directory.glob(f"{driver}-{number}-*.json"):
-                sizes.append([1.0, *(value(size) for value in VALUES.values())])
-                reports.append(json.loads(file.read_text()))
+def costs_of(rows):
+    """{driver: {figure's name: what one more of it costs}}, and under None what is there without any."""
+    sizes = numpy.array([[1.0, *(row["drivers"][driver] for driver in VALUES)] for row in rows])
     costs = {}
-    for name, figure in FIGURES.items():
-        found, *_rest = numpy.linalg.lstsq(numpy.array(sizes), numpy.array(list(map(figure, reports))), None)
+    for name in FIGURES:
+        values = numpy.array([row["figures"][name] for row in rows])
+        found, *_rest = numpy.linalg.lstsq(sizes, values, None)
         for driver, cost in zip((None, *VALUES), found, strict=True):
             costs.setdefault(driver, {})[name] = cost
     return costs
 
 
-def predict(directory, wanted):
+def predict(rows, wanted):
     """Prints each figure for a size {driver: its value}, and what each driver adds to it."""
-    costs = fitted_at_once(directory)
+    costs = costs_of(rows)
     for name in FIGURES:
         added = {driver: costs[driver][name] * wanted[driver] for driver in VALUES}
         parts = ", ".join(f"{driver} {value:+.3g}" for driver, value in added.items())
@@ -192,26 +198,29 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
-    parser.add_argument("verb", choices=("run", "table", "predict"))
-    parser.add_argument("directory", type=Path)
+    parser.add_argument("verb", choices=("run", "collect", "table", "predict"))
+    parser.add_argument("path", type=Path)
+    parser.add_argument("file", type=Path, nargs="?", help="for collect")
     parser.add_argument("--at-once", type=int, default=2)
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--driver", choices=DRIVERS)
     parser.add_argument("--size", nargs="*", default=[], metavar="DRIVER=VALUE", help="for predict")
     args = parser.parse_args()
-    if args.verb == "table":
-        table(args.directory)
-    elif args.verb == "predict":
-        predict(
-            args.directory, {name: float(value) for name, value in (word.split("=") for word in args.size)}
-        )
-    else:
+    if args.verb == "run":
         run(args)
+    elif args.verb == "collect":
+        collect(args.path, args.file)
+    elif args.verb == "table":
+        table(json.loads(args.path.read_text()))
+    else:
+        size = {name: float(value) for name, value in (word.split("=") for word in args.size)}
+        size["reported"] = size["running"] * size["starts"] / size["workers"]
+        predict(json.loads(args.path.read_text()), size)
 
 
 def run(args):
     """Plays the base plan and those of each driver, some at once."""
-    args.directory.mkdir(parents=True, exist_ok=True)
+    args.path.mkdir(parents=True, exist_ok=True)
     wanted = [
         (driver, number, seed)
         for seed in range(1, args.seeds + 1)
@@ -220,7 +229,7 @@
         for number in range(len(sizes))
     ]
     with ThreadPoolExecutor(args.at_once) as pool:
-        list(pool.map(lambda case: play(args.directory, *case), wanted))
+        list(pool.map(lambda case: play(args.path, *case), wanted))
 
 
 if __name__ == "__main__":
--- a/tests/limit_failovers.py
+++ b/tests/limit_failovers.py
@@ -1,9 +1,10 @@
 """Every team at its limit, jobs cancelled on machines cut off, deaf or hung, and the quota leader changes.
 
-    python3 tests/limit_failovers.py [--hosted] [--jobs N] [--every N]
+    python3 tests/limit_failovers.py [--family NAME] [--jobs N] [--every N] [--first N]
 
-Plays the fault combinations in virtual time (all, or every Nth; of teams, or of tenants), and
-prints by course and machines how many broke a rule, left work undone, or left something behind.
+Plays the fault combinations in virtual time (all, or every Nth): of teams with one quota partition, of
+tenants, or of teams with several. Prints by course and machines how many broke a rule, left work undone, or
+left something behind.
 """
 
 import argparse
@@ -52,9 +53,8 @@
     def leader(self):
         terms = [node.member.term for node in self.nodes.values() if node.member.term is not None]
         newest = max(terms, key=lambda term: term.number, default=None)
-        leader = (
-            newest.warden("1") if newest is not None else None
-        )  # of the first tenant, where there are any
+        group = "crew" if self.tenancy is None else "1"  # the first team, or the first tenant
+        leader = newest.warden(group) if newest is not None else None
         return self.labels.index(leader) if leader is not None else 0
 
     def do(self, words):
@@ -131,6 +131,21 @@
         yield which, hosted_text_of(seed, *which)
 
 
+def partitioned_combinations():
+    """Yields ((quota partitions, machines, cancelled, course), its text), of the settings' own teams."""
+    cases = itertools.product((2, 6), MACHINES, CANCELLED_AFTER_S, COURSES)
+    for seed, which in enumerate(cases, 1):
+        partitions, *rest = which
+        yield which, f"partitions {partitions}\n{text_of(seed, 3, *rest)}"
+
+
+FAMILIES = {
+    "teams": combinations,
+    "tenants": hosted_combinations,
+    "partitioned teams": partitioned_combinations,
+}
+
+
 def played(case):
     """(the case, rules broken, jobs that did not end, what was left behind)."""
     which, text = case
@@ -145,11 +160,12 @@
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--every", type=int, default=1)
-    parser.add_argument("--hosted", action="store_true")
+    parser.add_argument("--first", type=int, default=0, help="leaves out so many before the first")
+    parser.add_argument("--family", choices=FAMILIES, default="teams")
     args = parser.parse_args()
     rows = {}
     with multiprocessing.Pool(args.jobs) as pool:
-        cases = list((hosted_combinations if args.hosted else combinations)())[:: args.every]
+        cases = list(FAMILIES[args.family]())[args.first :: args.every]
         for which, faults, undone, left in pool.imap_unordered(played, cases):
             row = rows.setdefault((which[3], which[1]), [0, 0, 0, 0])
             for place, value in enumerate((True, faults, undone, left)):
--- a/tests/test_limits_and_failover.py
+++ b/tests/test_limits_and_failover.py
@@ -3,10 +3,11 @@
 from types import SimpleNamespace
 
 import pytest
-from limit_failovers import COURSES, combinations, hosted_combinations, played
+from limit_failovers import COURSES, combinations, hosted_combinations, partitioned_combinations, played
 from mutation import assert_noticed
 
 from roadhead.jobs.book import Book
+from roadhead.jobs.job import KEY, NOBODY
 from roadhead.jobs.quota import QuotaPartitions
 from roadhead.jobs.teams import Accounts
 from roadhead.local.user import Reply, User
@@ -83,6 +84,7 @@
 SAMPLE = [
     *list(combinations())[:: len(COURSES) * 4 + 1],
     *list(hosted_combinations())[:: len(COURSES) * 8 + 1],
+    *list(partitioned_combinations())[:: len(COURSES) * 4 + 1],
 ]
 
 
@@ -92,6 +94,30 @@
     assert (faults, undone, left_behind) == ([], [], [])
 
 
+SIX_TEAMS = "cpus_max 8\nteams 6\nboot_s 1\nuntil 60\n" + "".join(
+    f"at {12 + number / 10} submit crew=crew{f'-{number}' if number > 1 else ''} legs=12 runS=8\n"
+    for number in range(1, 7)
+)
+
+
+@pytest.mark.parametrize(("partitions", "leaders"), [(1, 1), (12, 3)])
+def test_partitions_of_the_settings_teams_are_led_by_all_controllers(partitions, leaders):
+    world = World(f"partitions {partitions}\n{SIX_TEAMS}").run()
+    assert world.check() == []
+    assert all(user.told == "done" for user in world.users.values())
+    records = [event["data"] for event in world.state.log if event.get("put", "").startswith(KEY)]
+    owners = {tuple(record["o"]) for record in records} - {NOBODY}
+    assert len(owners) == leaders
+    assert len(set(world.nodes[0].member.term.wardens)) == leaders
+
+
+def test_partitions_are_taken_over_and_handed_on_while_teams_are_at_their_limit():
+    text = f"partitions 12\n{SIX_TEAMS}at 15 crash 1 5\nat 24 crash 0 0.2\nat 30 leave 2 4\n"
+    world = World(text.replace("until 60", "until 120")).run()
+    assert world.check() == []
+    assert all(user.told == "done" for user in world.users.values())
+
+
 def test_a_job_cancelled_before_it_is_taken_over_is_let_go():
     """Nothing of it is to be written any more: it was kept as one being taken over for ever."""
     wanted = (2, "cut", "during", "back at once")
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -311,8 +311,12 @@
         )
 
 
+PARTITIONS = [b"[membership]\nquota_partitions = " + count for count in (b"0", b"65", b"1.5", b"many")]
+
+
 def test_tuning():
     assert parse_tuning(b"[fleet]\nidle_ratio = 2").fleet.idle_ratio == 2
-    for bad in (b"[fleet]\nidle = 2", b"[fleet]\nidle_ratio = -1", b"[other]", b"no toml"):
+    assert parse_tuning(b"[membership]\nquota_partitions = 24").membership.quota_partitions == 24
+    for bad in (b"[fleet]\nidle = 2", b"[fleet]\nidle_ratio = -1", *PARTITIONS, b"[other]", b"no toml"):
         with pytest.raises(SettingsError):
             parse_tuning(bad)
