--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -187,7 +187,7 @@
 
     def _tuned(self, tuning):
         """The operators' settings of a controller; the version that serves today may know fewer."""
-        if self.options["partitions"] > 1:
+        if self.options["partitions"] > 1 and hasattr(tuning.membership, "quota_partitions"):
             tuning.membership.quota_partitions = self.options["partitions"]
         return tuning
 
--- a/roadhead/scale/command.py
+++ b/roadhead/scale/command.py
@@ -50,6 +50,7 @@
         """Starts everything, waits for the users to end, and returns the Report. Raises StartError."""
         try:
             self._processes.start()
+            time.sleep(self._plan.settle_s)
             self._processes.begin_load()
             self._watch(time.monotonic())
             time.sleep(1.5)  # the last lines of the event logs
--- a/roadhead/scale/layout.py
+++ b/roadhead/scale/layout.py
@@ -7,11 +7,11 @@
 
 import msgspec
 
-from roadhead.local.processes import free_address
 from roadhead.scale.plan import Plan
 
 LAYOUT = "cluster.json"
 WORKER_PORT = 9000
+SERVICE_PORT, PEER_PORT, HOST_PORT = 8080, 8081, 8082
 WORKERS_A_SUBNET = 250
 NETWORKS = range(10, 250)  # second parts of loopback addresses
 SOCKETS = 4096  # of a controller
@@ -29,6 +29,12 @@
     return f"127.{network}.{subnet}.{place + 1}:{WORKER_PORT}"
 
 
+def service_address(network, place, port=SERVICE_PORT):
+    """A loopback address of a process of the run. No connection takes its port: those of outgoing ones are
+    higher."""
+    return f"127.{network}.254.{place + 1}:{port}"
+
+
 def reserve_network():
     """(a network for workers that no other run uses, the socket that reserves it as long as it is open)."""
     for network in random.sample(NETWORKS, len(NETWORKS)):
@@ -63,11 +69,11 @@
             "program": program,
             "network": network,
             "labels": labels,
-            "fronts": [free_address() for _ in labels],
-            "internal": [free_address() for _ in labels],
-            "state": free_address(),
-            "cloud": free_address(),
-            "hosts": [free_address() for _ in range(plan.cluster.hosts)],
+            "fronts": [service_address(network, place) for place in range(len(labels))],
+            "internal": [service_address(network, place, PEER_PORT) for place in range(len(labels))],
+            "state": service_address(network, len(labels)),
+            "cloud": service_address(network, len(labels) + 1),
+            "hosts": [service_address(network, place, HOST_PORT) for place in range(plan.cluster.hosts)],
             "settings": {
                 "workers": {name: getattr(plan.timing, name) for name in ("report_s", "lease_s", "cancel_s")},
                 "state": msgspec.to_builtins(plan.state),
--- a/roadhead/scale/plan.py
+++ b/roadhead/scale/plan.py
@@ -94,9 +94,11 @@
 
 
 class Plan(Table, frozen=True):
-    """A scale run. The load lasts `warm_s` + `measured_s`; then users wait, for `drain_s` at the most."""
+    """A scale run. The load begins `settle_s` after all controllers are ready, and lasts `warm_s` +
+    `measured_s`; then users wait, for `drain_s` at the most."""
 
     seed: int = 1
+    settle_s: float = 0.0
     warm_s: float = 10.0
     measured_s: float = 30.0
     drain_s: float = 60.0
@@ -156,7 +158,7 @@
     yield from _not_positive("timing.", plan.timing, plan.timing.__struct_fields__)
     yield from _not_positive("state.", plan.state, plan.state.__struct_fields__)
     yield from _not_positive("teams.", plan.teams, ("count", "partitions"))
-    for name in ("warm_s", "drain_s"):
+    for name in ("settle_s", "warm_s", "drain_s"):
         if not 0 <= getattr(plan, name) < math.inf:
             yield f"{name}: must not be negative, is {getattr(plan, name)}"
     if not 0 <= plan.teams.cpus_max < math.inf:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -93,6 +93,35 @@
     assert world.state.oversized == 0 and world.counter("duties_failed") == 0
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_roll_to_several_quota_partitions_and_back(seed):
+    """The version in production leads partitions that the new one made, and the other way round."""
+    crews = ("crew", "crew-2", "crew-3", "crew-4")
+    work = "\n".join(
+        f"at {at + number / 8} submit crew={crew} legs=14 runS=6"
+        for at in (2, 18, 34, 50, 66)
+        for number, crew in enumerate(crews)
+    )
+    world = Rolled(f"""{LIMITS}
+    seed {seed}
+    partitions 12
+    teams 4
+    cpus_max 6
+    capacity 8
+    boot_s 1
+    {work}
+    at 19 upgrade 0
+    at 35 upgrade 1
+    at 51 upgrade 2
+    at 67 downgrade 0
+    at 80 upgrade 0
+    until 220
+    expect told done all
+    """).run()
+    assert world.check() == []
+    assert len(world.nodes[1].member.term.wardens) == 12
+
+
 def test_before_the_gate_what_is_new_is_refused_at_once_and_nothing_of_it_is_written():
     """The last to be replaced is away, not old: it may come back old, so those alive do not count alone."""
     world = Rolled(f"""{LIMITS}
