--- a/roadhead/local/fault_injector.py
+++ b/roadhead/local/fault_injector.py
@@ -36,6 +36,7 @@
         self.verbs = {
             "lose-writes": self._strike("lost_writes"),
             "late-reports": self.late_reports,
+            "slow-reports": self._strike("slow_reports"),
             "late-commands": self._strike("late_commands"),
             "cancel-at-end": self._strike("cancelled_at_end"),
             "quick-boots": lambda seconds: self._begin("quick_boots", 1, seconds),
--- a/roadhead/local/fault_windows.py
+++ b/roadhead/local/fault_windows.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 LATE_COMMAND_S = (2.0, 16.0)  # by so much a command is held up
+SLOW_REPORT_S = (0.2, 3.0)  # so long a report is on its way: less than its worker waits for the answer
 QUICK_BOOT_S = (0.2, 2.0)
 
 
@@ -26,6 +27,7 @@
 
     lost_writes: FaultWindow = field(default_factory=FaultWindow)  # transactions whose answer alone is lost
     late_reports: FaultWindow = field(default_factory=FaultWindow)
+    slow_reports: FaultWindow = field(default_factory=FaultWindow)
     reports_for_next: FaultWindow = field(default_factory=FaultWindow)  # copies kept until the term changes
     late_commands: FaultWindow = field(default_factory=FaultWindow)
     cancelled_at_end: FaultWindow = field(default_factory=FaultWindow)  # jobs, as their last task ends
--- a/roadhead/local/scenario.py
+++ b/roadhead/local/scenario.py
@@ -18,6 +18,7 @@
     "teams": 1,  # `crew`, `crew-2` and so on; with more than one also `free`, without a limit
     "drift": 0.0005,
     "boot_s": 5.0,
+    "turn_s": 0.0,  # a busy controller reads its sockets so often, connection by connection in any order
     "gateways": 0,
     "slots": 24,
     "partitions": 1,  # of the settings' teams with limits
--- a/roadhead/local/sim.py
+++ b/roadhead/local/sim.py
@@ -31,16 +31,23 @@
 
 
 class HostLoop(Loop):
-    """A host's view of the simulation: its own drifting clock, and silence once it is dead."""
+    """A host's view of the simulation: its own drifting clock, and silence once it is dead.
 
-    def __init__(self, sim, rate=1.0, offset=0.0):
+    With `turn_s`, seconds that a busy process takes for a turn of its loop, what arrived meanwhile is read
+    at the turn's end: each connection in its order, the connections among one another in any. What a turn
+    sends leaves at some moment of it.
+    """
+
+    def __init__(self, sim, rate=1.0, offset=0.0, turn_s=0.0):
         self.sim = sim
         self.rate = rate
         self.offset = offset
+        self.turn_s = turn_s
         self.alive = True
         self.hung = False
         self._held = []
         self._packets = []
+        self._unread = {}  # connection's end -> [(callback, its arguments)], for the end of this turn
         super().__init__(lambda: sim.time * rate + offset, NoSelector())
 
     def _go(self, fn, args):
@@ -71,11 +78,30 @@
         def arrive():
             if self.alive and self.hung:
                 self._packets.append((fn, args))
+            elif self.alive and self.turn_s:
+                self._wait_for_turn(fn, args)
             elif self.alive:
                 fn(*args)
 
         self.sim._push(Timer(self.sim.time + delay, arrive, ()))
 
+    def _wait_for_turn(self, fn, args):
+        if not self._unread:
+            self.sim._push(Timer(self.sim.time + self.turn_s, self._read_all, ()))
+        self._unread.setdefault(fn.__self__, []).append((fn, args))
+
+    def _read_all(self):
+        unread, self._unread = list(self._unread.values()), {}
+        packets = [packet for connection in self._shuffled(unread) for packet in connection]
+        if self.hung:
+            self._packets += packets
+        elif self.alive:
+            for fn, args in packets:
+                fn(*args)
+
+    def _shuffled(self, connections):
+        return self.sim.random.sample(connections, len(connections))
+
     def hang(self):
         self.hung = True
         self._hung_at = self.now()
@@ -105,6 +131,7 @@
         self.host = host
         self.peer_host = peer_host
         self.peer = None
+        self.whole_at = 0.0  # when all that was sent here has arrived: what follows comes no earlier
         self.closed = False
         self._eof = False
         self._chunks = []
@@ -147,7 +174,8 @@
 
 
 class Network:
-    """Carries bytes between hosts with a latency, in order; cuts hold them back or lose them."""
+    """Carries bytes between hosts with a latency, each connection's in order; cuts hold them back or lose
+    them."""
 
     def __init__(self, sim, latency=0.001):
         self.sim = sim
@@ -175,12 +203,18 @@
             if cut[0] == "hold":
                 cut[1].append((stream.peer, data))
             return
-        self._post(stream.peer, data)
+        sender = self.loops.get(stream.host)
+        self._post(stream.peer, data, sender.turn_s if sender is not None else 0.0)
 
-    def _post(self, peer, data):
+    def _post(self, peer, data, turn_s=0.0):
         loop = self.loops.get(peer.host)
-        if loop is not None:
-            loop.deliver(self.latency, peer._deliver, data)
+        if loop is None:
+            return
+        delay = self.latency
+        if turn_s:
+            peer.whole_at = max(peer.whole_at, self.sim.time + delay + self.sim.random.uniform(0.0, turn_s))
+            delay = peer.whole_at - self.sim.time
+        loop.deliver(delay, peer._deliver, data)
 
     def cut(self, a, b, mode):
         """`hold`: packets arrive once the cut ends; `lose`: they never do."""
--- a/roadhead/local/worker.py
+++ b/roadhead/local/worker.py
@@ -2,12 +2,14 @@
 
 import cbor2
 
-from roadhead.local.fault_windows import QUICK_BOOT_S
+from roadhead.local.fault_windows import QUICK_BOOT_S, SLOW_REPORT_S
 from roadhead.local.gang import Gang
 from roadhead.local.server import Server
 from roadhead.runtime.loop import Future
 from roadhead.wire.http import Client, NoAnswer
 
+ANSWER_S = 4.0  # a worker drops the answer to a report that took longer (PROTOCOL)
+
 
 class TaskAttempt:
     """An attempt on a worker."""
@@ -89,12 +91,15 @@
                 self.loop.spawn(self._again(front, body), "late copy")
             if self.world.fault_windows.reports_for_next.strikes(self.sim):
                 self.world.injector.keep_report(self, body)
+            if self.world.fault_windows.slow_reports.strikes(self.sim):
+                await self.loop.sleep(self.sim.random.uniform(*SLOW_REPORT_S))
             try:
-                status, data, _ = await client.request("POST", "/v1/report", body, 4.0)
+                left_s = sent_at + ANSWER_S - self.loop.now()
+                status, data, _ = await client.request("POST", "/v1/report", body, left_s)
                 if self.sim.time < self.deaf_until:
                     status, data = 0, b""
                     client.close()
-                    await self.loop.sleep(max(0.0, sent_at + 4.0 - self.loop.now()))
+                    await self.loop.sleep(max(0.0, sent_at + ANSWER_S - self.loop.now()))
             except NoAnswer:
                 status, data = 0, b""
             if status == 200:
