Every answer to a worker's report counts for its lease, where it is decided on

Cause: Hearing.take_report set renewed_at only for a report that was the newest message of its worker, but returned the machine for every one, so that it was answered 200 and renewed the worker's lease. A report that the answer to a direct command overtook extended the lease at the worker and not in the books: tasks of a machine that then hung or was cut off were freed while they ran. Class: an effect of an answer that is not recorded where the answer is decided on.

--- a/roadhead/api/reports.py
+++ b/roadhead/api/reports.py
@@ -27,8 +27,7 @@
             return Answer(421, messages.redirect(home))
         if not node.may_renew():
             return UNENTITLED
-        machine = node.home.hearing.take_report(report)
-        if machine is None:
+        renewal = node.home.hearing.answer(report)
+        if renewal is None:
             return UNENTITLED
-        orders = node.home.commanding.answer_orders(machine)
-        return Answer(200, messages.report_answer(machine.token, orders))
+        return Answer(200, messages.report_answer(renewal.token, renewal.orders))
--- a/roadhead/homes/commanding.py
+++ b/roadhead/homes/commanding.py
@@ -140,12 +140,6 @@
 
     # On the way to the machines
 
-    @staticmethod
-    def answer_orders(machine):
-        """Commands for the answer to a report."""
-        orders, _launches = machine.orders()
-        return orders
-
     @staticmethod
     def sending(machine, launches):
         """Launches are about to be sent directly; returns those on their way for the first time.
--- a/roadhead/homes/hearing.py
+++ b/roadhead/homes/hearing.py
@@ -1,13 +1,22 @@
 """What workers report, and what it says of their tasks."""
 
 import logging
+from typing import NamedTuple
 
 from roadhead.homes.machine import EXITED, LAUNCHING, Task
+from roadhead.homes.worker_lease import ReportNumber
 from roadhead.wire import frames, messages
 
 log = logging.getLogger("roadhead.home")
 
 
+class Renewal(NamedTuple):
+    """What a report is answered: the token, and the worker's commands in order."""
+
+    token: int
+    orders: list
+
+
 class Hearing:
     """`drain(machine)`: its notice came. `need_spec(job)`: a task was found of which nothing is known."""
 
@@ -22,8 +31,22 @@
         self._drain = drain
         self._need_spec = need_spec
 
-    def take_report(self, report):
-        """A worker's own report. Returns its machine, or None if it must not be answered 200."""
+    def answer(self, report):
+        """The Renewal that answers a worker's own report, or None if it must not be answered 200.
+
+        An answer renews the worker's lease whether the report brings news or not: one that the answer to a
+        direct command overtook is answered, too. So it is counted here, where it is decided on, and nowhere
+        else (ran_twice at production size: docs/incidents/ran-twice.md).
+        """
+        machine = self._take_report(report)
+        if machine is None:
+            return None
+        machine.lease.answer(ReportNumber.of(report), self._loop.now())
+        orders, _launches = machine.orders()
+        return Renewal(machine.token, orders)
+
+    def _take_report(self, report):
+        """The machine of a report, or None if this home has no say over it."""
         known = self._known
         machine = known.machines.get(report.machine)
         now = self._loop.now()
@@ -38,9 +61,7 @@
             self._sureness.unheard(machine)
         if report.token > machine.token or self._too_late(machine):
             return None
-        fresh = self.observe(machine, report)
-        if fresh:
-            machine.renewed_at = now
+        self.observe(machine, report)
         return machine
 
     def _too_late(self, machine):
@@ -63,7 +84,7 @@
             # the old one are refused from now on.
             for task in list(machine.tasks.values()):
                 self._news.freed(machine, task, "lease ended")
-            machine.renewed_at = now
+            machine.lease.begin(now)
         machine.session, machine.sequence = at
         machine.heard_at = now
         if report.notice_s is not None:
@@ -72,7 +93,8 @@
         first = confirmed and machine.confirmed != report.token
         if first:
             machine.confirmed = report.token
-            machine.confirmed_at = machine.renewed_at = now
+            machine.confirmed_at = now
+            machine.lease.begin(now)
             for task in machine.tasks.values():
                 if task.loose_token < report.token:
                     task.loose_token = 0
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -15,7 +15,8 @@
 from roadhead.homes.machine import EXITED, Needs
 from roadhead.homes.news import News
 from roadhead.homes.rooms import Rooms
-from roadhead.homes.sureness import DRIFT, Sureness
+from roadhead.homes.sureness import Sureness
+from roadhead.homes.worker_lease import DRIFT
 
 log = logging.getLogger("roadhead.home")
 
@@ -260,7 +261,7 @@
         for machine in list(self.machines.values()):
             if not machine.tasks and not sureness.claimed(machine.id):
                 continue
-            end = machine.renewed_at + self._workers.lease_s * (1 + 2 * DRIFT) + 0.2
+            end = machine.lease.ends_at(self._workers.lease_s)
             if machine.confirmed != machine.token:
                 end = max(end, sureness.fence_at(machine.share))
             if now <= end:
@@ -271,7 +272,7 @@
             log.info(
                 "lease of %s has run out: last report answered %.1f s ago, %d tasks",
                 machine.id,
-                now - machine.renewed_at,
+                now - machine.lease.renewed_at,
                 len(machine.tasks),
             )
             self._count("leases_out")
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from roadhead.homes.worker_lease import WorkerLease
 from roadhead.wire import messages
 
 LAUNCHING = "launching"
@@ -104,10 +105,10 @@
         "idle_since",
         "images",
         "kind",
+        "lease",
         "listed_at",
         "notice_at",
         "readings",
-        "renewed_at",
         "reported",
         "sequence",
         "session",
@@ -138,7 +139,7 @@
         self.confirmed = 0  # token under which it was last heard, if it is ours
         self.confirmed_at = 0.0
         self.heard_at = None
-        self.renewed_at = now  # when a report was last answered
+        self.lease = WorkerLease(now)
         self.listed_at = None
         self.up = False  # it was, by a list or its own word, while surely nobody else was its home
         self.born_at = 0.0  # not before this it was rented, or up
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/sureness.py
@@ -4,11 +4,11 @@
 import math
 
 from roadhead.homes.relief import Relief
+from roadhead.homes.worker_lease import DRIFT
 from roadhead.wire import frames
 
 log = logging.getLogger("roadhead.home")
 
-DRIFT = 0.0005
 ANSWER_S = 4.0  # a worker drops responses that took longer (PROTOCOL)
 
 
--- a/tests/drawn_days.py
+++ b/tests/drawn_days.py
@@ -245,3 +245,55 @@
             at = max(times[number - 1] + 1, begin + rng.uniform(0, 20))
             lines.append(f"at {at:.2f} cancel {number}")
     return "\n".join(lines)
+
+
+RECOVERY_S = 40  # the first wave of work has ended: there is room, and machines are not returned yet
+
+
+def drawn_report_orders(seed):
+    """The text of a day on which reports and answers to direct commands arrive in any order while work
+    starts, and machines then hang or are cut off, as controllers end and return."""
+    rng = random.Random(seed)
+    count = rng.choice((3, 3, 5))
+    machines = rng.choice((24, 32, 48))
+    lines = [
+        f"seed {seed}",
+        f"controllers {count}",
+        f"capacity {machines}",
+        "boot_s 15",
+        "fetch_s 0.1",
+        "write_rps 200",
+        f"turn_s {rng.choice((0, 0, 0.02, 0.1))}",
+        "until 330",
+        f"at 1 submit count=4 legs={machines * 3 // 4} runS={RECOVERY_S - 6} expectS={RECOVERY_S - 6}",
+        f"at {RECOVERY_S} slow-reports {rng.choice((0.3, 0.5, 0.7))} {rng.choice((40, 90))}",
+    ]
+    lines += [
+        f"at {at} submit count={rng.choice((1, 2, 3))} legs={rng.choice((1, 2))} runS=90 expectS=90"
+        for at in range(RECOVERY_S, RECOVERY_S + 40)
+    ]
+    for begin in (RECOVERY_S + 15, RECOVERY_S + 32):
+        lines += _machines_lost(rng, begin + rng.uniform(0, 8))
+        if rng.random() < 0.5:
+            at, node = begin + rng.uniform(-4, 12), rng.randrange(count)
+            trouble = rng.choice(
+                (
+                    f"crash {node} {rng.choice((0.1, 3))}",
+                    f"leave {node} 0.2",
+                    f"stall {node} {rng.choice((4, 14))}",
+                    f"late-commands {rng.choice((0.2, 0.5))} 20",
+                    f"late-reports 0.3 {rng.choice((20, 40))}",
+                    f"cut {node} state 14 hold",
+                )
+            )
+            lines.append(f"at {at:.2f} {trouble}")
+    return "\n".join(lines)
+
+
+def _machines_lost(rng, at):
+    """Lines by which machines hang, or are cut off from all controllers."""
+    length = rng.choice((14, 20, 30))
+    if rng.random() < 0.5:
+        return [f"at {at:.2f} cut peers {rng.choice(('even', 'odd'))}-workers {length} hold"]
+    places = rng.sample(range(12), 6)
+    return [f"at {at + rng.uniform(0, 3):.2f} hang {place} {length}" for place in places]
--- a/tests/hunt.py
+++ b/tests/hunt.py
@@ -1,7 +1,8 @@
 """Hunts broken rules: days of virtual time drawn by chance, with everything failing, of a hosted service,
-of pipelines, or of two to four troubles that meet.
+of pipelines, of two to four troubles that meet, or of reports and direct answers in any order.
 
-    python3 tests/hunt.py [--pipelines | --meetings] [--days N] [--seed FIRST] [--jobs N] [--show SEED]
+    python3 tests/hunt.py [--pipelines | --meetings | --report-orders] [--days N] [--seed FIRST] [--jobs N]
+                          [--show SEED]
     python3 tests/hunt.py --first-meeting | --leader [--jobs N]
 
 The last two play every order and spacing of the first meeting, and of a leader that is cut from all but its
@@ -15,7 +16,7 @@
 import multiprocessing
 
 import conftest  # noqa: F401  finds the libraries
-from drawn_days import drawn, drawn_meetings, drawn_pipelines
+from drawn_days import drawn, drawn_meetings, drawn_pipelines, drawn_report_orders
 from enumerated import (
     first_meetings,
     leader_cuts,
@@ -40,6 +41,10 @@
     return played_pipelines(seed, drawn_meetings)
 
 
+def played_report_orders(seed):
+    return played_pipelines(seed, drawn_report_orders)
+
+
 def played_pipelines(seed, draw=drawn_pipelines):
     """(seed, faults) of a day: whatever was accepted ends, as cancelled only with one of its ancestors."""
     world = World(draw(seed)).run()
@@ -64,6 +69,7 @@
     parser.add_argument("--show", type=int)
     parser.add_argument("--pipelines", action="store_true")
     parser.add_argument("--meetings", action="store_true")
+    parser.add_argument("--report-orders", action="store_true")
     parser.add_argument("--first-meeting", action="store_true")
     parser.add_argument("--leader", action="store_true")
     args = parser.parse_args()
@@ -73,13 +79,13 @@
     if args.leader:
         table_of_leaders(args.jobs)
         return
-    draw, play = (
-        (drawn_meetings, played_meetings)
-        if args.meetings
-        else (drawn_pipelines, played_pipelines)
-        if args.pipelines
-        else (drawn, played)
-    )
+    draw, play = drawn, played
+    if args.meetings:
+        draw, play = drawn_meetings, played_meetings
+    elif args.pipelines:
+        draw, play = drawn_pipelines, played_pipelines
+    elif args.report_orders:
+        draw, play = drawn_report_orders, played_report_orders
     if args.show is not None:
         print(draw(args.show))
         return
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -118,7 +118,7 @@
     home.rooms.window_s = 12.0
     for number in range(machines):
         machine = home.known.take_on(f"n-{number:06d}", "10.1.0.1:9000", "box", "a", True, 0.0)
-        home.hearing.take_report(report(number, tasks))
+        home.hearing.answer(report(number, tasks))
         for task in list(machine.tasks.values()):
             machine.learn(task, NEEDS)
     return home
@@ -153,14 +153,14 @@
 
 def test_a_report_with_nothing_new_costs_the_same_for_any_number_of_tasks():
     few, many = home_of(1, 4), home_of(1, 64)
-    first = calls(few.hearing.take_report, report(0, 4, sequence=2))
-    second = calls(many.hearing.take_report, report(0, 64, sequence=2))
+    first = calls(few.hearing.answer, report(0, 4, sequence=2))
+    second = calls(many.hearing.answer, report(0, 64, sequence=2))
     assert 0 < second <= first + 2
 
 
 def test_a_report_costs_the_same_in_any_fleet():
-    first = calls(home_of(10, 4).hearing.take_report, report(0, 3, sequence=2))
-    second = calls(home_of(400, 4).hearing.take_report, report(0, 3, sequence=2))
+    first = calls(home_of(10, 4).hearing.answer, report(0, 3, sequence=2))
+    second = calls(home_of(400, 4).hearing.answer, report(0, 3, sequence=2))
     assert 0 < second <= first + 2
 
 
@@ -175,7 +175,7 @@
     """Calls of a report, a list, a beat, and a look whether all is known, at that many machines."""
     home = home_of(machines, 0)
     return (
-        calls(home.hearing.take_report, report(0, 0, sequence=2)),
+        calls(home.hearing.answer, report(0, 0, sequence=2)),
         calls(home.covered, listed(machines), 100.0),
         calls(home.tick, 0.0) + calls(home.news),
         calls(home.sureness.clean),
@@ -222,7 +222,7 @@
         home.commanding.on_sync("there", 1, frames.Sync(1, 1, [], []))
         assert not home.sureness.clean()
         reports = [report(number, 0, sequence=2) for number in range(machines)]
-        total = calls(lambda: [home.hearing.take_report(heard) for heard in reports])
+        total = calls(lambda: [home.hearing.answer(heard) for heard in reports])
         assert home.sureness.clean()
         return total
 
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -76,6 +76,22 @@
     patch.setattr(Api, "_node_answer", node_answer, raising=False)
 
 
+def overtaken_answers_not_counted(patch):
+    """2: of the reports answered only the newest message of its worker counts for the lease."""
+    real = Hearing.answer
+
+    def answer(self, report):
+        machine = self._known.machines.get(report.machine)
+        newest = machine and (machine.session, machine.sequence)
+        renewed_at = machine and machine.lease.renewed_at
+        renewal = real(self, report)
+        if machine is not None and (report.session, report.sequence) <= newest:
+            machine.lease.renewed_at = renewed_at
+        return renewal
+
+    patch.setattr(Hearing, "answer", answer)
+
+
 def forgets_loose_launches(patch):
     """2: an attempt is forgotten although an unanswered launch of it may still arrive."""
     real = Machine.orders
@@ -241,6 +257,7 @@
         (polls_the_shelf_first, "shelf-polled"),
         (never_fenced, "takeover-room"),
         (freed_when_silent, "hung-machine"),
+        (overtaken_answers_not_counted, "overtaken-reports"),
         (started_unsynced, "takeover-running"),
         (up_taken_for_booting, "takeover-running"),
         (renews_blindly, "cut-zone"),
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -180,7 +180,7 @@
     home.commanding.on_sync("heir", 2, frames.Sync(1, 1, ["req-0"], []))
     home.commanding.on_sync("other", 3, frames.Sync(1, 1, ["req-0"], []))
     assert sent == []
-    home.hearing.take_report(report(0, 2))
+    home.hearing.answer(report(0, 2))
     for label in ("heir", "other"):
         told = [frame for to, frame in sent if to == label]
         assert [type(frame) for frame in told] == [frames.TaskStates, frames.Synced]
@@ -198,7 +198,7 @@
     claims = [("n-000000", "req-0", 0, 1)]
     home.commanding.on_sync("ended", 1, frames.Sync(1, 1, ["req-0"], claims))
     home.commanding.on_sync("heir", 2, frames.Sync(1, 1, ["req-0"], []))
-    home.hearing.take_report(report(0, 1))
+    home.hearing.answer(report(0, 1))
     assert [task.owner for task in home.machines["n-000000"].tasks.values()] == [("heir", 2)]
     assert frames.TaskStates in [type(frame) for label, frame in sent if label == "heir"]
 
@@ -344,11 +344,11 @@
     home.covered([listed("n-000001", "starting"), listed("n-000002", "running")], 100.0)
     home._member.takes_on = lambda _share: False
     home.covered([listed("n-000001", "running")], 110.0)
-    assert home.hearing.take_report(report(1, 0)) is None
+    assert home.hearing.answer(report(1, 0)) is None
     assert not home.hearing.observe(home.machines["n-000001"], report(1, 0))
-    assert home.hearing.take_report(report(2, 0)) is home.machines["n-000002"]
+    assert home.hearing.answer(report(2, 0)).token == home.machines["n-000002"].token
     home._member.takes_on = lambda _share: True
-    assert home.hearing.take_report(report(1, 0)) is home.machines["n-000001"]
+    assert home.hearing.answer(report(1, 0)).token == home.machines["n-000001"].token
 
 
 def test_machines_of_a_relieved_home_are_waited_for_although_they_boot():
@@ -362,7 +362,7 @@
         home.sureness.fence([0], False)
         home.covered([listed("n-000001", "starting")], 100.0)
         assert home.sureness.clean() == (not unaware)
-    assert home.hearing.take_report(report(1, 0)) and not home.sureness.clean()
+    assert home.hearing.answer(report(1, 0)) and not home.sureness.clean()
     home.sureness.hear_term("ctl-1", term.number)  # as it was before
     assert home.sureness.may_not_know() == ["ctl-1"]
     home.sureness.hear_term("ctl-1", relieved.number)
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -49,6 +49,92 @@
 def test_a_report_that_a_direct_answer_overtook_renews_the_lease(heard):
     report, direct_answer = heard.worker.report(), heard.worker.report()
     assert heard.observe(direct_answer)
-    assert heard.machine.renewed_at < heard.now()
+    assert heard.machine.lease.renewed_at < heard.now()
     assert heard.answer(report).status == 200
-    assert heard.machine.renewed_at == heard.now()
+    assert heard.machine.lease.renewed_at == heard.now()
+
+
+def test_a_report_in_order_renews_the_lease(heard):
+    assert heard.answer(heard.worker.report()).status == 200
+    assert heard.machine.lease.renewed_at == heard.now()
+
+
+@pytest.mark.parametrize("overtaken", [False, True])
+def test_a_copy_of_a_report_renews_nothing_and_changes_nothing(heard, overtaken):
+    """Whoever gets its answer: the original was sent no later than it was answered the first time."""
+    report = heard.worker.report()
+    if overtaken:
+        heard.observe(heard.worker.report())
+    heard.answer(report)
+    renewed_at, tasks = heard.machine.lease.renewed_at, dict(heard.machine.tasks)
+    heard.world.sim.time += 1.0
+    assert heard.answer({**report, "legs": []}).status == 200
+    assert heard.machine.lease.renewed_at == renewed_at
+    assert heard.machine.tasks == tasks
+
+
+def test_a_report_older_than_one_answered_renews_nothing(heard):
+    old, new = heard.worker.report(), heard.worker.report()
+    heard.answer(new)
+    renewed_at = heard.machine.lease.renewed_at
+    heard.world.sim.time += 1.0
+    assert heard.answer(old).status == 200
+    assert heard.machine.lease.renewed_at == renewed_at
+
+
+def test_a_report_of_an_earlier_session_frees_and_renews_nothing(heard):
+    old = heard.worker.report()
+    heard.worker._end_session()
+    assert heard.answer(heard.worker.report()).status == 200
+    assert not heard.machine.tasks  # the new session began without any
+    renewed_at = heard.machine.lease.renewed_at
+    heard.world.sim.time += 1.0
+    assert heard.answer(old).status == 200
+    assert heard.machine.lease.renewed_at == renewed_at
+    assert not heard.machine.tasks and heard.machine.session == heard.worker.session
+
+
+def test_a_report_of_the_next_session_frees_what_ran_and_renews(heard):
+    heard.worker._end_session()
+    direct_answer = heard.worker.report()
+    assert heard.observe(direct_answer)
+    assert not heard.machine.tasks and heard.machine.lease.renewed_at == heard.now()
+
+
+def test_a_direct_answer_alone_renews_nothing(heard):
+    renewed_at = heard.machine.lease.renewed_at
+    assert heard.observe(heard.worker.report())
+    assert heard.machine.lease.renewed_at == renewed_at
+
+
+def test_a_report_under_a_higher_token_is_not_answered(heard):
+    """Somebody else may be its home by now."""
+    renewed_at = heard.machine.lease.renewed_at
+    report = {**heard.worker.report(), "brand": heard.machine.token + 1}
+    assert heard.answer(report).status == 503
+    assert heard.machine.lease.renewed_at == renewed_at
+
+
+def test_a_report_under_a_lower_token_renews_and_frees_nothing(heard):
+    """The worker takes the answer, whose token is the higher one; a list under the old one proves nothing."""
+    tasks = dict(heard.machine.tasks)
+    report = {**heard.worker.report(), "brand": heard.machine.token - 1, "legs": []}
+    assert heard.answer(report).status == 200
+    assert heard.machine.lease.renewed_at == heard.now()
+    assert heard.machine.tasks == tasks
+
+
+def test_a_report_of_a_machine_that_is_gone_is_not_answered(heard):
+    report = heard.worker.report()
+    heard.node.home.machine_gone(heard.machine, "released")
+    assert heard.answer(report).status == 503
+    assert heard.machine.id not in heard.node.home.machines
+
+
+def test_a_task_of_an_attempt_that_is_not_known_is_found_not_taken_for_another(heard):
+    report = heard.worker.report()
+    row = {**report["legs"][0], "try": report["legs"][0]["try"] + 7}
+    assert heard.answer({**report, "legs": [*report["legs"], row]}).status == 200
+    job, index = messages.split_task(row["leg"])
+    assert (job, index, row["try"]) in heard.machine.tasks
+    assert (job, index, row["try"] - 7) in heard.machine.tasks
