Decisions on leases, launches, frees and shards are logged by name and kept for after a broken rule

Cause: of the incident no log line told which report was answered, from which the home counted a lease, and by what evidence a task was called free.

Counters for reports answered though not the newest, authority lost while a command waited, frees by cause. An unknown LOG_LEVEL ends with status 2 and a plain line, where it was taken for info. test_shares and test_cost pass the log where they build a home.

--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -241,12 +241,28 @@
     node.start()
     # The loop looks at it with its next timer, a beat later at the most.
     signal.signal(signal.SIGTERM, lambda *_: loop.call_soon(node.leave, loop.stop))
+    signal.signal(signal.SIGUSR1, lambda *_: loop.call_soon(node.decisions.dump, _to_standard_error))
     gc.freeze()
     loop.run()
     return 0
 
 
+def _to_standard_error(line):
+    print(line, file=sys.stderr)
+
+
 def main(argv=None):
+    """Runs the command line; the exit status."""
+    from roadhead.telemetry import LogLevelError
+
+    try:
+        return _main(argv)
+    except LogLevelError as error:
+        print(f"roadhead: {error}", file=sys.stderr)
+        return 2
+
+
+def _main(argv):
     words = sys.argv[1:] if argv is None else argv
     parser = _parser(hosting=not words or words[0] != "--config")
     args = parser.parse_args(words)
--- a/roadhead/homes/commanding.py
+++ b/roadhead/homes/commanding.py
@@ -1,13 +1,14 @@
 """What owners want done on a home's machines, and what its machines have yet to be told."""
 
-from roadhead.homes.machine import EXITED, LAUNCHING, Needs, Task, fits
+from roadhead.decision_log import Decision
+from roadhead.homes.machine import EXITED, LAUNCHING, Needs, Task, about, fits
 from roadhead.wire import frames
 
 
 class Commanding:
     """`ask(machine)` wants a direct request sent to a machine; `lapse_s`: of an unused grant."""
 
-    def __init__(self, loop, known, news, sureness, rooms, lapse_s, send, ask, counters):
+    def __init__(self, loop, known, news, sureness, rooms, lapse_s, send, ask, counters, decisions):
         self._loop = loop
         self._known = known
         self._news = news
@@ -17,6 +18,7 @@
         self._send = send
         self._ask = ask
         self._count = counters.add
+        self._decisions = decisions
 
     def on_start(self, label, incarnation, frame):
         """Tasks of one job for one machine; with `last` the grant comes back after them."""
@@ -140,13 +142,16 @@
 
     # On the way to the machines
 
-    @staticmethod
-    def sending(machine, launches):
+    def sending(self, machine, launches):
         """Launches are about to be sent directly; returns those on their way for the first time.
 
         Until the answer comes they may arrive at any later time, even if a report has shown
         the attempt meanwhile (the launch was repeated there): it must not be forgotten.
         """
+        for task in launches:
+            self._decisions.note(
+                Decision.LAUNCH_SENT, about(machine, task), path="repeat" if task.loose_token else "direct"
+            )
         fresh = [task for task in launches if not task.loose_token]
         for task in fresh:
             task.loose_token = machine.token
--- a/roadhead/homes/hearing.py
+++ b/roadhead/homes/hearing.py
@@ -3,7 +3,8 @@
 import logging
 from typing import NamedTuple
 
-from roadhead.homes.machine import EXITED, LAUNCHING, Task
+from roadhead.decision_log import Decision
+from roadhead.homes.machine import EXITED, LAUNCHING, Task, about
 from roadhead.homes.worker_lease import ReportNumber
 from roadhead.wire import frames, messages
 
@@ -20,7 +21,7 @@
 class Hearing:
     """`drain(machine)`: its notice came. `need_spec(job)`: a task was found of which nothing is known."""
 
-    def __init__(self, loop, member, known, news, sureness, rooms, faults, drain, need_spec):
+    def __init__(self, loop, member, known, news, sureness, rooms, faults, drain, need_spec, decisions):
         self._loop = loop
         self._member = member
         self._known = known
@@ -30,6 +31,7 @@
         self._faults = faults
         self._drain = drain
         self._need_spec = need_spec
+        self._decisions = decisions
 
     def answer(self, report):
         """The Renewal that answers a worker's own report, or None if it must not be answered 200.
@@ -41,10 +43,28 @@
         machine = self._take_report(report)
         if machine is None:
             return None
-        machine.lease.answer(ReportNumber.of(report), self._loop.now())
-        orders, _launches = machine.orders()
+        number = ReportNumber.of(report)
+        if number < (machine.session, machine.sequence):
+            self._note_overtaken(machine, number)
+        machine.lease.answer(number, self._loop.now())
+        orders, launches = machine.orders()
+        for task in launches:
+            self._decisions.note(Decision.LAUNCH_SENT, about(machine, task), path="answer")
         return Renewal(machine.token, orders)
 
+    def _note_overtaken(self, machine, number):
+        """A report that is not the newest message of its worker is about to be answered."""
+        again = number <= machine.lease.answered
+        self._decisions.count("reports_again" if again else "reports_overtaken")
+        self._decisions.note(
+            Decision.REPORT_OVERTAKEN,
+            about(machine),
+            report=f"{number.session}.{number.sequence}",
+            newest=f"{machine.session}.{machine.sequence}",
+            again=again,
+            renewed_before_s=self._loop.now() - machine.lease.renewed_at,
+        )
+
     def _take_report(self, report):
         """The machine of a report, or None if this home has no say over it."""
         known = self._known
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -7,12 +7,13 @@
 import logging
 from itertools import chain
 
+from roadhead.decision_log import Decision
 from roadhead.homes.commanding import Commanding
 from roadhead.homes.faults import Faults
 from roadhead.homes.handover import handover
 from roadhead.homes.hearing import Hearing
 from roadhead.homes.known import Known
-from roadhead.homes.machine import EXITED, Needs
+from roadhead.homes.machine import EXITED, Needs, about
 from roadhead.homes.news import News
 from roadhead.homes.rooms import Rooms
 from roadhead.homes.sureness import Sureness
@@ -28,27 +29,41 @@
 class Home:
     """Puts the rooms of the package together: `rooms` (granting), `hearing`, `commanding`, `sureness`."""
 
-    def __init__(self, loop, label, member, deployment, lapse_s, random, send, ask, need_spec, counters):
+    def __init__(
+        self, loop, label, member, deployment, lapse_s, random, send, ask, need_spec, counters, decisions
+    ):
         self._loop = loop
         self.label = label
         self._member = member
         self._workers = workers = deployment.workers
         self._ask = ask
         self._count = counters.add
+        self._decisions = decisions
         self.awake_at = 0.0  # since when this process has been looking without a stall
         self.undecided = False
         lag_s = deployment.cloud.list_lag_s
         self.known = known = Known(member, workers.lease_s, workers.cancel_s, lag_s)
         self.machines = known.machines
-        self._news = News(member, known, send, counters)
-        self.sureness = Sureness(loop, member, known, self._news, workers.lease_s, workers.cancel_s, lag_s)
+        self._news = News(member, known, send, counters, decisions)
+        self.sureness = Sureness(
+            loop, member, known, self._news, workers.lease_s, workers.cancel_s, lag_s, decisions
+        )
         self.rooms = Rooms(loop, label, self.machines, lapse_s, random, send, counters)
         self.faults = Faults(loop, known, self.rooms, workers.report_s, self._drain, counters)
         self.hearing = Hearing(
-            loop, member, known, self._news, self.sureness, self.rooms, self.faults, self._drain, need_spec
+            loop,
+            member,
+            known,
+            self._news,
+            self.sureness,
+            self.rooms,
+            self.faults,
+            self._drain,
+            need_spec,
+            decisions,
         )
         self.commanding = Commanding(
-            loop, known, self._news, self.sureness, self.rooms, lapse_s, send, ask, counters
+            loop, known, self._news, self.sureness, self.rooms, lapse_s, send, ask, counters, decisions
         )
 
     # Terms
@@ -269,12 +284,7 @@
             if sure_at <= end:
                 undecided = True
                 continue
-            log.info(
-                "lease of %s has run out: last report answered %.1f s ago, %d tasks",
-                machine.id,
-                now - machine.lease.renewed_at,
-                len(machine.tasks),
-            )
+            self._note_lease_ended(machine, sure_at)
             self._count("leases_out")
             self.rooms.revoke(machine)
             for task in list(machine.tasks.values()):
@@ -285,6 +295,21 @@
         self.undecided = sureness.past_fence(sure_at) or undecided
         sureness.settle()
 
+    def _note_lease_ended(self, machine, sure_at):
+        """`sure_at`: as for `judge_leases`."""
+        now, answered = self._loop.now(), machine.lease.answered
+        self._decisions.note(
+            Decision.LEASE_ENDED,
+            about(machine),
+            answered=f"{answered.session}.{answered.sequence}",
+            answered_before_s=now - machine.lease.renewed_at,
+            newest=f"{machine.session}.{machine.sequence}",
+            heard_before_s=now - (machine.heard_at or now),
+            in_force_before_s=now - sure_at,
+            heard_under_token=machine.confirmed == machine.token,
+            tasks=len(machine.tasks),
+        )
+
     def idle(self, idle_s):
         """Machines with nothing on them and no use for that long."""
         now = self._loop.now()
--- a/roadhead/homes/machine.py
+++ b/roadhead/homes/machine.py
@@ -67,6 +67,14 @@
 NOTHING = (0.0, 0.0, 0.0)
 
 
+def about(machine, task=None):
+    """What a decision on a machine, or on an attempt there, is about (decision_log.py)."""
+    subject = {"machine": machine.id, "shard": machine.share, "token": machine.token}
+    if task is not None:
+        subject |= {"task": messages.task_name(task.job, task.index), "attempt": task.attempt}
+    return subject
+
+
 class Machine:
     """What is kept up to date here rather than summed anew: the room that is free, how many
     tasks are active, and which have commands to carry out. So tasks come, go and change
--- a/roadhead/homes/news.py
+++ b/roadhead/homes/news.py
@@ -1,15 +1,17 @@
 """What a home tells the owners of tasks."""
 
-from roadhead.homes.machine import EXITED, LAUNCHING
+from roadhead.decision_log import Decision
+from roadhead.homes.machine import EXITED, LAUNCHING, about
 from roadhead.wire import frames
 
 
 class News:
-    def __init__(self, member, known, send, counters):
+    def __init__(self, member, known, send, counters, decisions):
         self._member = member
         self._known = known
         self._send = send
         self._count = counters.add
+        self._decisions = decisions
 
     def tell(self, owner, frame):
         """`owner`: (label, incarnation), or None; only one that the term names is told."""
@@ -22,6 +24,15 @@
     def freed(self, machine, task, cause):
         """The attempt is surely nowhere."""
         machine.drop(task)
+        self._count(f"freed_{cause.replace(' ', '_')}")
+        self._decisions.note(
+            Decision.TASK_FREED,
+            about(machine, task),
+            cause=cause.replace(" ", "_"),
+            status=task.status,
+            newest=f"{machine.session}.{machine.sequence}",
+            unanswered_launch=task.loose_token,
+        )
         cancelled = task.job in self._known.cancelled
         if task.status not in (EXITED, LAUNCHING) and not cancelled:
             self._count("tasks_lost")
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/sureness.py
@@ -3,6 +3,7 @@
 import logging
 import math
 
+from roadhead.decision_log import Decision
 from roadhead.homes.relief import Relief
 from roadhead.homes.worker_lease import DRIFT
 from roadhead.wire import frames
@@ -36,7 +37,7 @@
 class Sureness:
     """`lease_s`, `cancel_s` of the workers and `lag_s` of the machine list, in seconds."""
 
-    def __init__(self, loop, member, known, news, lease_s, cancel_s, lag_s):
+    def __init__(self, loop, member, known, news, lease_s, cancel_s, lag_s, decisions):
         self._loop = loop
         self._member = member
         self._known = known
@@ -44,6 +45,7 @@
         self._lease_s = lease_s
         self._cancel_s = cancel_s
         self._lag_s = lag_s
+        self._decisions = decisions
         self._claims = {}  # machine -> {(job, index, attempt): owner}
         self._syncs = []  # (label, incarnation, term, number, jobs)
         self._fences = {}  # share -> Fence, of the shares homed here
@@ -99,6 +101,21 @@
             since = math.inf if self._relief else now
             self._fences[share] = Fence(since, at, short, cover_from, names)
             self._unsure[share] = True
+            self._note_held(share, names, short, at - now)
+
+    def _note_held(self, share, names, short, fence_s):
+        member = self._member
+        self._decisions.note(
+            Decision.SHARD_HELD,
+            {"shard": share, "token": member.term.held(member.label).get(share)},
+            term=member.term.number,
+            revision=member.revision,
+            in_force_before_s=self._loop.now() - member.term_at,
+            fence="short" if short else "long",
+            fence_s=fence_s,
+            relieved_may_not_know=bool(self._relief),
+            machines=len(names),
+        )
 
     def _bound_s(self, short):
         bound = self._lease_s if short else self._cancel_s
@@ -108,15 +125,17 @@
         """A member is gone from the term that may live on, and have given away one of these shares right
         before without knowing that it did: a short fence that is not over yet was too short."""
         now = self._loop.now()
-        for fence in self._fences.values():
+        for share, fence in self._fences.items():
             if fence.short and now < fence.at:
                 fence.at, fence.short = now + self._bound_s(False), False
+                self._decisions.note(Decision.FENCE_LENGTHENED, {"shard": share}, fence_s=fence.at - now)
 
     def let_go(self, shares):
         """These shares have another home."""
         for share in shares:
             self._fences.pop(share, None)
             self._unsure.pop(share, None)
+            self._decisions.note(Decision.SHARD_LOST, {"shard": share}, term=self._member.term.number)
 
     def fence_at(self, share):
         """By then every lease in the share that another home renewed has ended."""
@@ -263,6 +282,16 @@
         if not self._syncs or not self.clean():
             return
         syncs, self._syncs = self._syncs, []
+        unheard = sum(len(fence.unheard) for fence in self._fences.values())
         for label, incarnation, term, number, jobs in syncs:
             self._news.standing((label, incarnation), jobs)
             self._news.tell((label, incarnation), frames.Synced(term, number))
+            self._decisions.note(
+                Decision.ALL_TOLD,
+                {"owner": label},
+                incarnation=incarnation,
+                term=term,
+                request=number,
+                jobs=len(jobs),
+                machines_never_heard=unheard,
+            )
--- a/roadhead/homes/workers.py
+++ b/roadhead/homes/workers.py
@@ -2,6 +2,8 @@
 
 import logging
 
+from roadhead.decision_log import Decision
+from roadhead.homes.machine import about
 from roadhead.wire import messages
 from roadhead.wire.http import Client, NoAnswer
 
@@ -13,7 +15,7 @@
     were not heard for `silent_s`: those that answer don't wait for those that don't.
     """
 
-    def __init__(self, loop, net, member, timeout_s, may_command, silent_s, sockets):
+    def __init__(self, loop, net, member, timeout_s, may_command, silent_s, sockets, decisions):
         self._loop = loop
         self._net = net
         self._member = member
@@ -22,6 +24,7 @@
         self.home = None
         self._silent_s = silent_s
         self._sockets = sockets
+        self._decisions = decisions
         self._clients = {}  # machine -> Client, the one used last at the end
         self._queues = {}, {}  # machines to be asked, in order as a set: heard lately, silent
         self._asking = [0, 0]  # requests under way to them
@@ -100,6 +103,10 @@
                     self.home.commanding.settled(fresh)
                 return None
             self.home.commanding.settled(fresh)
+            if orders and not (self._member.joined and self._may_command()):
+                # It named the session: what came late was executed in one that its lease still bounds.
+                self._decisions.count("authority_lost")
+                self._decisions.note(Decision.AUTHORITY_LOST, about(machine), status=status, session=session)
             if status not in (200, 409):
                 return None
             try:
--- a/roadhead/local/rules.py
+++ b/roadhead/local/rules.py
@@ -33,6 +33,7 @@
         other = self.running.get(task)
         if other is not None and other is not worker:
             self.break_rule("ran_twice", f"{task} on {other.name} and {worker.name}")
+            self._world.explain(("task", task), ("machine", other.name), ("machine", worker.name))
         told = self.cancelled_at.get(job["id"])
         self.cancelled_starts += told is not None
         if told is not None and self._world.sim.time > told + self._cancel_s:
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -21,6 +21,9 @@
 from roadhead.node import Node
 from roadhead.settings import Tuning, parse
 
+EPOCH_S = 1e9  # the time of day at which a simulation begins
+EXPLAINED_MOST = 3
+
 
 class Failures(logging.Handler):
     """Callbacks and routines that failed: the loop goes on without them, a scenario does not."""
@@ -55,6 +58,8 @@
         self.fronts = [f"10.0.0.{number + 1}:8080" for number in range(options["controllers"])]
         self._make_emulators()
         self.nodes = {}
+        self.explanations = []  # of broken rules: [(decision_log.Entry, label of its controller)]
+        self._decisions = []  # (label, DecisionLog) of all processes, those that ended too
         self.tenancy = None
         if options["gateways"]:
             self.tenancy = Tenancy(self, options["gateways"])
@@ -179,10 +184,12 @@
             read(self._settings_of(number)),
             self._tuned(tuning()),
             random.Random(self.sim.random.random()),
-            time_of_day=lambda: 1e9 + self.sim.time,
+            time_of_day=lambda: EPOCH_S + self.sim.time,
             hosted=self.tenancy.desk(loop) if self.tenancy is not None else None,
         )
         self.nodes[number] = node
+        if hasattr(node, "decisions"):  # the version that serves today may keep none
+            self._decisions.append((node.label, node.decisions))
         node.start()
 
     def _tuned(self, tuning):
@@ -204,6 +211,29 @@
     def all_completed(self, job):
         return self.rules.all_completed(job)
 
+    def explain(self, *wanted):
+        """Keeps what the controllers decided on the machines and tasks of a broken rule, for the first few:
+        `wanted` are (name, value) pairs, as ("machine", "n-000020")."""
+        if len(self.explanations) < EXPLAINED_MOST:
+            self.explanations.append(
+                sorted(
+                    (
+                        (entry, label)
+                        for label, decisions in self._decisions
+                        for entry in decisions.entries(*wanted)
+                    ),
+                    key=lambda pair: pair[0].at,
+                )
+            )
+
+    def explanation_lines(self):
+        """The explanations as text, a line a decision."""
+        return [
+            f"{entry.at - EPOCH_S:.2f} {label} {entry.line()}"
+            for entries in self.explanations
+            for entry, label in entries
+        ]
+
     def break_rule(self, rule, text):
         self.rules.break_rule(rule, text)
 
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -10,6 +10,7 @@
 from roadhead.api.answers import Cause, RefusedError, refusal_events
 from roadhead.api.server import Api
 from roadhead.cloud.client import CloudClient
+from roadhead.decision_log import DecisionLog
 from roadhead.dispatch.aims import class_aims, shortest_aims
 from roadhead.dispatch.dispatcher import Dispatcher
 from roadhead.fleet.fleet import Fleet
@@ -66,6 +67,7 @@
         deployment = self._deployment = settings.deployment
         workers = deployment.workers
         self.counters = Counters({**EVENTS, **refusal_events()})
+        self.decisions = DecisionLog(time_of_day, self.counters)
         self.troubles = Troubles(loop.now, time_of_day)
         self.desk = hosted  # tenants/desk.py, where tenants are served
         state_limits = deployment.state if hosted is None else hosted.left_of(deployment.state)
@@ -199,6 +201,7 @@
             may_command=self.may_renew,
             silent_s=SILENT_REPORTS * workers.report_s,
             sockets=self._sockets,
+            decisions=self.decisions,
         )
         types = self.fleet.types if hasattr(self, "fleet") else {}
         self.home = Home(
@@ -212,6 +215,7 @@
             ask=self.workers.ask,
             need_spec=self._spec_lookup.need,
             counters=self.counters,
+            decisions=self.decisions,
         )
         self.home.known.types = types
         self.workers.home = self.home
--- a/roadhead/scale/command.py
+++ b/roadhead/scale/command.py
@@ -54,6 +54,7 @@
             self._processes.begin_load()
             self._watch(time.monotonic())
             time.sleep(1.5)  # the last lines of the event logs
+            self._processes.dump_decisions(self._layout.document["labels"])
         finally:
             self._processes.stop()
         return self._report()
--- a/roadhead/scale/processes.py
+++ b/roadhead/scale/processes.py
@@ -15,6 +15,7 @@
 from roadhead.local.processes import die_with_parent
 
 READY_S = 60.0
+DUMP_S = 1.0  # for the controllers to write what they decided
 CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
 PAGE = os.sysconf("SC_PAGE_SIZE")
 
@@ -143,6 +144,13 @@
                 found[name] = Usage(cpu_s, used.resident, used.files)
         return found
 
+    def dump_decisions(self, labels):
+        """Has the controllers of these labels write the decisions that they kept to their logs."""
+        for label in labels:
+            if self.running(label):
+                self._running[label].send_signal(signal.SIGUSR1)
+        time.sleep(DUMP_S)
+
     def stop(self):
         """Ends all processes."""
         for process in self._running.values():
--- a/roadhead/telemetry.py
+++ b/roadhead/telemetry.py
@@ -8,8 +8,21 @@
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
+class LogLevelError(ValueError):
+    """`LOG_LEVEL` names no level."""
+
+
+def log_level():
+    """The level that `LOG_LEVEL` names, `info` without it. Raises LogLevelError."""
+    name = os.environ.get("LOG_LEVEL") or "info"
+    if name.lower() not in LEVELS:
+        raise LogLevelError(f"LOG_LEVEL: {name!r} is none of {', '.join(LEVELS)}")
+    return LEVELS[name.lower()]
+
+
 def set_up_logging(label):
-    level = LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO)
+    """Logs to standard error from now on. Raises LogLevelError."""
+    level = log_level()
     logging.basicConfig(
         stream=sys.stderr, level=level, format=f"%(levelname).1s {label} %(name)s: %(message)s"
     )
--- a/tests/hunt.py
+++ b/tests/hunt.py
@@ -2,14 +2,15 @@
 of pipelines, of two to four troubles that meet, or of reports and direct answers in any order.
 
     python3 tests/hunt.py [--pipelines | --meetings | --report-orders] [--days N] [--seed FIRST] [--jobs N]
-                          [--show SEED]
+                          [--show SEED | --explain SEED]
     python3 tests/hunt.py --first-meeting | --leader [--jobs N]
 
 The last two play every order and spacing of the first meeting, and of a leader that is cut from all but its
 workers (docs/meetings.md), and print a table.
 
 Prints the days on which a rule broke, a callback failed, or work that was accepted did not end.
-`--show` prints a day's scenario, to be put under tests/scenarios/ with what it found.
+`--show` prints a day's scenario, to be put under tests/scenarios/ with what it found; `--explain` what the
+controllers decided on the tasks and machines of the first broken rules of a day.
 """
 
 import argparse
@@ -67,6 +68,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--jobs", type=int, default=4)
     parser.add_argument("--show", type=int)
+    parser.add_argument("--explain", type=int)
     parser.add_argument("--pipelines", action="store_true")
     parser.add_argument("--meetings", action="store_true")
     parser.add_argument("--report-orders", action="store_true")
@@ -89,6 +91,9 @@
     if args.show is not None:
         print(draw(args.show))
         return
+    if args.explain is not None:
+        print(*World(draw(args.explain)).run().explanation_lines(), sep="\n")
+        return
     broken = 0
     with multiprocessing.Pool(args.jobs) as pool:
         for seed, faults in pool.imap_unordered(play, range(args.seed, args.seed + args.days)):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -181,3 +181,11 @@
     hosted.write_text(hosted.read_text().replace("slots", "colour"))
     assert cli.main(check) == 2
     assert len(capsys.readouterr().err.splitlines()) == 1
+
+
+def test_an_unknown_log_level_is_said_and_nothing_starts(monkeypatch, capsys, tmp_path):
+    monkeypatch.setenv("LOG_LEVEL", "loud")
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(PLATFORM))
+    assert cli.main(["--config", str(path)]) == 2
+    assert capsys.readouterr().err == "roadhead: LOG_LEVEL: 'loud' is none of error, info, debug\n"
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from roadhead.decision_log import DecisionLog
 from roadhead.dispatch.dispatcher import Dispatcher
 from roadhead.homes.home import Home
 from roadhead.homes.machine import Needs
@@ -49,6 +50,7 @@
 
 class Member:
     label, incarnation, joined, term, gate = "here", 1, True, Term(), Gate(3, ["here"])
+    revision, term_at = 1, 0.0
 
     def lapsed(self):
         return False
@@ -101,6 +103,7 @@
 
 def home_of(machines, tasks):
     """A home of that many machines, each with that many running tasks of one CPU."""
+    counters = Counters()
     home = Home(
         Sim(1),
         "here",
@@ -111,7 +114,8 @@
         lambda _label, _frame: True,
         lambda _machine: None,
         lambda _job: None,
-        Counters(),
+        counters,
+        DecisionLog(lambda: 0.0, counters),
     )
     home.known.types = {"box": KIND}
     home.begin(True)
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -14,4 +14,5 @@
     world = World(path.read_text())
     assert world.expectations, "a scenario that expects nothing shows nothing"
     world.run()
+    print(*world.explanation_lines(), sep="\n")  # shown if it fails
     assert world.check() == []
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -8,6 +8,7 @@
 from test_cost import HostedNode, Member, home_of, report
 
 from roadhead.admission.sockets import Sockets
+from roadhead.decision_log import DecisionLog
 from roadhead.homes.machine import LAUNCHING
 from roadhead.homes.relief import Relief
 from roadhead.homes.workers import Workers
@@ -19,6 +20,7 @@
 from roadhead.shares.balance import step
 from roadhead.shares.map import SHARES, Shares
 from roadhead.state.client import Unsure
+from roadhead.telemetry import Counters
 from roadhead.wire import frames, messages
 
 NAMES = [f"n-{number:06d}" for number in range(400)]
@@ -307,6 +309,7 @@
         may_command=lambda: True,
         silent_s=4.0,
         sockets=Sockets(200, lambda _name: None),
+        decisions=DecisionLog(lambda: 0.0, Counters()),
     )
     workers.home = home
     workers._clients[machine.id] = Asked()
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -2,8 +2,11 @@
 
 import cbor2
 import pytest
+from mutation import text_of
+from test_safety import overtaken_answers_not_counted
 
 from roadhead.api.reports import WorkerReports
+from roadhead.decision_log import Decision
 from roadhead.local.world import World
 from roadhead.wire import messages
 
@@ -138,3 +141,36 @@
     job, index = messages.split_task(row["leg"])
     assert (job, index, row["try"]) in heard.machine.tasks
     assert (job, index, row["try"] - 7) in heard.machine.tasks
+
+
+def test_the_decisions_kept_explain_the_incident():
+    """From the lines alone: a report that was answered and not counted, the lease judged from the one before,
+    the task freed by that, and launched elsewhere while the worker's lease was not over."""
+    with pytest.MonkeyPatch.context() as patch:
+        overtaken_answers_not_counted(patch)
+        world = World(text_of("overtaken-reports")).run()
+    assert "ran_twice" in world.broken[0]
+    task, first, second = (world.broken[0].split()[place] for place in (2, 4, 6))
+    entries = [entry for entry, _label in world.explanations[0]]
+
+    def newest(decision, machine, **evidence):
+        return [
+            entry
+            for entry in entries
+            if entry.decision is decision
+            and entry.subject["machine"] == machine
+            and evidence.items() <= entry.evidence.items()
+        ][-1]
+
+    overtaken = newest(Decision.REPORT_OVERTAKEN, first, again=False)
+    ended = newest(Decision.LEASE_ENDED, first)
+    freed = newest(Decision.TASK_FREED, first, cause="lease_ended")
+    launched = newest(Decision.LAUNCH_SENT, second)
+    counted_from = ended.at - ended.evidence["answered_before_s"]
+    assert counted_from < overtaken.at - 0.1 < ended.at
+    assert overtaken.at + world.options["lease_s"] > ended.at
+    assert freed.at == ended.at and freed.subject["task"] == launched.subject["task"] == task
+    assert freed.subject["attempt"] != launched.subject["attempt"]
+    assert ended.at <= launched.at < overtaken.at + world.options["lease_s"]
+    lines = [line for line in world.explanation_lines() if task in line]
+    assert any(f"machine={first}" in line and "decision=task_freed" in line for line in lines)
