Authority is a module of its own: until when cancellations and the term are known here

Change: membership/authority.py (may_renew, sure_at, heard_at), taken out of node.py word for word; mutation tests patch it there. Behaviour as before.

--- a/roadhead/api/reports.py
+++ b/roadhead/api/reports.py
@@ -25,7 +25,7 @@
         home = node.home_of(report)
         if home != node.label:
             return Answer(421, messages.redirect(home))
-        if not node.may_renew():
+        if not node.authority.may_renew():
             return UNENTITLED
         renewal = node.home.hearing.answer(report)
         if renewal is None:
--- /dev/null
+++ b/roadhead/membership/authority.py
@@ -0,0 +1,59 @@
+"""By what this controller may act: until when all that users were told, and the term in force, are known.
+
+Both rest on the state service, or on all other controllers while that does not answer (safety 4 in
+docs/design.md).
+"""
+
+from roadhead.membership.touch import KEPT, SILENT_BEATS, Touch
+
+BLIND_PART = 0.8  # of what `cancel_s` leaves beside a worker's lease
+
+
+class Authority:
+    """`others`: labels of all other configured controllers; `workers`: the settings' times for them, in
+    seconds; `beat_s`: between two heartbeats of a link."""
+
+    def __init__(self, loop, member, peers, others, workers, beat_s):
+        self._loop = loop
+        self._member = member
+        self._peers = peers
+        self._others = others
+        self._beat_s = beat_s
+        self._touch = Touch(blind_for_s(workers), KEPT * workers.cancel_s)
+
+    def may_renew(self):
+        """Whether workers' leases may be renewed, and workers commanded.
+
+        A controller that can learn neither from the state service nor from every other one that a job was
+        cancelled must let go of its machines in time (safety 4).
+        """
+        self._touch.look(self._member.watched_at, self.heard_at())
+        return self._touch.fresh(self._loop.now())
+
+    def sure_at(self):
+        """Until then no other controller can have renewed the workers of machines homed here: the term known
+        here was the one in force, by the state service or by all who could have changed it."""
+        heard_at = self.heard_at()
+        return self._member.term_at if heard_at is None else max(self._member.term_at, heard_at)
+
+    def heard_at(self):
+        """By then all other controllers had sent the last beat heard of them; None if one can't be heard.
+
+        All that are configured, not those of the term known here: one that it does not name may have
+        joined since without our knowing, and taken what is ours. Of such a one it must be heard that it is
+        no member.
+        """
+        heard_at = self._loop.now()
+        for label in self._others:
+            link = self._peers.links.get(label)
+            if link is None or link.incarnation != self._member.term.incarnation(label):
+                link = self._peers.outside.get(label)
+            if link is None:
+                return None
+            heard_at = min(heard_at, link.spoke_at)
+        return heard_at - SILENT_BEATS * self._beat_s
+
+
+def blind_for_s(workers):
+    """For how long a controller out of touch may go on: its workers' leases end before `cancel_s` is up."""
+    return BLIND_PART * (workers.cancel_s - workers.lease_s)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -25,10 +25,11 @@
 from roadhead.jobs.records import Shelf, complete, find
 from roadhead.jobs.risk import Risk
 from roadhead.jobs.teams import FixedTeams
+from roadhead.membership.authority import Authority, blind_for_s
 from roadhead.membership.gate import Gate
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
-from roadhead.membership.touch import KEPT, SILENT_BEATS, Cancellations, Touch
+from roadhead.membership.touch import KEPT, SILENT_BEATS, Cancellations
 from roadhead.pipelines.ancestry import Ancestry
 from roadhead.pipelines.line import Line
 from roadhead.pipelines.parts import Parts
@@ -95,9 +96,6 @@
             self.ancestry.derive,
         )
         self.cloud = CloudClient(loop, net, settings.external.cloud, deployment.cloud, deployment.nodes)
-        # A controller out of touch must stop renewing before this is up (safety 4).
-        blind_s = 0.8 * (workers.cancel_s - workers.lease_s)
-        self._touch = Touch(blind_s, KEPT * workers.cancel_s)
         self.cancellations = Cancellations(KEPT * workers.cancel_s)
         self._beat_s = workers.lease_s / 12
         self._partitions = tuning.membership.quota_partitions if hosted is None else hosted.slots
@@ -106,7 +104,7 @@
             self.state,
             self.label,
             lease_s=max(0.1, min(600.0, tuning.membership.lease_ratio * workers.lease_s)),
-            watch_s=blind_s / 4,
+            watch_s=blind_for_s(workers) / 4,
             on_term=self._on_term,
             on_lost=self._on_lost,
             on_cancel=self.on_cancelled,
@@ -128,6 +126,14 @@
             on_up=self._on_up,
             on_down=self._on_down,
         )
+        self.authority = Authority(
+            loop,
+            self.member,
+            self.peers,
+            [other.label for other in settings.members],
+            workers,
+            self._beat_s,
+        )
         self._default_aim_s = 15 * workers.lease_s
         self.aims = shortest_aims(deployment.objectives)
         self._class_aims = class_aims(deployment.objectives)
@@ -198,7 +204,7 @@
             self._net,
             self.member,
             timeout_s=workers.lease_s / 4,
-            may_command=self.may_renew,
+            may_command=self.authority.may_renew,
             silent_s=SILENT_REPORTS * workers.report_s,
             sockets=self._sockets,
             decisions=self.decisions,
@@ -425,21 +431,6 @@
     def _state_ok(self):
         return self._loop.now() - self.state.ok_at < self.member._lease_s / 2
 
-    def may_renew(self):
-        """Whether workers' leases may be renewed.
-
-        A controller that can learn neither from the state service nor from every other
-        one that a job was cancelled must let go of its machines in time (safety 4).
-        """
-        self._touch.look(self.member.watched_at, self._heard_at())
-        return self._touch.fresh(self._loop.now())
-
-    def sure_at(self):
-        """Until then no other controller can have renewed the workers of machines homed here: the term
-        known here was the one in force, by the state service or by all who could have changed it."""
-        heard_at = self._heard_at()
-        return self.member.term_at if heard_at is None else max(self.member.term_at, heard_at)
-
     async def _judge(self):
         """A worker's lease has run out since the term was last seen to be in force: is it still?"""
         home = self.home
@@ -448,7 +439,7 @@
         except (Unavailable, Unsure) as error:
             log.debug("term in force: %r", error)
         if home is self.home and self.member.joined:
-            home.judge_leases(self.sure_at())
+            home.judge_leases(self.authority.sure_at())
         self._judging = False
 
     def _hear_terms(self):
@@ -466,23 +457,6 @@
         since_s = self._loop.now() - self._outside_since
         return self.member.watched_at >= self._began_at and since_s > 2 * self._beat_s
 
-    def _heard_at(self):
-        """By then all other controllers had sent the last beat heard of them; None if one can't be heard.
-
-        All that are configured, not those of the term known here: one that it does not name may have
-        joined since without our knowing, and taken what is ours. Of such a one it must be heard that it is
-        no member.
-        """
-        heard_at = self._loop.now()
-        for other in self.settings.members:
-            link = self.peers.links.get(other.label)
-            if link is None or link.incarnation != self.member.term.incarnation(other.label):
-                link = self.peers.outside.get(other.label)
-            if link is None:
-                return None
-            heard_at = min(heard_at, link.spoke_at)
-        return heard_at - SILENT_BEATS * self._beat_s
-
     def ready(self):
         """Ready unless others can do better: the state service answers them and not us, or the
         cloud has had time to name its machines and has not.
@@ -660,8 +634,8 @@
             self.cancellations.prune(self._loop.now())
             if not self.member.joined:
                 continue
-            self.may_renew()  # hearing counts only as long as it does not break off
-            sure_at = self.sure_at()
+            self.authority.may_renew()  # hearing counts only as long as it does not break off
+            sure_at = self.authority.sure_at()
             self._hear_terms()
             unused = self.home.tick(sure_at)
             if self.home.undecided and not self._judging:
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -14,6 +14,7 @@
 from roadhead.jobs.quota import QuotaPartitions
 from roadhead.jobs.teams import Accounts
 from roadhead.local.world import World
+from roadhead.membership.authority import Authority
 from roadhead.membership.touch import Cancellations
 from roadhead.node import Node
 from roadhead.shares.map import Shares
@@ -55,7 +56,7 @@
 
 def renews_blindly(patch):
     """4: a controller out of touch goes on renewing workers."""
-    patch.setattr(Node, "may_renew", lambda self: True)
+    patch.setattr(Authority, "may_renew", lambda self: True)
 
 
 def told_before_durable(patch):
@@ -127,7 +128,7 @@
 
 def frees_when_lapsed(patch):
     """2: a controller that may have been dropped judges leases that others may have renewed."""
-    patch.setattr(Node, "sure_at", lambda self: self._loop.now())
+    patch.setattr(Authority, "sure_at", lambda self: self._loop.now())
 
 
 def created_without_a_look_at_the_shelf(patch):
@@ -197,15 +198,15 @@
 
 def members_alone_are_heard(patch):
     """4: whoever the term known here does not name is not asked for."""
-    real = Node._heard_at
+    real = Authority.heard_at
 
     def heard_at(self):
-        named = [other for other in self.settings.members if other.label in self.member.term.members]
+        named = [label for label in self._others if label in self._member.term.members]
         with pytest.MonkeyPatch.context() as within:
-            within.setattr(self.settings, "members", named)
+            within.setattr(self, "_others", named)
             return real(self)
 
-    patch.setattr(Node, "_heard_at", heard_at)
+    patch.setattr(Authority, "heard_at", heard_at)
 
 
 def non_members_are_silent(patch):
