homes/sureness.py is homes/shard_reconciliation.py; its pending syncs are typed

Cause: names of the earlier house style, and tuples read by place, where safety 3 is decided. Change: Sureness is ShardReconciliation, home.sureness home.reconciliation, a waiting sync a PendingSync; a test that a report to another home renews nothing there. Behaviour as before.

--- a/roadhead/fleet/fleet.py
+++ b/roadhead/fleet/fleet.py
@@ -78,8 +78,8 @@
                 continue
             if self._member.joined:
                 self._listed(listed, asked_at)
-            pause_s = self._lag_s if not self._home.sureness.clean() else 2 * self._lag_s
-            cover_at = self._home.sureness.cover_at()
+            pause_s = self._lag_s if not self._home.reconciliation.clean() else 2 * self._lag_s
+            cover_at = self._home.reconciliation.cover_at()
             if cover_at is not None:
                 pause_s = min(pause_s, cover_at - self._loop.now() + EARLY_S)
             await self._loop.sleep(pause_s)
@@ -129,7 +129,7 @@
             known_at = max(machine.heard_at or 0.0, machine.listed_at or 0.0)
             if asked_at > known_at + 2 * self._lag_s * 1.01:
                 stuck.append(machine.id)
-        stuck += home.sureness.vanished(names, asked_at)
+        stuck += home.reconciliation.vanished(names, asked_at)
         if stuck:
             self.release(stuck)
 
--- a/roadhead/homes/commanding.py
+++ b/roadhead/homes/commanding.py
@@ -8,11 +8,11 @@
 class Commanding:
     """`ask(machine)` wants a direct request sent to a machine; `lapse_s`: of an unused grant."""
 
-    def __init__(self, loop, known, news, sureness, rooms, lapse_s, send, ask, counters, decisions):
+    def __init__(self, loop, known, news, reconciliation, rooms, lapse_s, send, ask, counters, decisions):
         self._loop = loop
         self._known = known
         self._news = news
-        self._sureness = sureness
+        self._reconciliation = reconciliation
         self._rooms = rooms
         self._lapse_s = lapse_s
         self._send = send
@@ -108,8 +108,8 @@
             elif machine is not None and machine.confirmed == machine.token:
                 self._send(label, frames.Free(name, *key, "not there"))
             else:
-                self._sureness.claim(name, key, owner)
-        self._sureness.sync(label, incarnation, frame)
+                self._reconciliation.claim(name, key, owner)
+        self._reconciliation.sync(label, incarnation, frame)
 
     def cancel(self, jobs):
         """Jobs that are over: what is left of them stops."""
--- a/roadhead/homes/hearing.py
+++ b/roadhead/homes/hearing.py
@@ -21,12 +21,12 @@
 class Hearing:
     """`drain(machine)`: its notice came. `need_spec(job)`: a task was found of which nothing is known."""
 
-    def __init__(self, loop, member, known, news, sureness, rooms, faults, drain, need_spec, decisions):
+    def __init__(self, loop, member, known, news, reconciliation, rooms, faults, drain, need_spec, decisions):
         self._loop = loop
         self._member = member
         self._known = known
         self._news = news
-        self._sureness = sureness
+        self._reconciliation = reconciliation
         self._rooms = rooms
         self._faults = faults
         self._drain = drain
@@ -78,7 +78,7 @@
             machine = known.take_on(
                 report.machine, report.address, report.type, report.zone, report.spot, now
             )
-            self._sureness.unheard(machine)
+            self._reconciliation.unheard(machine)
         if report.token > machine.token or self._too_late(machine):
             return None
         self.observe(machine, report)
@@ -118,13 +118,13 @@
             for task in machine.tasks.values():
                 if task.loose_token < report.token:
                     task.loose_token = 0
-            self._sureness.heard(machine)
+            self._reconciliation.heard(machine)
         before = machine.room()
         self._take_tasks(machine, report.tasks, confirmed)
         if confirmed:
             self._meet_claims(machine)
         if first:
-            self._sureness.settle()
+            self._reconciliation.settle()
         if machine.room() != before or first:
             machine.declined.clear()
             self._rooms.changed(machine)
@@ -133,7 +133,7 @@
         return True
 
     def _meet_claims(self, machine):
-        for key, claimer in self._sureness.take_claims(machine.id):
+        for key, claimer in self._reconciliation.take_claims(machine.id):
             # An heir that did not know of the task may have named the job since.
             owner = self._known.owners.get(key[0], claimer)
             task = machine.tasks.get(key)
--- a/roadhead/homes/home.py
+++ b/roadhead/homes/home.py
@@ -16,7 +16,7 @@
 from roadhead.homes.machine import EXITED, Needs, about
 from roadhead.homes.news import News
 from roadhead.homes.rooms import Rooms
-from roadhead.homes.sureness import Sureness
+from roadhead.homes.shard_reconciliation import ShardReconciliation
 from roadhead.homes.worker_lease import DRIFT
 
 log = logging.getLogger("roadhead.home")
@@ -27,7 +27,7 @@
 
 
 class Home:
-    """Puts the rooms of the package together: `rooms` (granting), `hearing`, `commanding`, `sureness`."""
+    """Puts the package together: `rooms` (granting), `hearing`, `commanding`, `reconciliation`."""
 
     def __init__(
         self, loop, label, member, deployment, lapse_s, random, send, ask, need_spec, counters, decisions
@@ -45,7 +45,7 @@
         self.known = known = Known(member, workers.lease_s, workers.cancel_s, lag_s)
         self.machines = known.machines
         self._news = News(member, known, send, counters, decisions)
-        self.sureness = Sureness(
+        self.reconciliation = ShardReconciliation(
             loop, member, known, self._news, workers.lease_s, workers.cancel_s, lag_s, decisions
         )
         self.rooms = Rooms(loop, label, self.machines, lapse_s, random, send, counters)
@@ -55,7 +55,7 @@
             member,
             known,
             self._news,
-            self.sureness,
+            self.reconciliation,
             self.rooms,
             self.faults,
             self._drain,
@@ -63,7 +63,7 @@
             decisions,
         )
         self.commanding = Commanding(
-            loop, known, self._news, self.sureness, self.rooms, lapse_s, send, ask, counters, decisions
+            loop, known, self._news, self.reconciliation, self.rooms, lapse_s, send, ask, counters, decisions
         )
 
     # Terms
@@ -72,8 +72,8 @@
         """A new incarnation starts. `short`: it came in the place of the one before, without a gap in
         which others were home to its machines."""
         term = self._member.term
-        self.sureness.begin(term)
-        self.sureness.fence(term.held(self.label), short)
+        self.reconciliation.begin(term)
+        self.reconciliation.fence(term.held(self.label), short)
 
     def on_term(self, old, new):
         """The term changed while this incarnation serves: what moved is let go of, or begun anew; what
@@ -82,7 +82,7 @@
         lost = had.keys() - has.keys()
         begun = [share for share, token in has.items() if had.get(share) != token]
         given, told = {}, {}  # home -> [machines], and what it is told of them
-        self.sureness.on_relief(old, new)
+        self.reconciliation.on_relief(old, new)
         if lost or begun:
             for machine in list(self.machines.values()):
                 share, (home, token) = new.share(machine.id), new.place(machine.id)
@@ -97,14 +97,14 @@
             for machine in chain.from_iterable(given.values()):
                 self.rooms.revoke(machine)
                 self._let_go(machine)
-            self.sureness.let_go(lost)
-            self.sureness.fence(begun, False)
+            self.reconciliation.let_go(lost)
+            self.reconciliation.fence(begun, False)
         if old.members.keys() - new.members.keys() or new.relieved - old.relieved:
-            self.sureness.lengthen()
+            self.reconciliation.lengthen()
         for label in list(self.rooms.demand):
             if old.incarnation(label) != new.incarnation(label):
                 self.rooms.peer_down(label)
-        self.sureness.on_term(new)
+        self.reconciliation.on_term(new)
         return told
 
     def deaf(self):
@@ -136,7 +136,7 @@
             machine.draining = draining
             machine.up = True
             machine.images = dict.fromkeys(images, 0.0)
-            self.sureness.unheard(machine)
+            self.reconciliation.unheard(machine)
             self._ask(machine)
 
     def on_handover_jobs(self, frame):
@@ -152,8 +152,8 @@
     def covered(self, listed, asked_at):
         """A machine list: asked for at `asked_at`, all machines of it homed here."""
         now = self._loop.now()
-        known, sureness = self.known, self.sureness
-        shown_at = sureness.shown_at(asked_at)
+        known, reconciliation = self.known, self.reconciliation
+        shown_at = reconciliation.shown_at(asked_at)
         failed, left = [], set()
         for item in listed:
             if item.id in known.gone:
@@ -174,7 +174,7 @@
                     left.add(share)
                     continue
                 machine = known.take_on(item.id, item.address, item.type, item.zone, item.spot, now)
-                sureness.unheard(machine)
+                reconciliation.unheard(machine)
             if machine.listed_at is None:
                 machine.born_at = shown_at - item.age_s * (1 + DRIFT)
             machine.listed_at = asked_at
@@ -185,8 +185,8 @@
                 machine.born_at = max(machine.born_at, shown_at)
             if machine.confirmed != machine.token and item.status == "running":
                 self._ask(machine)
-        sureness.cover(asked_at, left)
-        sureness.settle()
+        reconciliation.cover(asked_at, left)
+        reconciliation.settle()
         return failed
 
     def machine_gone(self, machine, cause):
@@ -205,7 +205,7 @@
         for task in list(machine.tasks.values()):
             self._news.freed(machine, task, cause)
         self._let_go(machine)
-        self.sureness.free_claims(machine.id, cause)
+        self.reconciliation.free_claims(machine.id, cause)
 
     def _let_go(self, machine):
         self.known.let_go(machine)
@@ -214,7 +214,7 @@
     def unknown_gone(self, name):
         """A machine never heard here is surely gone."""
         self.known.gone[name] = self._loop.now()
-        self.sureness.free_claims(name, "gone")
+        self.reconciliation.free_claims(name, "gone")
 
     def _drain(self, machine):
         """Nothing more starts there; tasks that can save are told to, the rest may finish."""
@@ -261,7 +261,7 @@
             drained = machine.draining and machine.notice_at is None and ours and machine.empty()
             if drained or silent > 4 * lease_s or (taken and silent > 2 * self._workers.report_s):
                 release.append(machine)
-        self.known.prune(now, self.sureness.awaited_jobs)
+        self.known.prune(now, self.reconciliation.awaited_jobs)
         return release
 
     def judge_leases(self, sure_at):
@@ -271,14 +271,14 @@
         renewed here, and over by then, is over. `undecided` says whether there are others that ended since.
         """
         now = self._loop.now()
-        sureness = self.sureness
+        reconciliation = self.reconciliation
         undecided = False
         for machine in list(self.machines.values()):
-            if not machine.tasks and not sureness.claimed(machine.id):
+            if not machine.tasks and not reconciliation.claimed(machine.id):
                 continue
             end = machine.lease.ends_at(self._workers.lease_s)
             if machine.confirmed != machine.token:
-                end = max(end, sureness.fence_at(machine.share))
+                end = max(end, reconciliation.fence_at(machine.share))
             if now <= end:
                 continue
             if sure_at <= end:
@@ -289,11 +289,11 @@
             self.rooms.revoke(machine)
             for task in list(machine.tasks.values()):
                 self._news.freed(machine, task, "lease ended")
-            sureness.free_claims(machine.id, "lease ended")
+            reconciliation.free_claims(machine.id, "lease ended")
             machine.confirmed = 0
-            sureness.unheard(machine)
-        self.undecided = sureness.past_fence(sure_at) or undecided
-        sureness.settle()
+            reconciliation.unheard(machine)
+        self.undecided = reconciliation.past_fence(sure_at) or undecided
+        reconciliation.settle()
 
     def _note_lease_ended(self, machine, sure_at):
         """`sure_at`: as for `judge_leases`."""
--- a/roadhead/homes/sureness.py
+++ b/roadhead/homes/shard_reconciliation.py
@@ -1,7 +1,9 @@
-"""What a home is sure of: which machines it has heard, and when it may say that it knows all (safety 3)."""
+"""What a home has yet to learn of its shards: which machines it has heard under its tokens, and when it may
+tell owners that it knows all that runs there (safety 3)."""
 
 import logging
 import math
+from typing import NamedTuple
 
 from roadhead.decision_log import Decision
 from roadhead.homes.relief import Relief
@@ -13,6 +15,16 @@
 ANSWER_S = 4.0  # a worker drops responses that took longer (PROTOCOL)
 
 
+class PendingSync(NamedTuple):
+    """An owner's request to be told once all that is here of these jobs is known."""
+
+    label: str
+    incarnation: int
+    term: int  # its number
+    number: int  # of the request
+    jobs: list
+
+
 class Fence:
     """Of one share, since it is this home's under its token. Times are the loop's; `since`: nobody else heard
     a machine of it that was not up by then.
@@ -34,8 +46,10 @@
         self.awaited = dict(self.unheard)
 
 
-class Sureness:
-    """`lease_s`, `cancel_s` of the workers and `lag_s` of the machine list, in seconds."""
+class ShardReconciliation:
+    """What this home has yet to learn of its shards, and who waits for that.
+
+    `lease_s`, `cancel_s` of the workers and `lag_s` of the machine list, in seconds."""
 
     def __init__(self, loop, member, known, news, lease_s, cancel_s, lag_s, decisions):
         self._loop = loop
@@ -47,7 +61,7 @@
         self._lag_s = lag_s
         self._decisions = decisions
         self._claims = {}  # machine -> {(job, index, attempt): owner}
-        self._syncs = []  # (label, incarnation, term, number, jobs)
+        self._syncs = []  # PendingSync, in order
         self._fences = {}  # share -> Fence, of the shares homed here
         self._unsure = {}  # shares that may not be clean, in order as a set
         self._relief = Relief(member.label)
@@ -225,7 +239,7 @@
         """Jobs of which tasks may be found here yet: owners claim some, or named them and wait. Their
         records may name an owner of before still, so whose they are is known from those alone."""
         jobs = {key[0] for claims in self._claims.values() for key in claims}
-        return jobs.union(*(sync[4] for sync in self._syncs))
+        return jobs.union(*(sync.jobs for sync in self._syncs))
 
     def take_claims(self, name):
         """[((job, index, attempt), owner)] claimed on the machine, which was heard now."""
@@ -270,11 +284,11 @@
     def on_term(self, new):
         """Claims and syncs that the new term has no use for go."""
         self._claims = {n: c for n, c in self._claims.items() if new.home(n) == self._member.label}
-        self._syncs = [s for s in self._syncs if new.serves(s[0], s[1])]
+        self._syncs = [s for s in self._syncs if new.serves(s.label, s.incarnation)]
 
     def sync(self, label, incarnation, frame):
         """An owner wants to be told once all is known here."""
-        self._syncs.append((label, incarnation, frame.term, frame.number, frame.jobs))
+        self._syncs.append(PendingSync(label, incarnation, frame.term, frame.number, frame.jobs))
         self.settle()
 
     def settle(self):
@@ -283,15 +297,16 @@
             return
         syncs, self._syncs = self._syncs, []
         unheard = sum(len(fence.unheard) for fence in self._fences.values())
-        for label, incarnation, term, number, jobs in syncs:
-            self._news.standing((label, incarnation), jobs)
-            self._news.tell((label, incarnation), frames.Synced(term, number))
+        for sync in syncs:
+            owner = (sync.label, sync.incarnation)
+            self._news.standing(owner, sync.jobs)
+            self._news.tell(owner, frames.Synced(sync.term, sync.number))
             self._decisions.note(
                 Decision.ALL_TOLD,
-                {"owner": label},
-                incarnation=incarnation,
-                term=term,
-                request=number,
-                jobs=len(jobs),
+                {"owner": sync.label},
+                incarnation=sync.incarnation,
+                term=sync.term,
+                request=sync.number,
+                jobs=len(sync.jobs),
                 machines_never_heard=unheard,
             )
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -444,10 +444,10 @@
 
     def _hear_terms(self):
         """Relieved controllers that say that they serve a term by which they are."""
-        for label in self.home.sureness.may_not_know():
+        for label in self.home.reconciliation.may_not_know():
             link = self.peers.links.get(label)
             if link is not None and link.incarnation == self.member.term.incarnation(label):
-                self.home.sureness.hear_term(label, link.term)
+                self.home.reconciliation.hear_term(label, link.term)
 
     def _speaks(self):
         """Whether others may hear this controller: a member, or one that surely is none for a while yet, and
@@ -679,7 +679,7 @@
                     "granted=%.0f waiting=%d %s",
                     len(self.book.jobs),
                     len(self.home.machines),
-                    self.home.sureness.clean(),
+                    self.home.reconciliation.clean(),
                     *self.home.usage(),
                     sum(len(job.free) for job in self.book.jobs.values()),
                     self.counters.line(),
--- a/roadhead/shares/keeper.py
+++ b/roadhead/shares/keeper.py
@@ -51,7 +51,7 @@
         member, term = self._member, self._member.term
         if member.lapsed():
             return
-        if not self._moving and home.sureness.settled():
+        if not self._moving and home.reconciliation.settled():
             moves = step(term.shares, self._label, self._takers(term), home.by_share())
             if moves:
                 self._moving = True
--- a/roadhead/summary.py
+++ b/roadhead/summary.py
@@ -50,7 +50,7 @@
         failing_since = book.recorder.failing_since
         if failing_since is not None and now - failing_since > self._beat_s:
             behind.append(f"{self.label}: records not written for {now - failing_since:.0f} s")
-        if not home.sureness.clean():
+        if not home.reconciliation.clean():
             behind.append(f"{self.label}: machines of an earlier term not all heard yet")
         waiting = [job for job in book.jobs.values() if job.unsynced]
         if waiting:
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -182,7 +182,7 @@
         calls(home.hearing.answer, report(0, 0, sequence=2)),
         calls(home.covered, listed(machines), 100.0),
         calls(home.tick, 0.0) + calls(home.news),
-        calls(home.sureness.clean),
+        calls(home.reconciliation.clean),
     )
 
 
@@ -221,13 +221,13 @@
         home = home_of(machines, 0)
         for machine in home.machines.values():
             machine.confirmed = 0
-        home.sureness.fence([0], True)
+        home.reconciliation.fence([0], True)
         home.covered(listed(machines), 7.0)  # late enough, and they were up before
         home.commanding.on_sync("there", 1, frames.Sync(1, 1, [], []))
-        assert not home.sureness.clean()
+        assert not home.reconciliation.clean()
         reports = [report(number, 0, sequence=2) for number in range(machines)]
         total = calls(lambda: [home.hearing.answer(heard) for heard in reports])
-        assert home.sureness.clean()
+        assert home.reconciliation.clean()
         return total
 
     assert 0 < again(400) <= 4.2 * again(100)
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -8,7 +8,7 @@
 from roadhead.homes.hearing import Hearing
 from roadhead.homes.home import Home
 from roadhead.homes.machine import Machine
-from roadhead.homes.sureness import Sureness
+from roadhead.homes.shard_reconciliation import ShardReconciliation
 from roadhead.jobs.book import Book
 from roadhead.jobs.job import Job, from_record
 from roadhead.jobs.quota import QuotaPartitions
@@ -155,7 +155,7 @@
         failed = real(self, listed, asked_at)
         for machine in self.machines.values():
             machine.born_at = asked_at
-        self.sureness.settle()
+        self.reconciliation.settle()
         return failed
 
     patch.setattr(Home, "covered", covered)
@@ -171,7 +171,7 @@
         for name in self.machines.keys() - before:
             machine = self.machines[name]
             machine.confirmed, machine.heard_at = machine.token, self._loop.now()
-            self.sureness.heard(machine)
+            self.reconciliation.heard(machine)
             self.rooms.changed(machine)
 
     patch.setattr(Home, "on_handover", on_handover)
@@ -179,7 +179,7 @@
 
 def moved_without_a_fence(patch):
     """3: a share that comes to a home is taken for known at once."""
-    real = Sureness.fence
+    real = ShardReconciliation.fence
 
     def fence(self, shares, short):
         real(self, shares, short)
@@ -188,7 +188,7 @@
             self._fences[share].covered = True
             self._fences[share].awaited.clear()
 
-    patch.setattr(Sureness, "fence", fence)
+    patch.setattr(ShardReconciliation, "fence", fence)
 
 
 def links_tell_only_what_is_new(patch):
@@ -222,8 +222,8 @@
 
 def covers_what_it_left(patch):
     """3: a list counts as taken in although machines of it were not taken on."""
-    real = Sureness.cover
-    patch.setattr(Sureness, "cover", lambda self, asked_at, _left: real(self, asked_at, ()))
+    real = ShardReconciliation.cover
+    patch.setattr(ShardReconciliation, "cover", lambda self, asked_at, _left: real(self, asked_at, ()))
 
 
 def takes_on_what_boots_later(patch):
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -177,7 +177,7 @@
     sent = []
     home = home_of(0, 0)
     home.commanding._send = home._news._send = lambda label, frame: sent.append((label, frame))
-    home.sureness.fence([0], False)
+    home.reconciliation.fence([0], False)
     home.covered([listed("n-000000", "running")], 6.5)  # up before the share came here
     home.commanding.on_sync("heir", 2, frames.Sync(1, 1, ["req-0"], []))
     home.commanding.on_sync("other", 3, frames.Sync(1, 1, ["req-0"], []))
@@ -195,7 +195,7 @@
     sent = []
     home = home_of(0, 0)
     home.commanding._send = home._news._send = lambda label, frame: sent.append((label, frame))
-    home.sureness.fence([0], False)
+    home.reconciliation.fence([0], False)
     home.covered([listed("n-000000", "running")], 6.5)
     claims = [("n-000000", "req-0", 0, 1)]
     home.commanding.on_sync("ended", 1, frames.Sync(1, 1, ["req-0"], claims))
@@ -208,15 +208,15 @@
 def test_a_share_under_a_new_token_is_sure_once_its_own_machines_are_heard():
     home = home_of(40, 0)
     home.covered([], 100.0)
-    assert home.sureness.clean()
+    assert home.reconciliation.clean()
     other = next(iter(home.machines.values()))
     other.share, other.token = 1, 9
-    home.sureness.fence([1], False)
-    home.sureness.cover(200.0, set())
-    assert not home.sureness.clean()
+    home.reconciliation.fence([1], False)
+    home.reconciliation.cover(200.0, set())
+    assert not home.reconciliation.clean()
     answer = report(0, 0, sequence=2)
     answer.token = 9
-    assert home.hearing.observe(other, answer) and home.sureness.clean()
+    assert home.hearing.observe(other, answer) and home.reconciliation.clean()
 
 
 def test_the_order_of_a_roll_does_not_matter_for_evenness():
@@ -294,7 +294,7 @@
 
         async def request(self, *_request):
             asked.append(machine.id)
-            home.sureness.let_go([machine.share])
+            home.reconciliation.let_go([machine.share])
             home.known.let_go(machine)
             answer = report(0, 0, sequence=5)
             answer.session = 3
@@ -361,17 +361,17 @@
     relieved = term.relieve("ctl-1")
     for unaware in (False, True):
         home = home_of(0, 0)
-        home.sureness.on_relief(term, relieved if unaware else term)
-        home.sureness.fence([0], False)
+        home.reconciliation.on_relief(term, relieved if unaware else term)
+        home.reconciliation.fence([0], False)
         home.covered([listed("n-000001", "starting")], 100.0)
-        assert home.sureness.clean() == (not unaware)
-    assert home.hearing.answer(report(1, 0)) and not home.sureness.clean()
-    home.sureness.hear_term("ctl-1", term.number)  # as it was before
-    assert home.sureness.may_not_know() == ["ctl-1"]
-    home.sureness.hear_term("ctl-1", relieved.number)
-    assert home.sureness.may_not_know() == [] and not home.sureness.clean()
+        assert home.reconciliation.clean() == (not unaware)
+    assert home.hearing.answer(report(1, 0)) and not home.reconciliation.clean()
+    home.reconciliation.hear_term("ctl-1", term.number)  # as it was before
+    assert home.reconciliation.may_not_know() == ["ctl-1"]
+    home.reconciliation.hear_term("ctl-1", relieved.number)
+    assert home.reconciliation.may_not_know() == [] and not home.reconciliation.clean()
     home.covered([listed("n-000001", "running")], 100.0)
-    assert home.sureness.clean()
+    assert home.reconciliation.clean()
 
 
 def test_who_may_not_know_that_it_is_relieved():
@@ -397,12 +397,12 @@
 def test_a_short_fence_that_is_not_over_grows_long_once_a_member_is_dropped():
     """Safety 3: that one may have given a share away without knowing, and live on."""
     home = home_of(0, 0)
-    short = home.sureness.fence_at(0)
-    home.sureness.lengthen()
-    long = home.sureness.fence_at(0)
+    short = home.reconciliation.fence_at(0)
+    home.reconciliation.lengthen()
+    long = home.reconciliation.fence_at(0)
     assert long > short + 15
-    home.sureness.lengthen()
-    assert home.sureness.fence_at(0) == long
+    home.reconciliation.lengthen()
+    assert home.reconciliation.fence_at(0) == long
 
 
 def listed(name, status):
--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -127,6 +127,15 @@
     assert heard.machine.tasks == tasks
 
 
+def test_a_report_to_another_home_is_sent_there_and_renews_nothing(heard):
+    renewed_at = heard.machine.lease.renewed_at
+    label = next(name for name in heard.world.labels if name != heard.node.label)
+    other = heard.world.nodes[heard.world.labels.index(label)]
+    answer = WorkerReports(other).answer(cbor2.dumps(heard.worker.report()))
+    assert (answer.status, cbor2.loads(answer.body)) == (421, {"boss": heard.node.label})
+    assert heard.machine.lease.renewed_at == renewed_at
+
+
 def test_a_report_of_a_machine_that_is_gone_is_not_answered(heard):
     report = heard.worker.report()
     heard.node.home.machine_gone(heard.machine, "released")
