--- a/roadhead/scale/events.py
+++ b/roadhead/scale/events.py
@@ -3,6 +3,7 @@
 import random
 
 from roadhead.scale.layout import zone_name
+from roadhead.scale.plan import PERCENT
 from roadhead.scale.processes import ask
 
 CONTROLLER_BACK_S = 3.0  # after its end, if the event does not say
@@ -51,8 +52,8 @@
     def _controller_goes_on(self, label):
         self._processes.stall(label, stalled=False)
 
-    def _workers(self, count, zone=None, *, restart=False):
-        body = {"count": count, "zone": zone, "restart": restart}
+    def _workers(self, count, zone=None, *, restart=False, cut_s=0.0):
+        body = {"count": count, "zone": zone, "restart": restart, "cut_s": cut_s}
         ask(self._document["cloud"], "POST", "/scale/workers", body)
 
     def _workers_end(self, event):
@@ -61,6 +62,15 @@
     def _workers_restart(self, event):
         self._workers(event.count, restart=True)
 
+    def _workers_cut(self, event):
+        """No controller reaches these workers, nor they any, for a while; their tasks go on."""
+        self._workers(event.count, cut_s=event.for_s)
+
+    def _reports_slow(self, event):
+        """`count` percent of the reports take some seconds to arrive."""
+        body = {"share": event.count / PERCENT, "for_s": event.for_s}
+        ask(self._document["cloud"], "POST", "/scale/slow-reports", body)
+
     def _zone_ends(self, event):
         self._workers(0, zone_name(event.zone))
         for number, label in enumerate(self._document["labels"]):
--- a/roadhead/scale/hollow.py
+++ b/roadhead/scale/hollow.py
@@ -1,5 +1,6 @@
 """Hollow workers, many to a process: they speak the whole protocol, and tasks end by the clock alone."""
 
+from roadhead.local.fault_windows import FaultWindow
 from roadhead.local.processes import Ground
 from roadhead.local.server import Server
 from roadhead.local.worker import Worker
@@ -92,6 +93,10 @@
         for routine in self._routines:
             routine.cancel()
 
+    def cut(self, for_s):
+        """Nothing reaches it, nor does it reach anybody; its tasks go on until its lease ends."""
+        self.deaf_until = self.mute_until = self.sim.time + for_s
+
     def restart(self):
         """The machine comes back at once, in a new session, without its tasks."""
         self._end_session()
@@ -109,21 +114,32 @@
         self._kind = {"name": CPUS_TYPE, "vcpus": ground.plan["plan"]["cluster"]["cpus_per_worker"]}
 
     async def handle(self, method, path, _args, body, _host):
-        """Orders of the cloud emulator: `start`, `end` and `restart` workers; figures of all."""
+        """Orders of the cloud emulator (`start`, `end`, `restart`, `cut` workers, slow reports); figures."""
         if path == "/scale/figures":
             return 200, self._figures()
+        if (method, path) == ("POST", "/scale/slow-reports"):
+            window = FaultWindow(body["share"], self.sim.time + body["for_s"])
+            self.world.fault_windows.slow_reports = window
+            return 200, {}
         if (method, path) != ("POST", "/scale/workers"):
             return 404, {}
-        for order in body["start"]:
-            self._start(order)
-        for name in body["end"]:
-            if name in self._workers:
-                self._workers.pop(name).end()
-        for name in body["restart"]:
-            if name in self._workers:
-                self._workers[name].restart()
+        self._carry_out(body)
         return 200, {}
 
+    def _carry_out(self, orders):
+        for order in orders["start"]:
+            self._start(order)
+        workers = self._workers
+        for name in orders["end"]:
+            if name in workers:
+                workers.pop(name).end()
+        for name in orders["restart"]:
+            if name in workers:
+                workers[name].restart()
+        for name, for_s in orders["cut"]:
+            if name in workers:
+                workers[name].cut(for_s)
+
     def _start(self, order):
         if order["name"] in self._workers:
             return  # the order was repeated
--- a/roadhead/scale/plan.py
+++ b/roadhead/scale/plan.py
@@ -8,11 +8,14 @@
 
 PROCESSES_MOST = 200
 HOST_WORKERS_MOST = 2000  # hollow workers in one process
+PERCENT = 100
 EVENT_KINDS = (
     "controllers_end",
     "controllers_stall",
     "workers_end",
     "workers_restart",
+    "workers_cut",
+    "reports_slow",
     "zone_ends",
     "state_outage",
     "cloud_outage",
@@ -193,5 +196,7 @@
             yield f"event {event.kind!r}: at_s: must be from 0 to {plan.load_s:g}, is {event.at_s}"
         if event.count < 1 or not 0 <= event.for_s < math.inf:
             yield f"event {event.kind!r}: count must be 1 or more, for_s not negative"
+        if event.kind == "reports_slow" and event.count > PERCENT:
+            yield f"event {event.kind!r}: count: percent of the reports, is {event.count}"
         if event.kind == "zone_ends" and not 0 <= event.zone < plan.cluster.zones:
             yield f"event {event.kind!r}: zone: must be from 0 to {plan.cluster.zones - 1}, is {event.zone}"
--- a/roadhead/scale/services.py
+++ b/roadhead/scale/services.py
@@ -138,6 +138,7 @@
         super().__init__(ground, [kind], capacity, ground.plan["cloud"])
         self._hosts = [Client(self.loop, Net(self.loop), address) for address in ground.plan["hosts"]]
         self.started, self.ended, self._restarted = [], [], []
+        self._cut = []  # (machine, seconds)
         self.network = ground.plan["network"]
         for number in range(plan.cluster.workers):
             self.rent(CPUS_TYPE, zones[number % len(zones)], spot=True, count=1)
@@ -157,12 +158,16 @@
         if path == "/scale/workers":
             await self._fail(body)
             return 200, {}
+        if path == "/scale/slow-reports":
+            for client in self._hosts:
+                await self._order(client, path, body)
+            return 200, {}
         answer = await super().handle(method, path, args, body, host)
         await self._give_orders()
         return answer
 
     async def _fail(self, wanted):
-        """Ends or restarts `count` machines, at random or of a zone; 0: all of them."""
+        """Ends, restarts or cuts off `count` machines, at random or of a zone; 0: all of them."""
         there = [
             machine
             for machine in self.rented.values()
@@ -170,7 +175,9 @@
         ]
         count = min(wanted["count"] or len(there), len(there))
         for machine in self.sim.random.sample(there, count):
-            if wanted["restart"]:
+            if wanted["cut_s"]:
+                self._cut.append((machine, wanted["cut_s"]))
+            elif wanted["restart"]:
                 self._restarted.append(machine)
             else:
                 machine.failed = True
@@ -182,7 +189,8 @@
         started, self.started = self.started, []
         ended, self.ended = self.ended, []
         restarted, self._restarted = self._restarted, []
-        if not (started or ended or restarted):
+        cut, self._cut = dict(self._cut), []
+        if not (started or ended or restarted or cut):
             return
         for host, client in enumerate(self._hosts):
             mine = lambda machines, host=host: [  # noqa: E731
@@ -190,20 +198,22 @@
             ]
             await self._order(
                 client,
+                "/scale/workers",
                 {
                     "start": [machine.order() for machine in mine(started)],
                     "end": [machine.name for machine in mine(ended)],
                     "restart": [machine.name for machine in mine(restarted)],
+                    "cut": [(machine.name, cut[machine]) for machine in mine(cut)],
                 },
             )
 
-    async def _order(self, client, orders):
+    async def _order(self, client, path, orders):
         if not any(orders.values()):
             return
         body = cbor2.dumps(orders)
         while True:  # an order repeated changes nothing
             try:
-                await client.request("POST", "/scale/workers", body, ORDER_S)
+                await client.request("POST", path, body, ORDER_S)
                 return
             except NoAnswer:
                 await self.loop.sleep(0.1)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -36,6 +36,7 @@
         (f"{ONE_CLASS}[[event]]\nat_s = 1.0\nkind = 'flood'", "event: unknown kind 'flood'"),
         (f"{ONE_CLASS}[[event]]\nat_s = 999.0\nkind = 'workers_end'", "at_s: must be from 0 to 40"),
         (f"{ONE_CLASS}[[event]]\nat_s = 1.0\nkind = 'zone_ends'\nzone = 9", "zone: must be from 0 to 2"),
+        (f"{ONE_CLASS}[[event]]\nat_s = 1.0\nkind = 'reports_slow'\ncount = 101", "percent of the reports"),
     ],
 )
 def test_what_is_wrong_with_a_plan_is_said(text, fault):
@@ -141,9 +142,14 @@
     assert [text for _at_s, text in found["events"]] == [
         "controllers_end",
         "controller_back",
+        "reports_slow",
         "workers_end",
+        "workers_cut",
         "workers_restart",
     ]
+    logs = [path.read_text() for path in (tmp_path / "run" / "logs").glob("controller-*.log")]
+    assert len(logs) == 3 and all("decision=shard_held" in log for log in logs)
+    assert any("at=" in log and "decision=launch_sent" in log for log in logs)  # kept, and written at the end
     assert set(found["roles"]) == {"state", "cloud", "workers", "controller", "users"}
     assert found["worker_bytes_per_s"] > 0
     assert msgspec.json.encode(found["state_requests_per_s"]) != b"{}"
