--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -9,7 +9,7 @@
 
 from roadhead.admission.sockets import Sockets
 from roadhead.decision_log import DecisionLog
-from roadhead.homes.machine import LAUNCHING
+from roadhead.homes.machine import LAUNCHING, Task
 from roadhead.homes.relief import Relief
 from roadhead.homes.workers import Workers
 from roadhead.jobs.job import Job
@@ -281,6 +281,26 @@
         assert len(state_faults(limits, labels)) == 1
 
 
+def asked_directly(home, machine, client, counters=None, may_command=lambda: True):
+    """The routine, run to its end, by which a machine is sent its commands over `client`."""
+    loop = Sim(1)
+    workers = Workers(
+        loop,
+        None,
+        Member(),
+        timeout_s=3.0,
+        may_command=may_command,
+        silent_s=4.0,
+        sockets=Sockets(200, lambda _name: None),
+        decisions=DecisionLog(lambda: 0.0, counters or Counters()),
+    )
+    workers.home = home
+    workers._clients[machine.id] = client
+    routine = loop.spawn(workers._ask(machine, False), "ask")
+    loop.run_until(1.0)
+    return routine
+
+
 def test_a_machine_given_away_while_it_is_asked_is_not_heard_any_more():
     """Its answer names another session, and comes after its share has another home: what is known of it is
     gone, and the home may not command it again. Seen on an own day as a routine that failed."""
@@ -300,24 +320,35 @@
             answer.session = 3
             return 409, messages.write(answer), None
 
-    loop = Sim(1)
-    workers = Workers(
-        loop,
-        None,
-        Member(),
-        timeout_s=3.0,
-        may_command=lambda: True,
-        silent_s=4.0,
-        sockets=Sockets(200, lambda _name: None),
-        decisions=DecisionLog(lambda: 0.0, Counters()),
-    )
-    workers.home = home
-    workers._clients[machine.id] = Asked()
-    routine = loop.spawn(workers._ask(machine, False), "ask")
-    loop.run_until(1.0)
+    routine = asked_directly(home, machine, Asked())
     assert routine.done.done and routine.done.result() is None and asked == [machine.id]
 
 
+def test_authority_lost_while_a_command_is_under_way_starts_nothing_in_a_later_session():
+    """Safety 2. The second request follows word of a later session, with which all of the one before is
+    freed, launches too: it carries none, though it does not ask for authority again. The loss is counted."""
+    home, counters = home_of(1, 0), Counters()
+    machine = home.machines["n-000000"]
+    machine.put(Task("req-0", 0, 1, LAUNCHING, ("here", 1)))
+    sent, authority = [], [True]
+
+    class Answering:
+        address = machine.address
+
+        async def request(self, _method, _path, body, *_rest):
+            sent.append(messages.decode(body))
+            authority[0] = False
+            answer = report(0, 0, sequence=5)
+            answer.session = 2
+            return 409, messages.write(answer), None
+
+    routine = asked_directly(home, machine, Answering(), counters, lambda: authority[0])
+    assert routine.done.done and routine.done.result() is None
+    assert [[order["verb"] for order in request["orders"]] for request in sent] == [["launch"]]
+    assert not machine.tasks and machine.session == 2
+    assert counters.counts["authority_lost"] == 1
+
+
 def test_what_is_offered_to_others_is_not_taken_on_until_the_outcome_is_known():
     """Safety 3: the new home does not wait for machines that come up after the move, carried out or not as
     far as the giver can tell."""
