--- a/tests/test_worker_leases.py
+++ b/tests/test_worker_leases.py
@@ -98,6 +98,17 @@
     assert not heard.machine.tasks and heard.machine.session == heard.worker.session
 
 
+def test_a_report_of_an_earlier_session_that_a_direct_answer_overtook_is_counted_and_frees_nothing(heard):
+    """The worker drops the answer; the home errs on the safe side."""
+    old = heard.worker.report()
+    heard.worker._end_session()
+    assert heard.observe(heard.worker.report())
+    heard.world.sim.time += 1.0
+    assert heard.answer(old).status == 200
+    assert heard.machine.lease.renewed_at == heard.now()
+    assert not heard.machine.tasks and heard.machine.session == heard.worker.session
+
+
 def test_a_report_of_the_next_session_frees_what_ran_and_renews(heard):
     heard.worker._end_session()
     direct_answer = heard.worker.report()
