--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -29,14 +29,15 @@
 from roadhead.membership.gate import Gate
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
-from roadhead.membership.touch import KEPT, SILENT_BEATS, Cancellations
+from roadhead.membership.touch import KEPT, Cancellations
+from roadhead.periodic_duties import PeriodicDuties
 from roadhead.pipelines.ancestry import Ancestry
 from roadhead.pipelines.line import Line
 from roadhead.pipelines.parts import Parts
 from roadhead.recovery.takeover import Takeover
 from roadhead.runtime.loop import Timeout
 from roadhead.shares.keeper import Keeper
-from roadhead.state.client import StateClient, Unavailable, Unsure
+from roadhead.state.client import StateClient, Unavailable
 from roadhead.state.reader import Reader
 from roadhead.summary import Summary
 from roadhead.switchboard import Switchboard
@@ -52,8 +53,6 @@
 ANSWER_PART = 0.9  # of that may pass before they are told that it is not known
 NEWS_MOST = 500  # jobs in a frame
 CANCELLED_MOST = 20_000  # jobs passed on: beyond that none is told of that was not known before
-IN_FORCE_BEATS = SILENT_BEATS + 1.5  # for so long a lapsed member goes by a term that others said is in force
-MARKS_MOST = 20  # of cancellations, that nobody dropped, dropped at a time
 
 
 class Node:
@@ -150,7 +149,6 @@
         )
         self.risk = Risk(self.aims, sorted({objective.klass for objective in deployment.objectives}))
         self._began_at = self._outside_since = loop.now()
-        self._used = (0.0, 0.0)  # requests and writes a second, in the last beat
         self.takeover = Takeover(
             loop,
             self.state,
@@ -182,7 +180,8 @@
             time_of_day,
             lambda: self.keeper.changes,
         )
-        self._leaving = self._judging = False
+        self._leaving = False
+        self._periodic = PeriodicDuties(loop, self, self._beat_s, workers.cancel_s, self._random)
         self.workers = None
         self._duties = []
         self._spec_lookup = SpecLookup(loop, self.state, self._beat_s)
@@ -324,7 +323,7 @@
             self.shelf.run,
             self.book.line.look,
             parts.collect,
-            self._tick,
+            self._periodic.run,
             *self.fleet.duties(),
         ]
         if self._partitions > 1:
@@ -407,7 +406,9 @@
 
     def _beat(self):
         term = self.member.term
-        return frames.Beat(term.number if term else 0, self._state_ok(), self.home.deaf(), *self._used)
+        return frames.Beat(
+            term.number if term else 0, self._state_ok(), self.home.deaf(), *self._periodic.used
+        )
 
     def home_of(self, report):
         """The home's label for a worker that asks here, or None if it would not get through.
@@ -431,24 +432,6 @@
     def _state_ok(self):
         return self._loop.now() - self.state.ok_at < self.member._lease_s / 2
 
-    async def _judge(self):
-        """A worker's lease has run out since the term was last seen to be in force: is it still?"""
-        home = self.home
-        try:
-            await self.member.confirm()
-        except (Unavailable, Unsure) as error:
-            log.debug("term in force: %r", error)
-        if home is self.home and self.member.joined:
-            home.judge_leases(self.authority.sure_at())
-        self._judging = False
-
-    def _hear_terms(self):
-        """Relieved controllers that say that they serve a term by which they are."""
-        for label in self.home.reconciliation.may_not_know():
-            link = self.peers.links.get(label)
-            if link is not None and link.incarnation == self.member.term.incarnation(label):
-                self.home.reconciliation.hear_term(label, link.term)
-
     def _speaks(self):
         """Whether others may hear this controller: a member, or one that surely is none for a while yet, and
         knows what those before it under its label have told."""
@@ -543,6 +526,14 @@
     def summary(self):
         return self._summary.whole()
 
+    def summary_part(self):
+        """This controller's part of the summary, for the others."""
+        return self._summary.part()
+
+    def look_for_trouble(self):
+        """Notes what this controller is out of touch with."""
+        self._summary.look_for_trouble(self.member.lapsed())
+
     def shares(self):
         return self._summary.shares()
 
@@ -581,13 +572,6 @@
         self.takeover.on_term(old, new)
         self.keeper.on_term(old, new)
 
-    async def _try_workers(self):
-        """Relieved of its machines, this controller is their home again once it reaches workers."""
-        running = self.fleet.running
-        some = self._random.sample(running, min(3, len(running)))
-        if some and 2 * await self.workers.reached(some) > len(some):
-            self.member.restore()
-
     # Links and frames
 
     def _on_up(self, label):
@@ -612,75 +596,3 @@
         self.troubles.note("the state service's limits are lower")
         for label in list(self.peers.links) if self.member.gate.open else ():
             self.send(label, frames.StateLowered(True))
-
-    def _share_state(self):
-        """Uses of the state service's limits what the other controllers leave."""
-        self._used = self.state.requests.used(), self.state.writes.used()
-        term, links = self.member.term, self.peers.links
-        self.state.share(
-            [
-                links[label].used if label in links else (None if label in term.members else (0.0, 0.0))
-                for label in (member.label for member in self.settings.members)
-            ]
-        )
-
-    # Time
-
-    async def _tick(self):
-        every = 0
-        while True:
-            await self._loop.sleep(self._beat_s)
-            self._summary.look_for_trouble(self.member.lapsed())
-            self.cancellations.prune(self._loop.now())
-            if not self.member.joined:
-                continue
-            self.authority.may_renew()  # hearing counts only as long as it does not break off
-            sure_at = self.authority.sure_at()
-            self._hear_terms()
-            unused = self.home.tick(sure_at)
-            if self.home.undecided and not self._judging:
-                self._judging = True
-                self._loop.spawn(self._judge(), "judge leases")
-            # Others may have been given these machines, and have work there, without our knowing.
-            if not self.member.lapsed() or self._loop.now() - sure_at < IN_FORCE_BEATS * self._beat_s:
-                self.fleet.release([machine.id for machine in unused])
-                self.fleet.return_idle()
-            self._share_state()
-            self.dispatcher.changed()
-            self.takeover.tell()
-            self.keeper.tick(self.home)
-            self.book.line.tick()
-            self.member.raise_gate()
-            every += 1
-            if every % 30 == 0:
-                stale = self.member.stale_marks(KEPT * self._deployment.workers.cancel_s)
-                for mark in stale[:MARKS_MOST]:
-                    self.book.recorder.drop(mark)
-            if self.desk is not None:
-                self.desk.tick(every)
-            if self.label in self.member.term.relieved and every % 6 == 0:
-                self._loop.spawn(self._try_workers(), "try workers")
-            if every % 2 == 0:
-                self.dispatcher.refresh()
-                news = frames.HomeNews(self.home.news())
-                for label in self.member.term.members:
-                    self.send(label, news)
-            if every % 5 == 0:
-                part = self._summary.part()
-                for label in self.member.term.members:
-                    self.send(label, part)
-            if every % 30 == 0 and self.book.quota.has_limits and self.label in self.member.term.wardens:
-                # Word of a job accepted for the warden may have been lost.
-                self.takeover.scan()
-            if every % 10 == 0:
-                self.workers.trim()
-                log.info(
-                    "jobs=%d machines=%d clean=%s cpus=%.0f running=%.0f preparing=%.0f parked=%.0f "
-                    "granted=%.0f waiting=%d %s",
-                    len(self.book.jobs),
-                    len(self.home.machines),
-                    self.home.reconciliation.clean(),
-                    *self.home.usage(),
-                    sum(len(job.free) for job in self.book.jobs.values()),
-                    self.counters.line(),
-                )
