What a home was asked and has not answered is asked again under the next term

Cause: a home drops an owner's request that names another term than its own; the owner, once it adopted that term, told again only what moved by it, what is not reconciled, and all if all had been asked for. A claim under way was lost, and its job never done. Class: a request whose outcome is not known, taken for done. Change: Reconciliation keeps every job of a request until it is answered (Request), and names them to that home with the next term.

--- a/roadhead/jobs/reconciliation.py
+++ b/roadhead/jobs/reconciliation.py
@@ -1,8 +1,17 @@
 """What every home has told of the jobs that an owner inherited (safety 3 in docs/design.md)."""
 
+from typing import NamedTuple
+
 from roadhead.wire import frames
 
 
+class Request(NamedTuple):
+    """What a home was asked, and has not answered yet."""
+
+    label: str
+    jobs: list
+
+
 class Reconciliation:
     """Asks the homes for the tasks of jobs, and waits until each has told all that it knows.
 
@@ -17,7 +26,7 @@
         self._jobs = jobs
         self._on_reconciled = on_reconciled
         self.inherited = {}  # jobs of which not every home has told, in order as a set
-        self._requests = {}  # number -> (label, [jobs])
+        self._requests = {}  # number -> Request
         self._number = 0
         self._whole = {}  # home -> number of the last request that told it all, until it is answered
 
@@ -42,11 +51,26 @@
         for job in waiting:
             job.unsynced = set(new.members)
         moved = self._moved(old, new, whole) if old is not None else {}
+        unanswered = self._unanswered()
         for label in new.members:
             if label in whole:
                 self.ask(label)
-            elif waiting or label in moved:
-                self.ask(label, list({**moved.get(label, {}), **self.inherited}), complete=True)
+            elif waiting or label in moved or label in unanswered:
+                jobs = {**moved.get(label, {}), **unanswered.get(label, {}), **self.inherited}
+                self.ask(label, list(jobs), complete=True)
+
+    def _unanswered(self):
+        """{home: {job: True}} of jobs that it was asked for and has not answered, as far as they are open.
+
+        A home drops a request for another term than its own: what was under way as the term changed is
+        asked again, or a claim in it would never be answered, and its job never done.
+        """
+        found = {}
+        for request in self._requests.values():
+            jobs = {job: True for job in request.jobs if self._jobs.get(job.id) is job}
+            if jobs:
+                found.setdefault(request.label, {}).update(jobs)
+        return found
 
     def _moved(self, old, new, whole):
         """{home: {job: True}} of jobs bound on machines that were not its own, or not under its token."""
@@ -77,23 +101,23 @@
         if whole or complete:
             # It names all that those before named. None may be dropped otherwise: jobs whose
             # answer is not waited for would never start.
-            self._requests = {n: request for n, request in self._requests.items() if request[0] != label}
-        self._requests[self._number] = (label, [job for job in jobs if job.unsynced])
+            self._requests = {n: request for n, request in self._requests.items() if request.label != label}
+        self._requests[self._number] = Request(label, jobs)
         self._send(label, frames.Sync(term.number, self._number, [job.id for job in jobs], claims))
 
     def on_synced(self, label, frame):
         """A home has told all that it knows of the jobs of a request."""
-        home, jobs = self._requests.pop(frame.number, (None, ()))
+        request = self._requests.pop(frame.number, None)
         if self._whole.get(label) == frame.number:
             del self._whole[label]
-        if home != label:
+        if request is None or request.label != label:
             return
         if frame.term != self._member.term.number:
             # Said for an older term: a home of this one may know of more.
-            self.ask(label, [job for job in jobs if job.unsynced and job.id in self._jobs])
+            self.ask(label, [job for job in request.jobs if job.unsynced and job.id in self._jobs])
             return
         ready = False
-        for job in jobs:
+        for job in request.jobs:
             if label in job.unsynced:
                 job.unsynced.discard(label)
                 if not job.unsynced:
