Review: a case that can't run never looks like a broken rule

Cause: an error of a stand-in, or a timeout, ended the script with a status that could be read as a broken rule, and could leave processes behind.

Change: the play has its own statuses, which run.sh maps; controllers end with the script; everything else is exit 2.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -123,4 +123,4 @@
 
 
 if __name__ == "__main__":
-    run(play, lambda: Site(Path(__file__).parent, DEPLOYMENT, TYPES, boot_s=2.0, capacity=12), 116.0)
+    run(play, lambda: Site(Path(__file__).parent, DEPLOYMENT, TYPES, boot_s=2.0, capacity=12))
--- a/review/standin.py
+++ b/review/standin.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import random
@@ -25,11 +26,17 @@
 import cbor2  # noqa: E402  (the build puts it under target/deps)
 
 MAX_BODY = 64 * 1024
+PR_SET_PDEATHSIG = 1  # from <linux/prctl.h>
 RESPONSE_S = 4.0  # a worker drops a response that takes longer (PROTOCOL, reports)
 
 
 class CaseError(Exception):
-    """The case could not run: exit status 2."""
+    """The case could not run."""
+
+
+def end_with_parent():
+    """Makes the kernel kill this process when its parent ends; called in a child before it executes."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
 def size_of(body):
@@ -675,7 +682,12 @@
         command[0] = shutil.which(command[0]) or command[0]
         log = open(self.directory / f"{label}.log", "ab")  # noqa: SIM115  (the process keeps it open)
         self.processes[label] = subprocess.Popen(
-            command, cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log, stderr=log
+            command,
+            cwd=ROOT,
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            preexec_fn=end_with_parent,
         )
         log.close()
         self.record.write(f"{label} started")
@@ -840,16 +852,34 @@
         return await self.ask("GET", f"/v1/jobs/{job}", None, at, 0.0)
 
 
+BROKEN, HELD, NOT_RUN = 10, 0, 2  # exit statuses; run.sh turns BROKEN into 1, which Python uses for itself
+
+
 def run(play, site_of, seconds=114.0):
-    """Plays a case and ends with 1 if a rule was broken, 0 if none was, 2 if the case couldn't run."""
+    """Plays a case for at most that long, and ends with BROKEN, HELD or NOT_RUN."""
 
     async def main():
         site = site_of()
         problem = None
-        try:
+        ended = asyncio.get_running_loop().create_future()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(
+                number, lambda: ended.done() or ended.set_exception(CaseError("asked to end"))
+            )
+
+        async def whole():
             await site.start()
-            await asyncio.wait_for(play(site), seconds)
-        except (TimeoutError, CaseError) as error:
+            await play(site)
+
+        played = asyncio.ensure_future(whole())
+        try:
+            await asyncio.wait({played, ended}, timeout=seconds, return_when=asyncio.FIRST_COMPLETED)
+            for future in (played, ended):
+                if future.done():
+                    future.result()
+            if not played.done():
+                raise CaseError(f"not over after {seconds} s")
+        except Exception as error:  # whatever it is, it says nothing about the rule
             problem = f"the case could not run: {error!r}"
         finally:
             site.stop()
@@ -859,6 +889,6 @@
             site.record.write(line)
             print(line, flush=True)
         # Ends at once: the stand-ins' own routines have nothing left to do.
-        os._exit(1 if site.broken else 2 if problem else 0)
+        os._exit(BROKEN if site.broken else NOT_RUN if problem else HELD)
 
     asyncio.run(main())
