Decision log: which report's answer carries a launch, and when an attempt is forgotten

Cause: after a broken rule the kept decisions could not tell a launch in an answer that was decided on early and arrived late from one that was decided on after the attempt's end: launch_sent did not name the report that it answered, and what was forgotten, when and on which path was not kept at all.

Change: launch_sent on the path `answer` names the report; forget_sent is a decision of its own, with its path. Machine.orders becomes Machine.commands, which returns a typed PendingCommands (orders, launches, forgets) in place of a pair.

--- a/roadhead/decision_log.py
+++ b/roadhead/decision_log.py
@@ -24,6 +24,7 @@
     REPORT_OVERTAKEN = "report_overtaken"  # answered, though a newer message of the worker has arrived
     LEASE_ENDED = "lease_ended"
     LAUNCH_SENT = "launch_sent"
+    FORGET_SENT = "forget_sent"  # from then on a copy of the attempt's launch would start it again
     TASK_FREED = "task_freed"  # the attempt surely runs nowhere any more
     ALL_TOLD = "all_told"  # an owner was sent everything known about its jobs
     AUTHORITY_LOST = "authority_lost"  # the right to command ended while a command waited to be sent
--- a/roadhead/machines/machine.py
+++ b/roadhead/machines/machine.py
@@ -19,6 +19,20 @@
     saves: bool  # whether its tasks can save their progress before they stop
 
 
+class PendingCommands(NamedTuple):
+    """The commands that a worker has yet to carry out, in order, and the tasks that they are about.
+
+    `orders` are wire commands; `launches` and `forgets` the tasks that are launched or forgotten by them.
+    """
+
+    orders: list
+    launches: list
+    forgets: list
+
+
+NO_COMMANDS = PendingCommands([], [], [])
+
+
 class Task:
     """One attempt of a job's task on a machine. `requirements` is None while unknown."""
 
@@ -76,6 +90,12 @@
     return subject
 
 
+def note_sent(decisions, decision, machine, tasks, **evidence):
+    """Records that launches or forgets (`decision`) of `tasks` are about to be sent; `evidence`: the path."""
+    for task in tasks:
+        decisions.note(decision, decision_subject(machine, task), **evidence)
+
+
 class Machine:
     """State of one machine, its tasks and the commands still to be carried out there.
 
@@ -297,14 +317,13 @@
         """Whether nothing runs there and no success there is still to be recorded."""
         return not self.active and all(task.forget or task.cause != "done" for task in self.tasks.values())
 
-    def orders(self):
-        """All commands that the worker has yet to carry out, and the tasks launched by them.
+    def commands(self):
+        """The PendingCommands of all commands that the worker has yet to carry out.
 
         A launch is repeated with the same attempt until a report shows it, and is never given up before. So
         a launch that arrives late can't start an attempt that is not known here.
         """
-        orders = []
-        launches = []
+        orders, launches, forgets = [], [], []
         for task in list(self.pending_commands.values()):
             wanted = False
             if task.status == LAUNCHING:
@@ -319,9 +338,10 @@
                 wanted = True
                 if task.status == EXITED and not task.unacked_launch_token:
                     orders.append(messages.forget(*task.key))
+                    forgets.append(task)
             if not wanted:
                 del self.pending_commands[task.key]
-        return orders, launches
+        return PendingCommands(orders, launches, forgets)
 
 
 def fitting_count(required, available):
--- a/roadhead/machines/report_processor.py
+++ b/roadhead/machines/report_processor.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from roadhead.decision_log import Decision
-from roadhead.machines.machine import EXITED, LAUNCHING, Task, decision_subject
+from roadhead.machines.machine import EXITED, LAUNCHING, Task, decision_subject, note_sent
 from roadhead.machines.worker_lease import ReportNumber
 from roadhead.wire import frames, messages
 
@@ -63,10 +63,13 @@
         if number < (machine.session, machine.sequence):
             self._note_overtaken(machine, number)
         machine.lease.answer(number, self._loop.now())
-        orders, launches = machine.orders()
-        for task in launches:
-            self._decisions.note(Decision.LAUNCH_SENT, decision_subject(machine, task), path="answer")
-        return Renewal(machine.token, orders)
+        commands = machine.commands()
+        for decision, tasks in (
+            (Decision.LAUNCH_SENT, commands.launches),
+            (Decision.FORGET_SENT, commands.forgets),
+        ):
+            note_sent(self._decisions, decision, machine, tasks, path="answer", report=str(number))
+        return Renewal(machine.token, commands.orders)
 
     def _note_overtaken(self, machine, number):
         """Records that a report older than the worker's newest message is about to be answered."""
@@ -75,7 +78,7 @@
         self._decisions.note(
             Decision.REPORT_OVERTAKEN,
             decision_subject(machine),
-            report=f"{number.session}.{number.sequence}",
+            report=str(number),
             newest=f"{machine.session}.{machine.sequence}",
             again=is_repeated,
             renewed_before_s=self._loop.now() - machine.lease.renewed_at,
--- a/roadhead/machines/shard_leader.py
+++ b/roadhead/machines/shard_leader.py
@@ -352,11 +352,11 @@
 
     def _note_lease_ended(self, machine, term_confirmed_at):
         """Records the evidence for an ended lease; `term_confirmed_at`: as for `judge_leases`."""
-        now, answered = self._loop.now(), machine.lease.answered
+        now = self._loop.now()
         self._decisions.note(
             Decision.LEASE_ENDED,
             decision_subject(machine),
-            answered=f"{answered.session}.{answered.sequence}",
+            answered=str(machine.lease.answered),
             answered_before_s=now - machine.lease.renewed_at,
             newest=f"{machine.session}.{machine.sequence}",
             heard_before_s=now - (machine.heard_at or now),
--- a/roadhead/machines/task_commands.py
+++ b/roadhead/machines/task_commands.py
@@ -1,7 +1,7 @@
 """Handles what job owners ask of a shard leader's machines, and tracks commands on their way to workers."""
 
 from roadhead.decision_log import Decision
-from roadhead.machines.machine import EXITED, LAUNCHING, Task, TaskRequirements, decision_subject, fits
+from roadhead.machines.machine import EXITED, LAUNCHING, Task, TaskRequirements, fits, note_sent
 from roadhead.wire import frames
 
 
@@ -166,20 +166,18 @@
 
     # Launches sent to workers directly
 
-    def begin_direct_send(self, machine, launches):
+    def begin_direct_send(self, machine, commands):
         """Marks launches that are about to be sent directly; returns those sent for the first time.
 
         Until the worker answers, the launch can still arrive at any later time, even if a report has shown
         the attempt since: the report's answer may have repeated the launch. Such an attempt must not be
         forgotten, or the late launch would start it again.
         """
-        for task in launches:
-            self._decisions.note(
-                Decision.LAUNCH_SENT,
-                decision_subject(machine, task),
-                path="repeat" if task.unacked_launch_token else "direct",
-            )
-        first_sent = [task for task in launches if not task.unacked_launch_token]
+        first_sent = [task for task in commands.launches if not task.unacked_launch_token]
+        repeated = [task for task in commands.launches if task.unacked_launch_token]
+        note_sent(self._decisions, Decision.LAUNCH_SENT, machine, first_sent, path="direct")
+        note_sent(self._decisions, Decision.LAUNCH_SENT, machine, repeated, path="repeat")
+        note_sent(self._decisions, Decision.FORGET_SENT, machine, commands.forgets, path="direct")
         for task in first_sent:
             task.unacked_launch_token = machine.token
         return first_sent
--- a/roadhead/machines/worker_client.py
+++ b/roadhead/machines/worker_client.py
@@ -3,7 +3,7 @@
 import logging
 
 from roadhead.decision_log import Decision
-from roadhead.machines.machine import decision_subject
+from roadhead.machines.machine import NO_COMMANDS, decision_subject
 from roadhead.wire import messages
 from roadhead.wire.http import HttpClient, NoResponseError
 
@@ -91,14 +91,14 @@
         # The session of a machine never heard is a guess. A wrong one is answered with a report (409)
         # that tells the right one.
         for _ in range(2):
-            orders, launches = machine.orders()
-            if machine.confirmed_token != machine.token:
-                orders, launches = [], []
-            elif not orders:
-                return None
+            commands = NO_COMMANDS
+            if machine.confirmed_token == machine.token:
+                commands = machine.commands()
+                if not commands.orders:
+                    return None
             session = machine.session or 1
-            body = messages.commands(machine.token, session, orders)
-            first_sent = self.shard_leader.task_commands.begin_direct_send(machine, launches)
+            body = messages.commands(machine.token, session, commands.orders)
+            first_sent = self.shard_leader.task_commands.begin_direct_send(machine, commands)
             try:
                 status, data, _headers = await client.request("POST", "/commands", body, self._timeout_s)
             except NoResponseError as error:
@@ -107,7 +107,7 @@
                     self.shard_leader.task_commands.end_direct_send(first_sent)
                 return None
             self.shard_leader.task_commands.end_direct_send(first_sent)
-            if orders and not (self._member.joined and self._may_command()):
+            if commands.orders and not (self._member.joined and self._may_command()):
                 # The request named the session: if it arrived late, that session's lease bounds what it did.
                 self._decisions.count("authority_lost")
                 self._decisions.note(
--- a/roadhead/machines/worker_lease.py
+++ b/roadhead/machines/worker_lease.py
@@ -23,6 +23,9 @@
         """The number of a messages.Report."""
         return cls(report.session, report.sequence)
 
+    def __str__(self):
+        return f"{self.session}.{self.sequence}"
+
 
 NO_REPORT_ANSWERED = ReportNumber(0, -1)
 
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -99,14 +99,14 @@
 
 def forget_unacknowledged_launches(patch):
     """2: an attempt is forgotten although an unacknowledged launch of it may still arrive."""
-    real = Machine.orders
+    real = Machine.commands
 
-    def orders(self):
+    def commands(self):
         for task in self.tasks.values():
             task.unacked_launch_token = 0
         return real(self)
 
-    patch.setattr(Machine, "orders", orders)
+    patch.setattr(Machine, "commands", commands)
 
 
 def apply_limit_per_controller(patch):
