--- a/roadhead/local/fault_windows.py
+++ b/roadhead/local/fault_windows.py
@@ -4,6 +4,8 @@
 
 LATE_COMMAND_S = (2.0, 16.0)  # range of a command's delay
 SLOW_REPORT_S = (0.2, 3.0)  # range of a report's delay: less than its worker's timeout for the response
+SLOW_ANSWER_S = (0.2, 3.9)  # range of the delay of an answer to a report, likewise
+SLOW_COMMAND_S = (0.2, 1.5)  # range of the delay of a direct command that is answered in time
 QUICK_BOOT_S = (0.2, 2.0)  # range of a boot time
 
 
@@ -31,9 +33,13 @@
     # Reports of which a copy arrives late.
     late_reports: FaultWindow = field(default_factory=FaultWindow)
     slow_reports: FaultWindow = field(default_factory=FaultWindow)
+    # Answers to reports that arrive late, but in time for their workers to carry them out.
+    slow_answers: FaultWindow = field(default_factory=FaultWindow)
     # Reports of which a copy is kept until the term changes.
     reports_for_next: FaultWindow = field(default_factory=FaultWindow)
     late_commands: FaultWindow = field(default_factory=FaultWindow)
+    # Direct commands that arrive late, but are answered in time.
+    slow_commands: FaultWindow = field(default_factory=FaultWindow)
     # Jobs that their user cancels as their last task ends.
     cancelled_at_end: FaultWindow = field(default_factory=FaultWindow)
     # Machines that boot much faster than usual.
--- a/roadhead/local/scenario.py
+++ b/roadhead/local/scenario.py
@@ -17,6 +17,7 @@
     "txn_ops": 16,
     "capacity": 8,
     "fetch_s": 1.0,
+    "fail_s": 0.5,  # for how long a task that fails runs
     "until": 200.0,
     "cpus_max": 0.0,  # limit of each team; 0 means none
     "teams": 1,  # named `crew`, `crew-2` and so on; with more than one, there is also `free`, without a limit
--- a/roadhead/local/server.py
+++ b/roadhead/local/server.py
@@ -2,7 +2,7 @@
 
 import cbor2
 
-from roadhead.local.fault_windows import LATE_COMMAND_S
+from roadhead.local.fault_windows import LATE_COMMAND_S, SLOW_COMMAND_S
 from roadhead.runtime.loop import Future
 from roadhead.wire import http
 
@@ -38,6 +38,8 @@
                 await self.loop.sleep(self.sim.random.uniform(*LATE_COMMAND_S))
                 await self.handle(request.method, path, args, body, host)
                 await Future()
+            if path == "/commands" and windows.slow_commands.strikes(self.sim):
+                await self.loop.sleep(self.sim.random.uniform(*SLOW_COMMAND_S))
             lost = path == "/multi" and body["writes"] and windows.lost_writes.strikes(self.sim)
             status, answer = await self.handle(request.method, path, args, body, host)
             if lost:
--- a/roadhead/local/worker.py
+++ b/roadhead/local/worker.py
@@ -7,7 +7,7 @@
 
 import cbor2
 
-from roadhead.local.fault_windows import QUICK_BOOT_S, SLOW_REPORT_S
+from roadhead.local.fault_windows import QUICK_BOOT_S, SLOW_ANSWER_S, SLOW_REPORT_S
 from roadhead.local.gang import Gang
 from roadhead.local.server import EmulatedServer
 from roadhead.runtime.loop import Future
@@ -112,6 +112,10 @@
                     await self.loop.sleep(max(0.0, sent_at + REPORT_TIMEOUT_S - self.loop.now()))
             except NoResponseError:
                 status, data = 0, b""
+            if self.world.fault_windows.slow_answers.strikes(self.sim):
+                await self.loop.sleep(self.sim.random.uniform(*SLOW_ANSWER_S))
+                if self.loop.now() - sent_at > REPORT_TIMEOUT_S:
+                    status, data = 0, b""
             if status == 200:
                 answer = cbor2.loads(data)
                 if answer.get("brand", -1) >= self.token and session == self.session:
@@ -249,7 +253,9 @@
         if task_attempt.task in self.world.completed:
             run_s = 0.0
         if self.sick or job.get("faulty"):
-            task_attempt.timer = self.loop.call_later(0.5, self._exit, task_attempt, "error")
+            task_attempt.timer = self.loop.call_later(
+                self.world.options["fail_s"], self._exit, task_attempt, "error"
+            )
         else:
             task_attempt.timer = self.loop.call_later(run_s, self._exit, task_attempt, "done")
             task_attempt.ends_at = self.sim.time + run_s
--- a/tests/drawn_days.py
+++ b/tests/drawn_days.py
@@ -1,4 +1,4 @@
-"""Generates random scenarios: a hosted service, pipelines, fault combinations and reordered reports."""
+"""Generates random scenarios: hosted services, pipelines, fault combinations, reordered and slow messages."""
 
 import random
 
@@ -295,6 +295,42 @@
     return "\n".join(lines)
 
 
+def random_slow_answer_day(seed):
+    """Returns a scenario in which answers to reports and direct commands are held up, and tasks fail at once.
+
+    Jobs are cancelled every second, so that direct commands are on their way all the time; a controller may
+    fail meanwhile.
+    """
+    rng = random.Random(seed)
+    singles = rng.choice((16, 24))
+    legs = rng.choice((4, 6))
+    lines = [
+        f"seed {seed}",
+        f"capacity {rng.choice((8, 12))}",
+        "boot_s 3",
+        "fetch_s 0.02",
+        "fail_s 0.01",
+        "until 400",
+        f"at 1 submit count={singles} legs=1 runS=90 expectS=90",
+        f"at 20 slow-answers {rng.choice((0.5, 0.8))} 60",
+        f"at 20 slow-commands {rng.choice((0.5, 0.8))} 60",
+    ]
+    for number in range(10):
+        at = 22 + 2.5 * number
+        lines.append(f"at {at} submit count=1 legs={legs} runS=12 expectS=12")
+        if number % 3 == 0:
+            lines.append(f"at {at} sick 1")
+    cancelled = rng.sample(range(1, singles + 1), 16)
+    lines += [f"at {22 + 1.2 * number:.1f} cancel {job}" for number, job in enumerate(cancelled)]
+    if rng.random() < 0.5:
+        node = rng.randrange(3)
+        fault = rng.choice(
+            (f"crash {node} 0.1", f"leave {node} 0.2", f"stall {node} 4", "slow-reports 0.5 20")
+        )
+        lines.append(f"at {rng.uniform(22, 45):.2f} {fault}")
+    return "\n".join(lines)
+
+
 def _machine_fault_lines(rng, at):
     """Returns lines that make machines hang, or cut them off from all controllers."""
     length = rng.choice((14, 20, 30))
--- a/tests/hunt.py
+++ b/tests/hunt.py
@@ -1,10 +1,11 @@
 """Searches for broken rules by playing random scenarios ("days") with many faults in virtual time.
 
 The days are of a hosted service, of pipelines (`--pipelines`), of two to four overlapping faults
-(`--meetings`), or of reports and answers to direct commands in any order (`--report-orders`).
+(`--meetings`), of reports and answers to direct commands in any order (`--report-orders`), or of answers to
+reports that are held up while tasks fail and are forgotten (`--slow-answers`).
 
-    python3 tests/hunt.py [--pipelines | --meetings | --report-orders] [--days N] [--seed FIRST] [--jobs N]
-                          [--show SEED | --explain SEED]
+    python3 tests/hunt.py [--pipelines | --meetings | --report-orders | --slow-answers] [--days N]
+                          [--seed FIRST] [--jobs N] [--show SEED | --explain SEED]
     python3 tests/hunt.py --first-meeting | --leader [--jobs N]
 
 The last two play every order and spacing of the first fault combination, and of a leader that is cut off from
@@ -19,7 +20,13 @@
 import multiprocessing
 
 import conftest  # noqa: F401  sets up sys.path
-from drawn_days import random_combination_day, random_hosted_day, random_pipeline_day, random_report_order_day
+from drawn_days import (
+    random_combination_day,
+    random_hosted_day,
+    random_pipeline_day,
+    random_report_order_day,
+    random_slow_answer_day,
+)
 from enumerated import (
     first_combinations,
     leader_cuts,
@@ -48,6 +55,10 @@
     return run_pipeline_day(seed, random_report_order_day)
 
 
+def run_slow_answer_day(seed):
+    return run_pipeline_day(seed, random_slow_answer_day)
+
+
 def run_pipeline_day(seed, draw=random_pipeline_day):
     """Plays a day of pipelines, or of `draw`. Returns (seed, faults).
 
@@ -77,6 +88,7 @@
     parser.add_argument("--pipelines", action="store_true")
     parser.add_argument("--meetings", action="store_true")
     parser.add_argument("--report-orders", action="store_true")
+    parser.add_argument("--slow-answers", action="store_true")
     parser.add_argument("--first-meeting", action="store_true")
     parser.add_argument("--leader", action="store_true")
     args = parser.parse_args()
@@ -93,6 +105,8 @@
         draw, play = random_pipeline_day, run_pipeline_day
     elif args.report_orders:
         draw, play = random_report_order_day, run_report_order_day
+    elif args.slow_answers:
+        draw, play = random_slow_answer_day, run_slow_answer_day
     if args.show is not None:
         print(draw(args.show))
         return
