Forget an attempt only when no answer to a report can launch it any more

Cause: a forget is safe only if no launch of its attempt can arrive any more. Launches in direct commands counted as under way until answered; those in answers to reports were counted nowhere. Such an answer may be held up for nearly 4 s while a direct command starts the attempt, another shows its end and a third forgets it.

Change: LaunchesInFlight keeps both kinds for a machine. A launch in an answer counts until a newer report arrives: a worker keeps one report in flight, so it has carried out or dropped the answers before by then. No clock is used.

--- a/roadhead/machines/machine.py
+++ b/roadhead/machines/machine.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from roadhead.machines.launches_in_flight import LaunchesInFlight
 from roadhead.machines.worker_lease import WorkerLease
 from roadhead.wire import messages
 
@@ -50,7 +51,6 @@
         "sent_state",
         "status",
         "stop_grace",
-        "unacked_launch_token",
         "was_reported",
     )
 
@@ -69,9 +69,6 @@
         self.sent_state = None  # (status, cause, owner) as last sent to the owner
         self.stop_grace = None
         self.forget = False
-        # Token of a direct launch that went unanswered: it may still arrive, as long as
-        # the worker knows neither a higher token nor a later session. 0 without one.
-        self.unacked_launch_token = 0
 
     @property
     def key(self):
@@ -132,6 +129,7 @@
         "idle_since",
         "images",
         "kind",
+        "launches",
         "lease",
         "listed_at",
         "notice_at",
@@ -170,6 +168,7 @@
         self.confirmed_at = 0.0
         self.heard_at = None
         self.lease = WorkerLease(now)
+        self.launches = LaunchesInFlight()
         self.listed_at = None
         self.has_been_up = False  # seen running, by a list or a report, when nobody else can have led it
         self.born_at = 0.0  # it was rented, or came up, no earlier than this
@@ -254,6 +253,7 @@
         if not self.attempts[name]:
             del self.attempts[name]
         self.pending_commands.pop(task.key, None)
+        self.launches.remove(task)
         if task.name is not None:
             self.by_name.pop((task.name, task.attempt), None)
         self.reported = None
@@ -321,7 +321,8 @@
         """The PendingCommands of all commands that the worker has yet to carry out.
 
         A launch is repeated with the same attempt until a report shows it, and is never given up before. So
-        a launch that arrives late can't start an attempt that is not known here.
+        a launch that arrives late can't start an attempt that is not known here. A forget waits until no
+        launch of the attempt can arrive any more.
         """
         orders, launches, forgets = [], [], []
         for task in list(self.pending_commands.values()):
@@ -336,7 +337,7 @@
                     orders.append(messages.stop(*task.key, task.stop_grace))
             elif task.forget:
                 wanted = True
-                if task.status == EXITED and not task.unacked_launch_token:
+                if task.status == EXITED and not self.launches.may_arrive(task):
                     orders.append(messages.forget(*task.key))
                     forgets.append(task)
             if not wanted:
--- a/roadhead/machines/report_processor.py
+++ b/roadhead/machines/report_processor.py
@@ -62,8 +62,10 @@
         number = ReportNumber.of(report)
         if number < (machine.session, machine.sequence):
             self._note_overtaken(machine, number)
-        machine.lease.answer(number, self._loop.now())
+        if machine.lease.answer(number, self._loop.now()):
+            machine.launches.on_newer_report()
         commands = machine.commands()
+        machine.launches.add_answered(commands.launches)
         for decision, tasks in (
             (Decision.LAUNCH_SENT, commands.launches),
             (Decision.FORGET_SENT, commands.forgets),
@@ -137,9 +139,7 @@
             machine.confirmed_token = report.token
             machine.confirmed_at = now
             machine.lease.begin(now)
-            for task in machine.tasks.values():
-                if task.unacked_launch_token < report.token:
-                    task.unacked_launch_token = 0
+            machine.launches.on_token_seen(report.token)
             self._reconciliation.mark_heard(machine)
         room_before = machine.free_capacity()
         self._take_tasks(machine, report.tasks, confirmed)
--- a/roadhead/machines/shard_leader.py
+++ b/roadhead/machines/shard_leader.py
@@ -296,7 +296,7 @@
             if machine.quarantined_until and now >= machine.quarantined_until and not machine.draining:
                 self.failure_history.evaluate(machine)
             if machine.pending_commands and any(
-                task.forget and task.unacked_launch_token == machine.token
+                task.forget and machine.launches.direct_token(task) == machine.token
                 for task in machine.pending_commands.values()
             ):
                 # Once forgotten, the attempt could be started again by the unanswered launch. Under a
--- a/roadhead/machines/task_commands.py
+++ b/roadhead/machines/task_commands.py
@@ -169,21 +169,11 @@
     def begin_direct_send(self, machine, commands):
         """Marks launches that are about to be sent directly; returns those sent for the first time.
 
-        Until the worker answers, the launch can still arrive at any later time, even if a report has shown
-        the attempt since: the report's answer may have repeated the launch. Such an attempt must not be
-        forgotten, or the late launch would start it again.
+        The attempts are not forgotten before the request is answered (launches_in_flight.py).
         """
-        first_sent = [task for task in commands.launches if not task.unacked_launch_token]
-        repeated = [task for task in commands.launches if task.unacked_launch_token]
+        repeated = [task for task in commands.launches if machine.launches.direct_token(task)]
+        first_sent = machine.launches.begin_direct(commands.launches, machine.token)
         note_sent(self._decisions, Decision.LAUNCH_SENT, machine, first_sent, path="direct")
         note_sent(self._decisions, Decision.LAUNCH_SENT, machine, repeated, path="repeat")
         note_sent(self._decisions, Decision.FORGET_SENT, machine, commands.forgets, path="direct")
-        for task in first_sent:
-            task.unacked_launch_token = machine.token
         return first_sent
-
-    @staticmethod
-    def end_direct_send(first_sent):
-        """Clears the mark of launches that were answered or were never sent."""
-        for task in first_sent:
-            task.unacked_launch_token = 0
--- a/roadhead/machines/worker_client.py
+++ b/roadhead/machines/worker_client.py
@@ -104,9 +104,9 @@
             except NoResponseError as error:
                 log.debug("commands to %s: %s", machine.id, error)
                 if not error.sent:
-                    self.shard_leader.task_commands.end_direct_send(first_sent)
+                    machine.launches.end_direct(first_sent)
                 return None
-            self.shard_leader.task_commands.end_direct_send(first_sent)
+            machine.launches.end_direct(first_sent)
             if commands.orders and not (self._member.joined and self._may_command()):
                 # The request named the session: if it arrived late, that session's lease bounds what it did.
                 self._decisions.count("authority_lost")
--- a/roadhead/machines/worker_lease.py
+++ b/roadhead/machines/worker_lease.py
@@ -51,13 +51,15 @@
         self.renewed_at = now
 
     def answer(self, number, now):
-        """Counts a report that is about to be answered with 200.
+        """Counts a report that is about to be answered with 200; returns whether it is the newest so far.
 
         A copy of an answered report, or an older one, was sent no later than that one and renews nothing.
         """
-        if number > self.answered:
-            self.answered = number
-            self.renewed_at = now
+        if number <= self.answered:
+            return False
+        self.answered = number
+        self.renewed_at = now
+        return True
 
     def ends_at(self, lease_s):
         """When the lease has certainly ended if no further report is answered."""
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -15,7 +15,7 @@
 from roadhead.jobs.quota import QuotaPartitions
 from roadhead.jobs.teams import Accounts
 from roadhead.local.world import World
-from roadhead.machines.machine import Machine
+from roadhead.machines.launches_in_flight import LaunchesInFlight
 from roadhead.machines.report_processor import ReportProcessor
 from roadhead.machines.shard_leader import ShardLeader
 from roadhead.machines.shard_reconciliation import ShardReconciliation
@@ -99,14 +99,23 @@
 
 def forget_unacknowledged_launches(patch):
     """2: an attempt is forgotten although an unacknowledged launch of it may still arrive."""
-    real = Machine.commands
+    patch.setattr(LaunchesInFlight, "may_arrive", lambda self, task: task in self._answered)
 
-    def commands(self):
-        for task in self.tasks.values():
-            task.unacked_launch_token = 0
-        return real(self)
 
-    patch.setattr(Machine, "commands", commands)
+def forget_launches_in_answers(patch):
+    """2: an attempt is forgotten although the answer to a report may still launch it."""
+    patch.setattr(LaunchesInFlight, "may_arrive", lambda self, task: task in self._direct)
+
+
+def count_direct_answers_as_reports(patch):
+    """2: after any newer message of the worker, no answer to a report counts as in flight."""
+    real = ReportProcessor.observe
+
+    def observe(self, machine, report):
+        machine.launches.on_newer_report()
+        return real(self, machine, report)
+
+    patch.setattr(ReportProcessor, "observe", observe)
 
 
 def apply_limit_per_controller(patch):
@@ -270,6 +279,8 @@
         (apply_limit_per_controller, "limit"),
         (use_inherited_limits_unreconciled, "limit-takeover"),
         (forget_unacknowledged_launches, "late-launch-cancel"),
+        (forget_launches_in_answers, "slow-answers"),
+        (count_direct_answers_as_reports, "slow-answers"),
         (judge_leases_with_unconfirmed_term, "cut-in-two"),
         (keep_old_tokens, "back-takeover-room"),
         (start_inherited_jobs_unreconciled, "back-late-copies"),
