Ancestors read for a poll are kept until a cancellation names one of them

Cause: what was read of ancestors was kept under the stamp of c/n, which every cancellation of any job changes. A chain is read record by record and takes longer than a poll waits, so nothing was ever kept.

Change: CancellationHistory reads the changes below c/ without a gap, so a cancellation voids only the jobs it names; missed changes void everything. RecordReader derives again instead of reading again when only c/n changed. Ancestry in modules of one job each; its records as one object.

--- a/roadhead/api/cancellation_writer.py
+++ b/roadhead/api/cancellation_writer.py
@@ -5,11 +5,10 @@
 
 from roadhead.jobs.job import FINAL, RECORD_PREFIX, cancelled_record
 from roadhead.jobs.records import find
-from roadhead.pipelines.ancestry import CANCELLATION_COUNTER
+from roadhead.pipelines.cancellation_history import CANCELLATION_COUNTER, MARK_PREFIX
 from roadhead.runtime.loop import Future
 from roadhead.state.client import ConflictError, UnavailableError, UnknownOutcomeError
 
-MARK_PREFIX = "c/x/"
 # the final record and the cancellation mark; all jobs share the write to CANCELLATION_COUNTER
 WRITES_PER_JOB = 2
 MIN_WAIT_S = 0.001  # shorter waits aren't worth a timer
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -39,7 +39,7 @@
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
 from roadhead.periodic_duties import PeriodicDuties
-from roadhead.pipelines.ancestry import Ancestry
+from roadhead.pipelines.ancestry import Ancestry, JobRecords
 from roadhead.pipelines.dependency_queue import DependencyQueue
 from roadhead.pipelines.upstream_parts import UpstreamParts
 from roadhead.recovery.failover import JobFailover
@@ -92,13 +92,15 @@
         self.ancestry = Ancestry(
             loop,
             self.state,
-            lambda job: (record := self.job_store.final_records.get(job)) and record["s"],
-            lambda job, record: self.job_store.remember_final(job, record),
-            partial(find, self.state),
-            partial(complete, self.state),
-            awaited_ids,
-            cancelled_with_ancestor_record,
-            (RECORD_PREFIX, ARCHIVE),
+            JobRecords(
+                final_state=lambda job: (record := self.job_store.final_records.get(job)) and record["s"],
+                learn=lambda job, record: self.job_store.remember_final(job, record),
+                find=partial(find, self.state),
+                complete=partial(complete, self.state),
+                dependencies_of=awaited_ids,
+                cancelled_record=cancelled_with_ancestor_record,
+                prefixes=(RECORD_PREFIX, ARCHIVE),
+            ),
         )
         self.record_reader = RecordReader(
             loop,
@@ -107,7 +109,7 @@
             (RECORD_PREFIX, ARCHIVE),
             partial(complete, self.state),
             for_polls,
-            self.ancestry.derive,
+            self.ancestry,
         )
         self.cloud = CloudClient(loop, net, settings.external.cloud, deployment.cloud, deployment.nodes)
         self.cancellations = KnownCancellations(CANCELLATION_KEPT_FACTOR * workers.cancel_s)
--- a/roadhead/pipelines/ancestry.py
+++ b/roadhead/pipelines/ancestry.py
@@ -1,161 +1,181 @@
 """Decides from the stored records whether a waiting job has a cancelled ancestor.
 
 A job with a cancelled ancestor is cancelled, by the ancestor's record, whether or not its own record says so
-yet. Every cancellation changes the key `c/n` in the same transaction. What a walk over the ancestors found
-therefore holds as long as that key has the stamp that was read before the walk: one condition replaces one
-for each ancestor.
+yet. An ancestor that was open when its record was read is not cancelled as of a later revision if no
+cancellation between the two names it; `CancellationHistory` knows them all. So what was read is kept until a
+cancellation names it. An answer holds as long as `c/n` has the stamp of the last cancellation that was taken
+in: one condition replaces one for each ancestor.
 """
 
+from collections.abc import Callable
+from dataclasses import dataclass
 from itertools import islice
 
-from roadhead.state.client import UnavailableError, UnknownOutcomeError
+from roadhead.pipelines.ancestor_facts import AncestorCache, AncestorFacts
+from roadhead.pipelines.ancestor_reader import AncestorReader, WalkProgress
+from roadhead.pipelines.cancellation_history import CANCELLATION_COUNTER, CancellationHistory
+from roadhead.state.client import UnavailableError
 
-CANCELLATION_COUNTER = "c/n"
 MAX_WAITS_SHOWN = 20
-# Records that are read one by one at the same time; more than twice as many are read by pages.
-MAX_CONCURRENT_READS = 6
-MAX_CACHED_JOBS, MAX_CACHED_NAMES = 20_000, 200_000  # jobs cached, and ids in their dependency lists
+# Rounds in which ancestors that were evicted, or read before cancellations were missed, are read again.
+MAX_WALK_ROUNDS = 3
 
 
-class Ancestry:
-    """Walks over the ancestors of jobs and caches what it reads.
+@dataclass(frozen=True, slots=True)
+class JobRecords:
+    """What a walk needs of the controller's records of jobs.
 
-    Args:
-        loop: the event loop.
-        state: the state service's client.
-        ended: `ended(id)` returns the final state of a job known to be over, or None.
+    Attributes:
+        final_state: `final_state(id)` returns the final state of a job known to be over, or None.
         learn: `learn(id, record)` is called with each final record that was read.
         find: `find(id)` reads (record or None, stamp) of a job, wherever it is stored.
-        whole: `whole(id, record)` completes a record that was read from a page.
-        before: `before(record)` returns the ids of the dependencies that the record still waits for.
-        closing: `closing(record)` returns the final record of a job cancelled with an ancestor.
-        places: the key prefixes under which records are stored, in the order in which they move.
+        complete: `complete(id, record)` completes a record that was read from a page.
+        dependencies_of: returns the ids of the dependencies that a record still waits for.
+        cancelled_record: returns the final record of an open one whose job is cancelled with an ancestor.
+        prefixes: the prefixes of keys under which records are stored, in the order in which they move.
     """
 
-    def __init__(self, loop, state, ended, learn, find, whole, before, closing, places):
-        self._loop = loop
-        self._state = state
-        self._final_state = ended
-        self._learn = learn
-        self._find = find
-        self._whole = whole
-        self._dependencies_of = before
-        self._cancelled_record = closing
-        self._prefixes = places
-        # Id -> (stamp of `c/n` before its open record was read, its dependencies, whether it is a daemon).
-        self._cache = {}
-        self._cached_names = 0
+    final_state: Callable
+    learn: Callable
+    find: Callable
+    complete: Callable
+    dependencies_of: Callable
+    cancelled_record: Callable
+    prefixes: tuple
+
+
+class Ancestry:
+    """Walks over the ancestors of jobs and caches what it reads.
+
+    `state` is the state service's client, `records` a JobRecords.
+    """
+
+    def __init__(self, loop, state, records):
+        self._final_state = records.final_state
+        self._learn = records.learn
+        self._dependencies_of = records.dependencies_of
+        self._cancelled_record = records.cancelled_record
+        self._cache = AncestorCache()
+        self._reader = AncestorReader(loop, state, records.find, records.complete, records.prefixes)
+        self.history = CancellationHistory(loop, state, self._cache.on_cancelled, self._cache.clear)
 
     async def derive(self, record):
         """Returns (record, conditions): an open job's record as it counts, and how long that holds.
 
-        The result is valid as long as the conditions hold. Raises UnavailableError or UnknownOutcomeError if
-        a cancelled ancestor cannot be excluded.
+        The result is as new as this call, and valid as long as the conditions hold. Raises UnavailableError
+        or UnknownOutcomeError if a cancelled ancestor cannot be excluded.
         """
         if not self._dependencies_of(record):
             return record, []
-        _value, stamp = await self._state.get(CANCELLATION_COUNTER)
-        return await self._walk(record, stamp)
+        await self.history.refresh()
+        return await self._walk(record)
 
-    async def _walk(self, record, stamp):
-        """Does the work of `derive`; `stamp` is that of `c/n`, read before."""
+    async def refresh(self):
+        """Takes in all cancellations up to some moment after this call.
+
+        Raises UnavailableError or UnknownOutcomeError.
+        """
+        await self.history.refresh()
+
+    def on_unchanged(self, conditions, revision):
+        """Takes in that the conditions of earlier results held at that revision."""
+        for key, stamp in conditions:
+            if key == CANCELLATION_COUNTER:
+                self.history.on_unchanged(stamp, revision)
+
+    def derive_known(self, record):
+        """Returns the result of `derive` by what is known, without any request; None if that isn't enough.
+
+        It counts only if its conditions are found to hold after the question came.
+        """
+        names = self._dependencies_of(record)
+        if not names:
+            return record, []
+        unknown = self._unverified(names)
+        if unknown is None:
+            return self._cancelled_record(record), []
+        return None if unknown else self._waiting_record(record, names)
+
+    async def _walk(self, record):
+        """Does the work of `derive` after the history was refreshed."""
         names = self._dependencies_of(record)
-        seen, level = set(names), list(names)
-        while level:
-            unknown, next_level = [], []
-            for name in level:
-                state = self._final_state(name)
-                if state == "cancelled":
-                    return self._cancelled_record(record), []
-                if state is None and self._cached(name, stamp) is None:
-                    unknown.append(name)
-            for name, found in (await self._read(unknown, stamp)).items():
-                if found is None:
-                    raise UnavailableError(f"upstream job {name} has no record")
-                if found["s"] == "cancelled":
-                    return self._cancelled_record(record), []
-            for name in level:
-                if self._final_state(name) is not None:
-                    continue
-                entry = self._cached(name, stamp)
-                if entry is None:
-                    raise UnavailableError("more ancestors than can be cached")
-                for other in entry[1]:
-                    if other not in seen:
-                        seen.add(other)
-                        next_level.append(other)
-            level = next_level
+        progress = WalkProgress()
+        for _ in range(MAX_WALK_ROUNDS):
+            unknown = self._unverified(names)
+            while unknown:
+                unknown = await self._read_ancestors(unknown, progress)
+            if unknown is not None:
+                # What was found in between may have changed meanwhile: only a pass without a pause counts.
+                unknown = self._unverified(names)
+            if unknown is None:
+                return self._cancelled_record(record), []
+            if not unknown:
+                return self._waiting_record(record, names)
+        raise UnavailableError("the ancestors changed too often")
+
+    def _waiting_record(self, record, names):
         waits = list(islice((name for name in names if self._final_state(name) is None), MAX_WAITS_SHOWN))
-        return {**record, "waits": waits}, [(CANCELLATION_COUNTER, stamp)]
-
-    def _cached(self, name, stamp):
-        """Returns the cached entry of a job that was open and not cancelled as of that stamp, or None."""
-        entry = self._cache.get(name)
-        return entry if entry is not None and entry[0] == stamp else None
-
-    def _cache_record(self, name, record, stamp):
-        """Caches an open record that was read after `c/n` had that stamp."""
-        old = self._cache.pop(name, None)
-        self._cached_names -= len(old[1]) if old is not None else 0
-        dependencies = tuple(self._dependencies_of(record))
-        self._cache[name] = (stamp, dependencies, record["spec"]["shape"] == "daemon")
-        self._cached_names += len(dependencies)
-        while len(self._cache) > MAX_CACHED_JOBS or (
-            self._cached_names > MAX_CACHED_NAMES and len(self._cache) > 1
-        ):
-            self._cached_names -= len(self._cache.pop(next(iter(self._cache)))[1])
-
-    async def _read(self, names, stamp):
-        """Reads records. Returns {id: record, or None if there is none}.
-
-        `stamp` is that of `c/n`, read before.
+        return {**record, "waits": waits}, [(CANCELLATION_COUNTER, self.history.counter_stamp)]
+
+    def _unverified(self, names):
+        """Looks at all ancestors that are known, from `names` upwards.
+
+        Returns the ids of those whose records must be read; an empty list if no ancestor is cancelled, which
+        is kept as verified; None if one is.
         """
-        found = {}
-        if len(names) > 2 * MAX_CONCURRENT_READS:
-            await self._read_pages(sorted(names), found)
-        else:
-            for position in range(0, len(names), MAX_CONCURRENT_READS):
-                reads = [
-                    self._loop.spawn(self._read_one(name, found), "ancestor")
-                    for name in names[position : position + MAX_CONCURRENT_READS]
-                ]
-                for routine in reads:
-                    if (error := await routine.done) is not None:
-                        raise error
+        generation = self._cache.generation
+        seen, todo, unknown, visited = set(names), list(names), [], []
+        while todo:
+            name = todo.pop()
+            state = self._final_state(name)
+            if state == "cancelled" or (state is None and self.history.is_cancelled(name)):
+                return None
+            if state is not None:
+                continue
+            facts = self._cache.get(name)
+            if facts is None:
+                unknown.append(name)
+            elif facts.verified != generation:
+                visited.append(facts)
+                fresh = [other for other in facts.dependencies if other not in seen]
+                seen.update(fresh)
+                todo += fresh
+        if not unknown:
+            for facts in visited:
+                facts.verified = generation
+        return unknown
+
+    async def _read_ancestors(self, names, progress):
+        """Reads records; returns the ancestors above them to be read next, None if one is cancelled."""
+        since = self.history.through
+        found = await self._reader.read(names)
+        missing = next((name for name, record in found.items() if record is None), None)
+        if missing is not None:
+            raise UnavailableError(f"upstream job {missing} has no record")
+        above = [other for record in found.values() for other in self._dependencies_of(record)]
+        self._keep(found, since, progress)
+        if any(record["s"] == "cancelled" for record in found.values()):
+            return None
+        if above and (pages := progress.pages_due(len(names))):
+            since = self.history.through
+            ahead = await self._reader.read_ahead(progress, pages)
+            waiting = {name: record for name, record in ahead.items() if self._dependencies_of(record)}
+            self._keep(waiting, since, progress)
+        return self._unverified(above)
+
+    def _keep(self, found, since, progress):
+        """Caches records that a walk read after the history had reached revision `since`."""
+        progress.jobs += len(found)
+        progress.names += sum(len(self._dependencies_of(record)) for record in found.values())
+        self._cache.make_room(progress.jobs, progress.names)
         for name, record in found.items():
-            if record is not None and record["s"] != "open":
+            if record["s"] != "open":
                 self._learn(name, record)
-            elif record is not None:
-                self._cache_record(name, record, stamp)
-        return found
-
-    async def _read_one(self, name, found):
-        """Reads one record into `found`. Returns the error if it could not be read."""
-        try:
-            found[name] = (await self._find(name))[0]
-        except (UnavailableError, UnknownOutcomeError) as error:
-            return error
-        return None
-
-    async def _read_pages(self, names, found):
-        """Reads many records in the order of their ids. Each page decides all names up to its end."""
-        for prefix in self._prefixes:
-            position, missing = 0, []
-            while position < len(names):
-                first = names[position]
-                after = f"{prefix}{first[:-1]}{chr(ord(first[-1]) - 1)}~"
-                items, more, _revision = await self._state.page(prefix, after)
-                here = {key[len(prefix) :]: record for key, record, _stamp in items}
-                last = items[-1][0][len(prefix) :] if more else None
-                while position < len(names) and (last is None or names[position] <= last):
-                    name = names[position]
-                    if name in here:
-                        found[name] = await self._whole(name, here[name])
-                    else:
-                        missing.append(name)
-                    position += 1
-            names = missing
-        found.update(dict.fromkeys(names))
+            elif self.history.covers(since) and not self.history.is_cancelled(name):
+                facts = AncestorFacts(
+                    tuple(self._dependencies_of(record)), record["spec"]["shape"] == "daemon"
+                )
+                self._cache.add(name, facts)
 
     async def check_submission(self, spec, own):
         """Checks a submission that names upstream jobs.
@@ -170,15 +190,21 @@
         for name in spec.upstream:
             if not own(name):
                 return f"upstream: {name} was never accepted", False
-        _value, stamp = await self._state.get(CANCELLATION_COUNTER)
-        unknown = [
-            name for name in spec.upstream if self._final_state(name) is None and name not in self._cache
-        ]
-        for name, record in (await self._read(unknown, stamp)).items():
+        await self.history.refresh()
+        since = self.history.through
+        found = await self._reader.read(
+            [
+                name
+                for name in spec.upstream
+                if self._final_state(name) is None and self._cache.get(name) is None
+            ]
+        )
+        for name, record in found.items():
             if record is None:
                 return f"upstream: {name} was never accepted", False
+        self._keep(found, since, WalkProgress())
         for name in spec.upstream:
-            if name in self._cache and self._cache[name][2]:
+            if (facts := self._cache.get(name)) is not None and facts.is_daemon:
                 return f"upstream: {name} is a service", False
         submitted = {"s": "open", "spec": {"upstream": spec.upstream, "legs": spec.tasks}, "done": []}
-        return None, (await self._walk(submitted, stamp))[0]["s"] == "cancelled"
+        return None, (await self._walk(submitted))[0]["s"] == "cancelled"
--- a/roadhead/state/client.py
+++ b/roadhead/state/client.py
@@ -219,13 +219,17 @@
         raise UnavailableError(f"multi: {status}")
 
     async def check_conditions(self, conditions):
-        """Checks that every (key, stamp) still holds. Raises ConflictError with the keys that changed."""
+        """Checks that every (key, stamp) holds. Returns the revision at which it does.
+
+        Raises ConflictError with the keys that changed, UnavailableError or UnknownOutcomeError.
+        """
         timeout_s = min(COMPARE_TIMEOUT_S, self.answers.timeout_s)
         status, answer = await self._send_transaction(conditions, [], timeout_s)
         if status == 409:
             raise ConflictError(answer.get("failed", []))
         if status != 200:
             raise UnavailableError(f"multi: {status}")
+        return answer["epoch"]
 
     async def _send_transaction(self, conditions, writes, timeout_s):
         """Sends a transaction, measures its response time, and returns (status, answer)."""
--- a/roadhead/state/record_reader.py
+++ b/roadhead/state/record_reader.py
@@ -6,6 +6,7 @@
 """
 
 from itertools import islice
+from typing import NamedTuple
 
 from roadhead.runtime.loop import Future, Timeout
 from roadhead.state.client import ConflictError, UnavailableError, UnknownOutcomeError
@@ -22,26 +23,43 @@
 FAILING_AFTER = 0.5
 
 
+class KnownRecord(NamedTuple):
+    """A record that was read: `stored` as it stands there, `derived` as it counts.
+
+    `own_conditions` and `derived_conditions` are the (key, stamp) pairs under which each is current.
+    """
+
+    stored: dict | None
+    own_conditions: tuple
+    derived: dict | None
+    derived_conditions: tuple
+
+    @property
+    def conditions(self):
+        """All conditions under which the derived record is current."""
+        return self.own_conditions + self.derived_conditions
+
+
 class RecordReader:
     """A cache of records with many readers.
 
     `prefixes`: the prefixes under which a record may be stored, in the order in which it moves through them;
     `complete(name, record)` returns the record with its parts that are stored separately; `shorten(record)`
-    returns the part of it that is cached; `derive(record)` returns (the record with the state that follows
-    from others that it depends on, the (key, stamp) conditions under which that holds).
+    returns the part of it that is cached; `ancestry`, an Ancestry, derives the state that follows from other
+    records that a record depends on, and the conditions under which that holds.
     """
 
-    def __init__(self, loop, state, patience_s, prefixes, complete, shorten, derive):
+    def __init__(self, loop, state, patience_s, prefixes, complete, shorten, ancestry):
         self._loop = loop
         self._state = state
         self._prefixes = prefixes
         self._patience_s = patience_s
         self._complete = complete
         self._shorten = shorten
-        self._derive = derive
+        self._ancestry = ancestry
         self._max_conditions = 4 * int(state.limits.txn_ops)  # per transaction
         self._waiting = {}  # name -> [Future]
-        self._known = {}  # name -> (record, conditions under which it is still current)
+        self._known = {}  # name -> KnownRecord
         self._existing = {}  # names of records that were read or created lately: an ordered set
         self._active_batches = 0
 
@@ -109,11 +127,11 @@
     async def _serve_batch(self, batch):
         known, conditions = {}, set()  # a set, as many records depend on the same keys
         for name in batch:
-            entry = self._known.get(name)
-            if entry is not None and len(conditions.union(entry[1])) <= self._max_conditions:
+            entry = self._rederived(self._known.get(name))
+            if entry is not None and len(conditions.union(entry.conditions)) <= self._max_conditions:
                 known[name] = entry
-                conditions.update(entry[1])
-        if len(known) > 1:
+                conditions.update(entry.conditions)
+        if len(known) > 1 or any(entry.derived_conditions for entry in known.values()):
             await self._compare(batch, known)
         unanswered = list(batch)
         for at in range(0, len(unanswered), PARALLEL_READS):
@@ -129,19 +147,14 @@
         began_at = self._loop.now()
         for _ in range(MAX_COMPARE_ROUNDS):
             sent_at = self._loop.now()
+            conditions = list(
+                dict.fromkeys(condition for entry in known.values() for condition in entry.conditions)
+            )
             try:
-                await self._state.check_conditions(
-                    list(
-                        dict.fromkeys(
-                            condition for _, conditions in known.values() for condition in conditions
-                        )
-                    )
-                )
+                revision = await self._state.check_conditions(conditions)
+                self._ancestry.on_unchanged(conditions, revision)
             except ConflictError as conflict:
-                failed = set(conflict.failed)
-                for name, (_, conditions) in list(known.items()):
-                    if not failed.isdisjoint(key for key, _stamp in conditions):
-                        del known[name]
+                await self._drop_changed(known, set(conflict.failed))
                 if not known or not conflict.failed:
                     return
                 continue
@@ -152,13 +165,39 @@
                 for name in known:
                     self._fail(batch.pop(name), error)
                 return
-            for name, (record, _conditions) in known.items():
-                self._resolve(batch.pop(name), record, sent_at)
+            for name, entry in known.items():
+                self._resolve(batch.pop(name), entry.derived, sent_at)
+            return
+
+    async def _drop_changed(self, known, failed):
+        """Drops known records that changed, and derives anew those of which only what they depend on did."""
+        for name, entry in list(known.items()):
+            if not failed.isdisjoint(key for key, _stamp in entry.own_conditions):
+                del known[name]
+        if failed.isdisjoint(key for entry in known.values() for key, _stamp in entry.derived_conditions):
+            return
+        try:
+            await self._ancestry.refresh()
+        except (UnavailableError, UnknownOutcomeError):
+            known.clear()  # they are read one by one, which tells the cause
             return
+        for name, entry in list(known.items()):
+            rederived = self._rederived(entry)
+            if rederived is None:
+                del known[name]
+            else:
+                known[name] = rederived
+
+    def _rederived(self, entry):
+        """Returns a KnownRecord by the cancellations known by now, or None if it must be read."""
+        if entry is None or not entry.derived_conditions:
+            return entry
+        known = self._ancestry.derive_known(entry.stored)
+        return known and entry._replace(derived=known[0], derived_conditions=tuple(known[1]))
 
     async def _read_one(self, name, futures):
         sent_at = self._loop.now()
-        conditions = []
+        conditions, derived, further_conditions = [], None, ()
         try:
             for prefix in self._prefixes:
                 record, stamp = await self._state.get(prefix + name)
@@ -166,19 +205,17 @@
                 if record is not None:
                     self.note_existing(name)
                     del conditions[:-1]
-                    record, further_conditions = await self._derive(
-                        self._shorten(await self._complete(name, record))
-                    )
-                    conditions += further_conditions
+                    record = self._shorten(await self._complete(name, record))
+                    derived, further_conditions = await self._ancestry.derive(record)
                     break
         except (UnavailableError, UnknownOutcomeError) as error:
             self._fail(futures, error)
             return
         self._known.pop(name, None)
-        self._known[name] = (record, conditions)
+        self._known[name] = KnownRecord(record, tuple(conditions), derived, tuple(further_conditions))
         if len(self._known) > MAX_CACHED_RECORDS:
             del self._known[next(iter(self._known))]
-        self._resolve(futures, record, sent_at)
+        self._resolve(futures, derived, sent_at)
 
     def _resolve(self, futures, record, sent_at):
         if self._loop.now() - sent_at > self._patience_s:
--- a/roadhead/tenants/removal.py
+++ b/roadhead/tenants/removal.py
@@ -14,7 +14,7 @@
 
 from roadhead.jobs.job import ARCHIVE, FINAL, RECORD_PREFIX, cancelled_record
 from roadhead.membership.member import CANCEL
-from roadhead.pipelines.ancestry import CANCELLATION_COUNTER
+from roadhead.pipelines.cancellation_history import CANCELLATION_COUNTER
 from roadhead.runtime.loop import Signal
 from roadhead.shards.hashing import rendezvous_choice
 from roadhead.state.client import ConflictError, UnavailableError, UnknownOutcomeError
