The grant of a machine's capacity is an object of its own

Cause: Machine had six slots for the grant of its free capacity, reset one by one in the granter and compared in pairs in two places.

Change: MachineGrant holds them, with begin and is_held; Machine keeps identity, lease, tasks and commands. No behaviour changes.

--- a/roadhead/machines/capacity_grants.py
+++ b/roadhead/machines/capacity_grants.py
@@ -108,19 +108,19 @@
         self.demand.pop(label, None)
         self.free_cpus.pop(label, None)
         for machine in self._machines.values():
-            if machine.grant_holder == label:
-                machine.grant_holder = None
-                machine.declined_demands.clear()
+            if machine.grant.holder == label:
+                machine.grant.holder = None
+                machine.grant.declined_demands.clear()
 
     def revoke(self, machine):
         """Takes back the machine's grant, if it has one."""
-        holder, machine.grant_holder = machine.grant_holder, None
+        holder, machine.grant.holder = machine.grant.holder, None
         if holder is not None:
-            self._send(holder, frames.RevokeGrant(machine.id, machine.grant_serial))
+            self._send(holder, frames.RevokeGrant(machine.id, machine.grant.serial))
 
     def on_capacity_changed(self, machine):
         """Updates, offers or revokes the capacity of a machine after a change."""
-        if machine.grant_holder is None:
+        if machine.grant.holder is None:
             self.grant(machine)
         elif self.can_grant(machine):
             self._send_grant(machine)
@@ -130,17 +130,17 @@
     def _send_grant(self, machine):
         """Tells the grant's holder if the free capacity has changed, and restarts the grant's expiry."""
         capacity = machine.free_capacity()
-        state = (machine.grant_serial, machine.grant_taken, capacity)
-        if state == machine.grant_sent:
+        state = (machine.grant.serial, machine.grant.taken, capacity)
+        if state == machine.grant.sent:
             return
-        machine.grant_sent = state
-        machine.grant_lapse_at = self._loop.now() + self._grant_lifetime_s
+        machine.grant.sent = state
+        machine.grant.lapses_at = self._loop.now() + self._grant_lifetime_s
         self._send(
-            machine.grant_holder,
+            machine.grant.holder,
             frames.Grant(
                 machine.id,
-                machine.grant_serial,
-                machine.grant_taken,
+                machine.grant.serial,
+                machine.grant.taken,
                 machine.type,
                 machine.zone,
                 self.label,
@@ -165,7 +165,7 @@
         controllers with a waiting row that fits take part, and of them those whose first such row comes
         earliest.
         """
-        if machine.grant_holder is not None or not self.can_grant(machine):
+        if machine.grant.holder is not None or not self.can_grant(machine):
             return
         capacity = machine.free_capacity()
         if capacity[0] <= 0 and capacity[2] <= 0:
@@ -173,7 +173,7 @@
         candidates = []  # (place in queue, label, strict) of each controller's first row that fits
         larger = None  # the earliest row that the machine could run if it had more capacity free
         for label, demand in self.demand.items():
-            if not demand.left or machine.declined_demands.get(label) == demand.serial:
+            if not demand.left or machine.grant.declined_demands.get(label) == demand.serial:
                 continue
             for row in demand.rows:  # in queue order
                 if row_fits(row, machine, capacity):
@@ -201,10 +201,7 @@
         demand.length += 1
         demand.serve(machine)
         self._serial += 1
-        machine.grant_holder = label
-        machine.grant_serial = self._serial
-        machine.grant_taken = 0
-        machine.grant_sent = None
+        machine.grant.begin(label, self._serial)
         self._send_grant(machine)
 
     def _hold_back(self, machine, count):
@@ -250,7 +247,7 @@
         machines = [
             machine
             for machine in self._machines.values()
-            if machine.grant_holder is None
+            if machine.grant.holder is None
             and fits((smallest[0], 0.0, smallest[1]), machine.free_capacity())
             and self.can_grant(machine)
         ]
@@ -280,11 +277,11 @@
 
     def release_grant(self, label, machine, serial):
         """Ends the grant of that serial, and offers the capacity to controllers that have not declined it."""
-        if machine is None or machine.grant_holder != label or machine.grant_serial != serial:
+        if machine is None or not machine.grant.is_held(label, serial):
             return
         self._count("returns")
-        machine.grant_holder = None
+        machine.grant.holder = None
         demand = self.demand.get(label)
         if demand is not None:
-            machine.declined_demands[label] = demand.serial
+            machine.grant.declined_demands[label] = demand.serial
         self.grant(machine)
--- a/roadhead/machines/machine.py
+++ b/roadhead/machines/machine.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from roadhead.machines.launches_in_flight import LaunchesInFlight
+from roadhead.machines.machine_grant import MachineGrant
 from roadhead.machines.worker_lease import WorkerLease
 from roadhead.wire import messages
 
@@ -114,15 +115,10 @@
         "by_name",
         "confirmed_at",
         "confirmed_token",
-        "declined_demands",
         "direct_at",
         "draining",
         "errors",
-        "grant_holder",
-        "grant_lapse_at",
-        "grant_sent",
-        "grant_serial",
-        "grant_taken",
+        "grant",
         "has_been_up",
         "heard_at",
         "id",
@@ -184,12 +180,7 @@
         self._cpus = self._gpus = self._memory = 0.0  # held by active tasks
         self._free_capacity = None
         self.images = {}  # image -> GB: seen in use there, newest last, bounded by the machine's cache
-        self.grant_holder = None  # label of the controller that its capacity is granted to
-        self.grant_serial = 0
-        self.grant_taken = 0
-        self.grant_sent = None
-        self.grant_lapse_at = 0.0
-        self.declined_demands = {}  # label -> serial of its demand that had no use for the capacity
+        self.grant = MachineGrant()
         self.idle_since = now
         self.draining = False
         self.taken_on = False
--- a/roadhead/machines/shard_leader.py
+++ b/roadhead/machines/shard_leader.py
@@ -289,7 +289,7 @@
         self.judge_leases(term_confirmed_at)
         release = []
         for machine in list(self.machines.values()):
-            if machine.grant_holder is not None and now >= machine.grant_lapse_at:
+            if machine.grant.holder is not None and now >= machine.grant.lapses_at:
                 self._count("grants_lapsed")
                 self.capacity_granter.revoke(machine)
                 self.capacity_granter.grant(machine)
@@ -372,7 +372,7 @@
             machine
             for machine in self.machines.values()
             if machine.confirmed_token == machine.token
-            and machine.grant_holder is None
+            and machine.grant.holder is None
             and machine.is_empty()
             and now - max(machine.idle_since, machine.confirmed_at) > idle_s(machine)
         ]
@@ -384,7 +384,7 @@
             if machine.active and machine.kind is not None:
                 free = machine.free_capacity()[0]
                 used += machine.kind.cpus - free
-                if machine.grant_holder is None and self.capacity_granter.can_grant(machine):
+                if machine.grant.holder is None and self.capacity_granter.can_grant(machine):
                     spare += free
         return spare > SPARE_RATIO * used
 
@@ -403,7 +403,7 @@
                 continue
             total += machine.kind.cpus
             free = machine.free_capacity()[0]
-            if machine.grant_holder is None:
+            if machine.grant.holder is None:
                 parked += free
             else:
                 granted += free
--- a/roadhead/machines/task_commands.py
+++ b/roadhead/machines/task_commands.py
@@ -57,7 +57,7 @@
                 self._start(label, incarnation, frame, machine, requirements, index, attempt) or launched
             )
         if launched:
-            machine.grant_lapse_at = self._loop.now() + self._grant_lifetime_s
+            machine.grant.lapses_at = self._loop.now() + self._grant_lifetime_s
             self._ask(machine)
         if frame.last:
             self._capacity_granter.release_grant(label, machine, frame.serial)
@@ -68,8 +68,7 @@
             return False
         if (
             machine is None
-            or machine.grant_holder != label
-            or machine.grant_serial != frame.serial
+            or not machine.grant.is_held(label, frame.serial)
             or not self._capacity_granter.can_grant(machine)
             or not fits(requirements.resources, machine.free_capacity())
             or frame.job in self._registry.cancelled
@@ -81,7 +80,7 @@
         task = Task(*key, LAUNCHING, (label, incarnation))
         task.requirements = requirements
         machine.add_task(task)
-        machine.grant_taken += 1
+        machine.grant.taken += 1
         self._count("starts")
         return True
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -159,7 +159,7 @@
     one = frames.Demand(0, [(2, 1.0, 0.0, 3.0, 4, True, "", [], 10.0, "c", 50.0, True, 1.0)], [])
     home = make_shard_leader(200, 0)
     home.capacity_granter.on_demand("there", one)
-    assert sum(machine.grant_holder is not None for machine in home.machines.values()) == 1
+    assert sum(machine.grant.holder is not None for machine in home.machines.values()) == 1
 
 
 def test_a_report_with_nothing_new_costs_the_same_for_any_number_of_tasks():
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -163,7 +163,7 @@
     leader.apply_machine_list([], 100.0)
     leader.task_commands._send = leader._notifier._send = lambda label, frame: sent.append((label, frame))
     machine = leader.machines["n-000000"]
-    machine.grant_holder, machine.grant_serial = "there", 3
+    machine.grant.holder, machine.grant.serial = "there", 3
     leader.task_commands.on_start(
         "there",
         1,
