--- a/tests/test_ancestry.py
+++ b/tests/test_ancestry.py
@@ -6,6 +6,7 @@
 
 from roadhead.jobs.job import awaited_ids, for_polls
 from roadhead.local.sim import Sim
+from roadhead.local.world import World
 from roadhead.pipelines import ancestor_facts, cancellation_history
 from roadhead.pipelines.ancestor_facts import AncestorCache
 from roadhead.pipelines.ancestry import Ancestry, JobRecords
@@ -165,6 +166,17 @@
     assert reader.poll(names[depth // 2])[0] == "cancelled"
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_polls_of_a_deep_pipeline_are_answered_while_other_jobs_are_cancelled(seed):
+    """Guards against `forgotten` of review/2, by a whole deployment: 80 jobs in a row wait for the first."""
+    lines = [f"seed {seed}", "capacity 8", "rps 150", "write_rps 20", "at 1 submit legs=1 runS=150"]
+    lines += [f"at {1 + number / 4} submit legs=1 runS=1 upstream={number - 1}" for number in range(2, 81)]
+    for number in range(81, 161):
+        lines += [f"at {number - 57} submit legs=1 runS=2", f"at {number - 56} cancel {number}"]
+    lines += ["until 110", "expect unavailable poll <= 0"]
+    assert World("\n".join(lines)).run().check() == []
+
+
 def test_a_minute_of_polls_of_a_chain_beside_cancellations_costs_no_walk():
     """The 80 jobs of review/2, each polled every 5 s, while a job elsewhere is cancelled every second."""
     reader, names = chain(80)
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -8,6 +8,7 @@
 from functools import partial
 
 import pytest
+from job_specs import job_spec
 
 from roadhead.decision_log import DecisionLog
 from roadhead.dispatch.dispatcher import Dispatcher
@@ -280,25 +281,7 @@
 def make_dispatcher(jobs, grants):
     def job(number):
         return Job(
-            messages.JobSpec(
-                f"req-{number}",
-                "c",
-                "crew",
-                "batch",
-                "standard",
-                50,
-                1.0,
-                0.0,
-                3.0,
-                1.0,
-                False,
-                False,
-                True,
-                10.0,
-                0.0,
-                0.0,
-                f"img-{number % 9}",
-            ),
+            job_spec(f"req-{number}", tasks=50, memory=3.0, image=f"img-{number % 9}"),
             ("here", 1),
             0.0,
         )
@@ -388,24 +371,12 @@
         )
 
     def spec(self, number):
-        return messages.JobSpec(
+        return job_spec(
             ids.to_job(1 + number % 5, f"j{number}"),
-            "c",
-            ids.to_team(1 + number % 5, f"team{number % 10}"),
-            "batch",
-            "standard",
-            5,
-            1.0,
-            0.0,
-            3.0,
-            1.0,
-            False,
-            False,
-            True,
-            10.0,
-            0.0,
-            0.0,
-            "img",
+            team=ids.to_team(1 + number % 5, f"team{number % 10}"),
+            tasks=5,
+            memory=3.0,
+            image="img",
         )
 
 
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from job_specs import job_spec
 from test_cost import HostedNode, count_calls
 from test_upgrade import UpgradeWorld, pipelines
 
@@ -32,24 +33,12 @@
 
 def spec(number, upstream=None, due_s=None, urgency="standard", estimate_s=10.0):
     names = [f"req-{other}" for other in upstream] if upstream else None
-    return messages.JobSpec(
+    return job_spec(
         f"req-{number}",
-        "c",
-        "crew",
-        "batch",
-        urgency,
-        2,
-        1.0,
-        0.0,
-        1.0,
-        1.0,
-        False,
-        False,
-        True,
-        estimate_s,
-        0.0,
-        0.0,
-        "img",
+        urgency=urgency,
+        tasks=2,
+        estimate_s=estimate_s,
+        image="img",
         due_s=due_s,
         upstream=names,
     )
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
+from job_specs import job_spec
 from openapi_spec_validator import validate
 
 from roadhead.jobs.job import Binding, Job
@@ -27,7 +28,7 @@
 from roadhead.tenants.removal import Removal
 from roadhead.tenants.table import TenantTable
 from roadhead.tenants.teams import FairShare, TenantTeams, dominant_share
-from roadhead.wire import frames, messages
+from roadhead.wire import frames
 from roadhead.wire.http import HttpClient
 
 fixed = settings(derandomize=True, database=None, max_examples=100, deadline=None)
@@ -153,24 +154,7 @@
     recorder = Recorder(sim, state, 1.0, None, None, None, None, member, guards, Counters())
     jobs = [
         Job(
-            messages.JobSpec(
-                f"req-{number}",
-                "c",
-                team,
-                "batch",
-                "standard",
-                1,
-                1.0,
-                0.0,
-                1.0,
-                1.0,
-                False,
-                False,
-                True,
-                1.0,
-                0.0,
-                0.0,
-            ),
+            job_spec(f"req-{number}", team=team, estimate_s=1.0),
             ("here", 1),
             0.0,
         )
@@ -699,23 +683,13 @@
     sim.time = 100.0
     for number, (team, machine, cpus, ran_s, save_s) in enumerate(running):
         job = Job(
-            messages.JobSpec(
+            job_spec(
                 f"req-{number}",
-                "c",
-                team,
-                "batch",
-                "standard",
-                1,
-                cpus,
-                0.0,
-                cpus,
-                1.0,
-                False,
-                False,
-                True,
-                10.0,
-                5.0 if save_s is not None else 0.0,
-                save_s or 0.0,
+                team=team,
+                cpus=cpus,
+                memory=cpus,
+                checkpoint_s=5.0 if save_s is not None else 0.0,
+                save_s=save_s or 0.0,
             ),
             ("here", 1),
             0.0,
@@ -802,24 +776,7 @@
     preemption.on_borrowed("here", frames.BorrowedResources(2.0, 0.0, 8.0))
     preemption.on_borrowed("there", frames.BorrowedResources(3.0, 0.0, 9.0))
     waiting = Job(
-        messages.JobSpec(
-            "req-1",
-            "c",
-            "1/a",
-            "batch",
-            "standard",
-            4,
-            1.0,
-            0.0,
-            1.0,
-            1.0,
-            False,
-            False,
-            True,
-            10.0,
-            0.0,
-            0.0,
-        ),
+        job_spec("req-1", team="1/a", tasks=4),
         ("here", 1),
         0.0,
     )
--- a/tests/test_write_path.py
+++ b/tests/test_write_path.py
@@ -5,6 +5,7 @@
 
 import cbor2
 import pytest
+from job_specs import job_spec
 
 from roadhead.jobs.creation_guards import NO_GUARDS
 from roadhead.jobs.job import ARCHIVE, RECORD_PREFIX, Job
@@ -21,7 +22,6 @@
 from roadhead.state.client import ConflictError, UnknownOutcomeError
 from roadhead.state.latency import ResponseTimeEstimator
 from roadhead.telemetry import Counters
-from roadhead.wire import messages
 
 # Timeouts for one response
 
@@ -147,8 +147,7 @@
 
 
 def new_job(number):
-    needs = ("c", "t", "batch", "standard", TASKS, 1.0, 0.0, 1.0, 1.0, False, False, True, 1.0, 0.0, 0.0)
-    return Job(messages.JobSpec(f"req-{number:06d}", *needs), ("here", 1), 0.0)
+    return Job(job_spec(f"req-{number:06d}", team="t", tasks=TASKS, estimate_s=1.0), ("here", 1), 0.0)
 
 
 def play(outcomes, burst):
