Tests: the bounds for 3,000 ancestors, as before

Cause: test_ancestors_are_read_in_pages_and_cached_until_a_cancellation had bounds for 3,000 direct ancestors, which its successors for other shapes do not repeat.

Change: the same bounds again (5 requests cold, 1 warm), and 1 in place of a whole reading once an ancestor is cancelled.

--- a/tests/test_ancestry.py
+++ b/tests/test_ancestry.py
@@ -210,6 +210,29 @@
     assert reader.store.count <= 10 + 4 * 12 + 8
 
 
+def test_three_thousand_ancestors_are_read_in_pages_and_kept_until_one_is_cancelled():
+    loop = Sim(1)
+    store = Store(loop)
+    names = [f"req-{number:06d}" for number in range(3000)]
+    for name in names:
+        store.add_job(name)
+    reader, answers = Reader(loop, store), []
+    record = {"s": "open", "spec": {"upstream": names, "legs": 1}, "done": []}
+
+    def derive():
+        async def ask():
+            answers.append(await reader.ancestry.derive(record))
+
+        loop.spawn(ask(), "ask")
+        loop.run_until(loop.time + 1.0)
+        return store.count
+
+    assert derive() <= 5 and answers[0][0]["s"] == "open"
+    assert derive() <= 6 and answers[1] == answers[0]
+    store.cancel(names[77])
+    assert derive() <= 7 and answers[2] == ({"s": "cancelled", "n": 1, "d": 0}, [])
+
+
 def test_a_wide_pipeline_is_read_by_pages_once():
     loop = Sim(1)
     store = Store(loop)
