--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,8 @@
-"""Case 4: an array whose tasks are small, so that over a thousand fit on one machine."""
+"""Case 4: starts that a controller has decided on are never sent, as another controller ends meanwhile."""
 
 import asyncio
 import os
+import signal
 import sys
 import time
 
@@ -11,30 +12,87 @@
 from stage2 import TALLINN_TYPES, Stage, job, run_case, tallinn  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LEGS = 2000 if TROUBLE else 500
-WAIT_S = 90.0
+STILL_S = 2.0  # "a controller stands still for seconds while its clocks run on"
+BACK_S = 3.0  # "back about 3 s after an end"
+WAIT_S = 90.0  # "no job is left waiting for 90 s while a machine that fits has room"
+ZONES = ("tallinn-a", "tartu-b")
+FIRST_MACHINES, LATER_MACHINES = 6, 18
+LEGS = 96
+
+
+def machines_with_room(stage, spec):
+    """How many machines that are up have room for a task of the job."""
+    count = 0
+    for worker in stage.cloud.machines.values():
+        held = [stage.spec_of(attempt.leg) for attempt in worker.live()]
+        count += worker.up and all(
+            sum(other[field] for other in held) + spec[field] <= worker.kind[field]
+            for field in ("vcpus", "ramGb")
+        )
+    return count
 
 
 async def main():
     """Returns whether the rule held; None if the case couldn't run."""
     stage = Stage(os.path.join(HERE, "record.txt"), tallinn(), TALLINN_TYPES)
     try:
-        await stage.start()
-        await stage.cloud.add("tamm-64", "tallinn-a", False, 0.5)
+        await stage.start(link_proxies=True)
         if not await stage.ready():
             return None
-        big = job(412, legs=LEGS, vcpus=0.05, ramGb=0.2, expectS=5.0, rigs=["tamm-64"])
-        if await stage.submit(big, 5.0) != 201:
+        await asyncio.sleep(12.0)  # the controllers divide the machines among themselves
+        owner, *others = stage.nodes.values()
+        stage.cloud.refused = True  # the cloud has no more capacity than the machines that come up here
+        for number in range(FIRST_MACHINES):
+            await stage.cloud.add("kuusk-32", ZONES[number % 2], False, 0.2)
+        # Long tasks, one on each of these machines, which keep them in use and leave room on them.
+        long = job(7, legs=FIRST_MACHINES, vcpus=20.0, ramGb=16.0, expectS=200.0, sizeGb=0.1)
+        await stage.submit(long, 200.0, nodes=[owner])
+        for _ in range(40):
+            if stage.running(long["id"]) == FIRST_MACHINES:
+                break
+            await asyncio.sleep(0.1)
+        else:
+            return None
+        work = job(412, legs=LEGS, vcpus=8.0, ramGb=16.0, expectS=5.0, sizeGb=0.1)
+        if await stage.submit(work, 5.0, nodes=[owner]) != 201:
             return None
-        end = time.monotonic() + WAIT_S
-        while time.monotonic() < end and stage.completed(big["id"]) < LEGS:
-            await asyncio.sleep(2.5)
-            await stage.poll(big["id"])
-            stage.log("count", f"{stage.running(big['id'])} run, {stage.completed(big['id'])} complete")
-        begun = len(stage.starts)
-        stage.log("count", f"{begun} of {LEGS} tasks were ever started")
-        stage.log("count", f"bodies over the limit: {len(stage.oversized)}, the first {stage.oversized[:3]}")
-        return begun > 0
+        for number in range(LATER_MACHINES):
+            await stage.cloud.add("kuusk-32", ZONES[number % 2], False, 1.0)
+        await asyncio.sleep(0.8)
+        if TROUBLE:
+            owner.signal(signal.SIGSTOP)
+            still_at = time.monotonic()
+            await asyncio.sleep(STILL_S)
+
+            def first_heard(other):
+                heard = [at for at, _size in stage.links[owner.label, other.label].answers if at > still_at]
+                return min(heard, default=float("inf"))
+
+            # What this one sent lies before the other's in the sockets of the controller that stands still.
+            ended = min(others, key=first_heard)
+            ended.kill()
+            await asyncio.sleep(0.1)
+            owner.signal(signal.SIGCONT)
+            await asyncio.sleep(BACK_S - 0.1)
+            ended.start()
+        over_at = time.monotonic()
+        least_room = LATER_MACHINES
+        while time.monotonic() < over_at + WAIT_S:
+            await asyncio.sleep(2.0)
+            status, answer = await stage.poll(work["id"])
+            if status == 200 and answer["status"] == "done":
+                return True
+            room = machines_with_room(stage, work)
+            if time.monotonic() > over_at + 30.0:
+                least_room = min(least_room, room)
+            complete, running = stage.completed(work["id"]), stage.running(work["id"])
+            stage.log("count", f"{complete} of {LEGS} tasks are complete, {running} are on machines")
+            stage.log("count", f"{room} of {len(stage.cloud.machines)} machines have room for one more")
+        never = LEGS - sum(leg.startswith(work["id"] + "/") for leg in stage.starts)
+        stage.log(
+            "count", f"{never} of {LEGS} tasks were never started; at least {least_room} machines had room"
+        )
+        return not (never and least_room)
     finally:
         stage.stop()
 
--- a/review/stage2.py
+++ b/review/stage2.py
@@ -710,6 +710,7 @@
     def __init__(self, target):
         self.target = target
         self.mode = "pass"
+        self.answers = []  # (when, bytes) of what came back from the address
         self._writers = set()
 
     async def start(self):
@@ -719,6 +720,12 @@
         return self
 
     async def _serve(self, reader, writer):
+        try:
+            await self._pass_on(reader, writer)
+        except asyncio.CancelledError:
+            writer.transport.abort()
+
+    async def _pass_on(self, reader, writer):
         self._writers.add(writer)
         if self.mode == "refuse":
             writer.transport.abort()
@@ -731,21 +738,23 @@
             writer.transport.abort()
             return
         self._writers.add(there_writer)
-        await asyncio.gather(self._pump(reader, there_writer), self._pump(there_reader, writer))
+        await asyncio.gather(self._pump(reader, there_writer, False), self._pump(there_reader, writer, True))
         self._writers.difference_update((writer, there_writer))
 
     async def _gate(self):
         while self.mode == "hold":
             await asyncio.sleep(0.02)
 
-    async def _pump(self, reader, writer):
+    async def _pump(self, reader, writer, answering):
         try:
             while data := await reader.read(65536):
                 await self._gate()
+                if answering:
+                    self.answers.append((time.monotonic(), len(data)))
                 writer.write(data)
                 await writer.drain()
             await self._gate()
-        except (ConnectionError, OSError):
+        except (ConnectionError, OSError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
