--- a/review/stage2.py
+++ b/review/stage2.py
@@ -693,7 +693,10 @@
         attempt.status = "running"
         self.stage.started(self, attempt)
         self._wake.set()
-        if job["shape"] != "daemon":
+        if job["id"] in self.stage.faulty:
+            self.stage.failures[self.name] = self.stage.failures.get(self.name, 0) + 1
+            attempt.timer = asyncio.get_running_loop().call_later(0.1, self._exit, attempt, "error")
+        elif job["shape"] != "daemon":
             attempt.timer = asyncio.get_running_loop().call_later(
                 self.stage.run_s(attempt.leg), self._exit, attempt, "done"
             )
@@ -846,6 +849,8 @@
         self.starts = {}  # leg -> number of starts
         self.twice = []  # what broke ran_twice
         self.oversized = []
+        self.faulty = set()  # jobs submitted with a mistake: their tasks fail on every machine
+        self.failures = {}  # machine -> tasks that failed there
         self._duties = []
         self._servers = []
         self.times = {}  # job -> run time of its tasks
