--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,8 +16,8 @@
 BACK_S = 3.0  # "back about 3 s after an end"
 WAIT_S = 90.0  # "no job is left waiting for 90 s while a machine that fits has room"
 ZONES = ("tallinn-a", "tartu-b")
-FIRST_MACHINES, LATER_MACHINES = 6, 18
-LEGS = 96
+FIRST_MACHINES, LATER_MACHINES = 6, 34
+LEGS = 180
 
 
 def machines_with_room(stage, spec):
