--- a/review/4/case.py
+++ b/review/4/case.py
@@ -34,7 +34,12 @@
 
 async def main():
     """Returns whether the rule held; None if the case couldn't run."""
-    stage = Stage(os.path.join(HERE, "record.txt"), tallinn(), TALLINN_TYPES)
+    deployment = tallinn(
+        state={"rps": 350.0, "write_rps": 35.0, "value_kb": 32.0, "txn_ops": 20},
+        cloud={"rps": 6.0, "list_lag_s": 3.0},
+        quota={"cpu": 0.72, "mem_mb": 251.0, "fd_limit": 1304},
+    )
+    stage = Stage(os.path.join(HERE, "record.txt"), deployment, TALLINN_TYPES)
     try:
         await stage.start(link_proxies=True)
         if not await stage.ready():
