--- a/review/4/case.py
+++ b/review/4/case.py
@@ -58,8 +58,8 @@
             await asyncio.sleep(0.1)
         else:
             return None
-        work = job(412, legs=LEGS, vcpus=8.0, ramGb=16.0, expectS=5.0, sizeGb=0.1)
-        if await stage.submit(work, 5.0, nodes=[owner]) != 201:
+        work = job(412, legs=LEGS, vcpus=8.0, ramGb=16.0, expectS=1.0, sizeGb=0.1)
+        if await stage.submit(work, 1.0, nodes=[owner]) != 201:
             return None
         for number in range(LATER_MACHINES):
             await stage.cloud.add("kuusk-32", ZONES[number % 2], False, 1.0)
@@ -80,24 +80,26 @@
             owner.signal(signal.SIGCONT)
             await asyncio.sleep(BACK_S - 0.1)
             ended.start()
-        over_at = time.monotonic()
-        least_room = LATER_MACHINES
-        while time.monotonic() < over_at + WAIT_S:
-            await asyncio.sleep(2.0)
-            status, answer = await stage.poll(work["id"])
-            if status == 200 and answer["status"] == "done":
-                return True
+        # Counted from when the troubles are over and a machine has room without a break.
+        room_since = time.monotonic()
+        asked_at = 0.0
+        while time.monotonic() < room_since + WAIT_S:
+            await asyncio.sleep(0.25)
             room = machines_with_room(stage, work)
-            if time.monotonic() > over_at + 30.0:
-                least_room = min(least_room, room)
-            complete, running = stage.completed(work["id"]), stage.running(work["id"])
-            stage.log("count", f"{complete} of {LEGS} tasks are complete, {running} are on machines")
-            stage.log("count", f"{room} of {len(stage.cloud.machines)} machines have room for one more")
+            if not room:
+                room_since = time.monotonic()
+            if time.monotonic() > asked_at + 2.0:
+                asked_at = time.monotonic()
+                status, answer = await stage.poll(work["id"])
+                if status == 200 and answer["status"] == "done":
+                    return True
+                complete, running = stage.completed(work["id"]), stage.running(work["id"])
+                stage.log("count", f"{complete} of {LEGS} tasks are complete, {running} are on machines")
+                stage.log("count", f"{room} of {len(stage.cloud.machines)} machines have room for one more")
         never = LEGS - sum(leg.startswith(work["id"] + "/") for leg in stage.starts)
-        stage.log(
-            "count", f"{never} of {LEGS} tasks were never started; at least {least_room} machines had room"
-        )
-        return not (never and least_room)
+        waited_s = time.monotonic() - room_since
+        stage.log("count", f"{never} of {LEGS} tasks were never started in {waited_s:.1f} s with room")
+        return not never
     finally:
         stage.stop()
 
