Count callbacks that fail, starts that are not sent, and starts that nobody confirms

From the logs alone three causes looked alike: starts that were never sent, starts that were sent into a link that had ended, and reports of started tasks that were lost.

- callbacks_failed: callbacks and routines that ended by an exception, which the loop survives (Loop.on_failure); also a line of the summary.
- starts_unsent: tasks whose start was given to a link that had ended.
- unconfirmed, in the status line: tasks bound for longer than a workers' lease of which no shard leader has reported anything.

--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -416,7 +416,7 @@
     def _send_start(self, job, listing, tasks, last):
         """Sends the start of tasks of one job; `last`: the grant is returned with it."""
         spec = job.spec
-        self._send(
+        sent = self._send(
             listing.leader,
             frames.StartTasks(
                 self._member.term.number,
@@ -433,3 +433,5 @@
                 last,
             ),
         )
+        if not sent:
+            self._count("starts_unsent", len(tasks))  # claimed when the link is back, or by the next term
--- a/roadhead/jobs/job_store.py
+++ b/roadhead/jobs/job_store.py
@@ -8,7 +8,7 @@
 from bisect import insort
 
 from roadhead.jobs.context import OwnerContext
-from roadhead.jobs.job import FINAL, NO_OWNER, Binding, Job, from_record
+from roadhead.jobs.job import FINAL, LAUNCHING, NO_OWNER, Binding, Job, from_record
 from roadhead.jobs.quota import QuotaPartitions
 from roadhead.jobs.reconciliation import Reconciliation
 from roadhead.jobs.task_reports import TaskReports
@@ -498,7 +498,7 @@
         index = job.unstarted.pop()
         self.started_at[job.spec.klass] = self._loop.now()
         attempt = attempt or self.attempt()
-        binding = job.bound[index] = Binding(machine, zone, attempt, "launching", self._loop.now())
+        binding = job.bound[index] = Binding(machine, zone, attempt, LAUNCHING, self._loop.now())
         self.accounts.hold(job, binding)
         return index, attempt
 
--- a/roadhead/jobs/task_reports.py
+++ b/roadhead/jobs/task_reports.py
@@ -3,7 +3,7 @@
 import logging
 from typing import NamedTuple
 
-from roadhead.jobs.job import Binding
+from roadhead.jobs.job import LAUNCHING, Binding
 from roadhead.jobs.write_queue import LATER, URGENT
 from roadhead.wire import frames
 
@@ -44,6 +44,15 @@
         self._send = context.send
         self._store = store
 
+    def count_unconfirmed(self, age_s):
+        """Returns how many tasks were bound more than `age_s` seconds ago and reported by nobody since."""
+        latest = self._context.loop.now() - age_s
+        return sum(
+            binding.status == LAUNCHING and binding.bound_at < latest
+            for job in self._store.jobs.values()
+            for binding in job.bound.values()
+        )
+
     def on_free(self, frame):
         """Handles an attempt that is surely on no machine."""
         job = self._store.jobs.get(frame.job)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -395,6 +395,7 @@
             if team.guarantee != (team.cpus, team.gpus):
                 log.warning("team %s: the guarantee exceeds the limit; the limit applies", team.name)
         self._loop.stall_s, self._loop.on_stall = self._heartbeat_s, self._on_stall
+        self._loop.on_failure = partial(self.counters.add, "callbacks_failed")
         self._net.listen(self.settings.front, self.api.accept)
         self.peers.start()
         self._loop.spawn(self.member.run(), "member")
--- a/roadhead/periodic_duties.py
+++ b/roadhead/periodic_duties.py
@@ -13,6 +13,7 @@
 
 # After its lease has lapsed, a member acts on a term for so long after the others showed it to be in force.
 TERM_VALID_HEARTBEATS = SILENT_HEARTBEATS + 1.5
+UNCONFIRMED_HEARTBEATS = 12  # a workers' lease, in which a launch is reported or its machine is given up
 MAX_MARKS_PER_RUN = 20  # stale cancellation marks deleted at a time
 MAX_SAMPLE = 3  # workers probed by a relieved controller
 
@@ -165,11 +166,12 @@
         node.workers.trim()
         log.info(
             "jobs=%d machines=%d clean=%s cpus=%.0f running=%.0f preparing=%.0f parked=%.0f "
-            "granted=%.0f waiting=%d %s",
+            "granted=%.0f waiting=%d unconfirmed=%d %s",
             len(node.job_store.jobs),
             len(node.shard_leader.machines),
             node.shard_leader.reconciliation.is_reconciled(),
             *node.shard_leader.usage(),
             sum(len(job.unstarted) for job in node.job_store.jobs.values()),
+            node.job_store.task_reports.count_unconfirmed(UNCONFIRMED_HEARTBEATS * self._heartbeat_s),
             node.counters.line(),
         )
--- a/roadhead/runtime/loop.py
+++ b/roadhead/runtime/loop.py
@@ -153,6 +153,7 @@
             self.done.set(None)
         except Exception as error:  # an error in one routine must not end the process
             log.exception("routine %s failed", self.name)
+            self._loop.report_failure()
             self.done.fail(error)
         else:
             self._awaited = awaited
@@ -170,6 +171,9 @@
 class Loop:
     """The event loop.
 
+    If set, `on_failure()` is called when a callback or a routine has ended by an exception, which the loop
+    survives.
+
     If set, `on_stall(seconds)` is called when the process was suspended for `stall_s` or longer while its
     clock advanced. Data that has arrived in the sockets by then is read before any timer runs, so that no
     peer is considered silent or late for a time in which this process did not read. `catching_up` is true
@@ -178,6 +182,7 @@
 
     def __init__(self, clock=time.monotonic, selector=None):
         self.now = clock
+        self.on_failure = None
         self.on_stall = None
         self.stall_s = 0.0
         self.catching_up = False
@@ -305,12 +310,17 @@
             fn, args = ready.popleft()
             self._guard(fn, args)
 
-    @staticmethod
-    def _guard(fn, args):
+    def _guard(self, fn, args):
         try:
             fn(*args)
         except Exception:  # an error in one callback must not end the process
             log.exception("callback %r failed", fn)
+            self.report_failure()
+
+    def report_failure(self):
+        """Tells that a callback or routine has ended by an exception."""
+        if self.on_failure is not None:
+            self.on_failure()
 
     @property
     def idle(self):
--- a/roadhead/telemetry.py
+++ b/roadhead/telemetry.py
@@ -85,6 +85,8 @@
     "workers_sent_off": "reports after which the worker was asked to connect anew: sockets are short",
     "records_too_large": "records set aside, as the state service takes none so large",
     "duties_failed": "duties that failed (see the log)",
+    "callbacks_failed": "callbacks and routines that ended by an error (see the log)",
+    "starts_unsent": "starts of tasks not sent, as the link to the shard leader had ended",
 }
 
 
