A send between controllers calls nothing back

Cause: Peers.send dropped a link that it found closed within the call. Node._on_down then took the grants of that leader off the idle list that Dispatcher._finish was going over; the KeyError ended the pass, and the starts for all further machines were never sent. Evidence: callbacks_failed=1, starts_unsent=1, unconfirmed=48 at the owner, 48 tasks without a start in the record.

Change: a send returns False if the link has ended, and nothing else. The closed stream wakes the routine that reads it, which drops the link in a turn of its own. So no caller of a send can find its own containers changed, whatever it is doing; what was not sent is asked about when the link is back or the term changes, as before.

The simulator could not draw it: a write to a connection whose other end was gone always succeeded, and an end was read together with the data before it. Now such writes fail, and a host that wakes reads an end one iteration after the data.

--- a/roadhead/local/sim.py
+++ b/roadhead/local/sim.py
@@ -5,6 +5,8 @@
 from roadhead.runtime.loop import Future, Loop, Timeout, Timer
 from roadhead.runtime.net import Closed
 
+END_OF_STREAM = (None,)  # arguments of the callback that delivers the end of a connection
+
 
 class NoSelector:
     """Stands in for the I/O selector: a simulation has no sockets to poll."""
@@ -118,7 +120,11 @@
         held, self._held_callbacks = self._held_callbacks, []
         self.catching_up = True
         for fn, args in packets:
-            self.call_soon(fn, *args)
+            if args == END_OF_STREAM:
+                # A socket tells of its end only in a read of its own, one iteration after its data.
+                self.call_soon(self.call_soon, fn, *args)
+            else:
+                self.call_soon(fn, *args)
 
         def resume():
             self.catching_up = False
@@ -141,9 +147,14 @@
         self.last_arrival_at = 0.0  # later packets arrive no earlier, which keeps their order
         self.closed = False
         self._eof = False
+        self._reset = False  # the peer's host has told this one that the connection is no more
         self._chunks = []
         self._waiter = None
 
+    def reset(self):
+        """The peer's process has ended: from now on writes fail, also before the end has been read."""
+        self._reset = True
+
     def _wake(self):
         if self._waiter is not None:
             waiter, self._waiter = self._waiter, None
@@ -151,6 +162,8 @@
 
     def _deliver(self, data):
         if self.closed:
+            if data is not None:
+                self._net.reset(self.peer)
             return
         if data is None:
             self._eof = True
@@ -169,6 +182,8 @@
         return data
 
     def write(self, data):
+        if self._reset:
+            self.close()
         if self.closed:
             raise Closed
         self._net.carry(self, bytes(data))
@@ -219,6 +234,11 @@
         sender = self.loops.get(stream.host)
         self._post(stream.peer, data, sender.turn_s if sender is not None else 0.0)
 
+    def reset(self, stream):
+        """Tells one end of a connection that the other end is gone, unless the two hosts are cut off."""
+        if self.cut_between(stream.host, stream.peer_host) is None:
+            self.sim.call_later(self.latency, stream.reset)
+
     def _post(self, peer, data, turn_s=0.0):
         loop = self.loops.get(peer.host)
         if loop is None:
@@ -257,6 +277,7 @@
             if stream.host == name and not stream.closed:
                 stream.closed = True
                 self.carry(stream, None)
+                self.reset(stream.peer)
         self._streams = [s for s in self._streams if (s.host != name and s.peer_host != name) or not s.closed]
 
 
--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -176,18 +176,28 @@
                     log.info("peer %s closed: it was silent for too long", label)
                     self._drop(label, link)
                 else:
-                    self._write(label, link, self._heartbeat())
+                    self._write(link, self._heartbeat())
 
     def send(self, label, frame):
-        """Sends a frame to a member; False if there is no link to it."""
+        """Sends a frame to a member. Returns False if there is no link to it, or the link has ended.
+
+        Calls nothing back, whatever becomes of the link: callers are in the middle of changing what `on_down`
+        changes too.
+        """
         link = self.links.get(label)
-        return link is not None and self._write(label, link, frame)
+        return link is not None and self._write(link, frame)
+
+    @staticmethod
+    def _write(link, frame):
+        """Writes a frame to a link. Returns False if the link has ended.
 
-    def _write(self, label, link, frame):
+        The link is not dropped here: a stream that can't be written to is closed, and its end wakes
+        `_serve_link`, which drops the link in a turn of its own. Dropping it at once once ended a placing
+        pass halfway, and what it had decided was never sent (docs/incidents/unsent-starts.md).
+        """
         try:
             link.stream.write(frame.encode())
         except Closed:
-            self._drop(label, link)
             return False
         return True
 
