What waits is offered a machine that fits, not the same useless ones for ever

Cause: a leader offers machines in one order and ends once the demand counts as served. The demand did not say which zone scatter leaves, so the first machine was one that the owner returns; a new demand has a new number, which voided what was declined, and the same machine came first again.

Change: a row names the zone if a job's rules and bound tasks leave only one, so granting, renting and reclaiming go by it. A returned machine counts against the pair of machine and row until either changes: the row isn't offered it for a sixth of a lease, and then after all that were returned fewer times. Rows of a demand are a type of their own, and may_use is one predicate for granting, holding back, placing and renting. No frame changes.

--- a/roadhead/dispatch/demand_broadcast.py
+++ b/roadhead/dispatch/demand_broadcast.py
@@ -3,6 +3,7 @@
 from roadhead.dispatch.headroom import SharedHeadroom, WaitingTasks
 from roadhead.fleet.provisioning import SUSPECTED_FAULTY_URGENCY
 from roadhead.fleet.quota_limits import QuotaMark, encode_urgency
+from roadhead.machines.placement_rules import allowed_zone
 from roadhead.wire import frames
 
 MAX_ROWS = 256  # rows of a Demand frame, which keeps it far below the frame size limit
@@ -16,10 +17,12 @@
     """Sends Demand frames to the members when the waiting work has changed, at most one per `gap_s`.
 
     `idle_count()` returns the length of the idle list; `request_pass()` schedules a placing pass, which calls
-    `broadcast()` at its end.
+    `broadcast()` at its end; `zones`: those of the deployment.
     """
 
-    def __init__(self, loop, member, job_store, queue, send, counters, gap_s, idle_count, request_pass):
+    def __init__(
+        self, loop, member, job_store, queue, send, counters, gap_s, idle_count, request_pass, zones
+    ):
         self._loop = loop
         self._member = member
         self._job_store = job_store
@@ -29,6 +32,7 @@
         self._gap_s = gap_s
         self._idle_count = idle_count
         self._request_pass = request_pass
+        self._zones = zones
         # {(shape, startable, leads): count} as last sent; None if the leaders' copies may be out of date.
         self._announced = None
         self._scanned_at = -1e9
@@ -163,7 +167,9 @@
         # A gang's tasks must all run at once: with no run time in the row, the renter rents for all of them.
         work = 0.0 if job.gang else count * job.spec.estimate_s
         slack = self._queue.slack(job)
-        shape = (encode_urgency(part.rank, mark), *job.shape[1:])
+        _rank, cpus, gpus, memory, spot, _zone, types, klass = job.shape
+        zone = allowed_zone(job, self._zones)
+        shape = (encode_urgency(part.rank, mark), cpus, gpus, memory, spot, zone, types, klass)
         startable = part.startable and mark in (QuotaMark.PLAIN, QuotaMark.WITHIN)
         row = rows.get((shape, startable, part.first_task_leads))
         if row is None:
--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 from roadhead.dispatch.gangs import GangReservations, place_gang
 from roadhead.dispatch.job_queue import JobQueue
 from roadhead.machines.machine import fits, fitting_count
+from roadhead.machines.placement_rules import may_use, zone_room
 from roadhead.wire import frames
 
 MAX_ROUNDS = 16  # further rounds of a placing pass where teams share by guarantee and weight
@@ -73,7 +74,7 @@
     """The scheduler of the jobs that one controller owns.
 
     `class_targets`: {class: ClassTargets}; `gap_s`: the shortest time between two Demand frames;
-    `window_s`: jobs due within it of one another count as equally urgent.
+    `window_s`: jobs due within it of one another count as equally urgent; `zones`: those of the deployment.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         gap_s,
         window_s,
         default_target_s,
+        zones=(),
     ):
         self._loop = loop
         self.label = label
@@ -113,6 +115,7 @@
             gap_s,
             lambda: len(self.idle),
             self.schedule_placement,
+            zones,
         )
         # State of a placing pass: listings that may still take a task, and the placement keys that fit none.
         self._open_listings = []
@@ -179,27 +182,12 @@
 
     # Placing
 
-    def _allowed(self, job, listing):
-        """Whether the job's rules on spot machines, zones and types let it use the machine."""
-        spec = job.spec
-        if listing.spot and not spec.spot:
-            return False
-        if spec.zone and spec.zone != listing.zone:
-            return False
-        if spec.types and listing.type not in spec.types:
-            return False
-        return self._zone_allowed(job, listing.zone)
-
     @staticmethod
-    def _zone_allowed(job, zone):
-        """Checks the zone rules `together` and `scatter` against every task that may be on a machine."""
-        spec = job.spec
-        if spec.one_zone and any(binding.zone != zone for binding in job.bound.values()):
-            return False
-        if spec.spread:
-            in_zone = sum(binding.zone == zone for binding in job.bound.values())
-            return in_zone < (spec.tasks + 1) // 2
-        return True
+    def _allowed(job, listing):
+        """Whether the job's rules on spot machines, zones and types let it use the machine."""
+        return (
+            may_use(job.spec, listing.type, listing.zone, listing.spot) and zone_room(job, listing.zone) > 0
+        )
 
     def _run_placement(self):
         """Runs one placing pass: starts what fits, in queue order, and returns grants that nothing fits.
@@ -358,7 +346,7 @@
             fitting.pop()
             tasks = None
             while job.unstarted and fits(need, listing.free) and (unshared or job.round_allowance > 0):
-                if has_zone_rule and not self._zone_allowed(job, listing.zone):
+                if has_zone_rule and not zone_room(job, listing.zone):
                     break
                 if job.suspected_faulty and job.startable() <= 0:
                     return started
--- a/roadhead/dispatch/gangs.py
+++ b/roadhead/dispatch/gangs.py
@@ -8,6 +8,7 @@
 """
 
 from roadhead.machines.machine import fitting_count
+from roadhead.machines.placement_rules import max_tasks_per_zone
 
 MAX_RESERVE_WINDOWS = 2.5  # the longest reservation, as for large tasks (machines/capacity_grants.py)
 MIN_BACKOFF_WINDOWS = 1.0  # the shortest pause before the next reservation
@@ -30,7 +31,7 @@
                 continue
             count = min(left, fitting_count(job.resources, listing.free))
             if job.spec.spread:
-                count = min(count, (job.spec.tasks + 1) // 2 - per_zone.get(listing.zone, 0))
+                count = min(count, max_tasks_per_zone(job.spec) - per_zone.get(listing.zone, 0))
             if count > 0:
                 chosen[listing] = count
                 per_zone[listing.zone] = per_zone.get(listing.zone, 0) + count
--- a/roadhead/fleet/provisioning.py
+++ b/roadhead/fleet/provisioning.py
@@ -1,6 +1,7 @@
 """Decides how many machines of which kind to rent: pure functions, no I/O."""
 
 from roadhead.fleet.quota_limits import QuotaMark
+from roadhead.machines.placement_rules import may_use
 
 SUSPECTED_FAULTY_URGENCY = 4  # urgency of jobs that fail wherever they run; the protocol's own are below
 
@@ -73,11 +74,7 @@
 
     def slots(self, offer):
         """Returns how many of these tasks a machine of this offer holds; 0 if it may not run them."""
-        if (
-            (offer.spot and not self.spot)
-            or (self.zone and self.zone != offer.zone)
-            or (self.types and offer.kind.name not in self.types)
-        ):
+        if not may_use(self, offer.kind.name, offer.zone, offer.spot):
             return 0
         fitting = 1 << 30
         for need, available in (
--- a/roadhead/machines/capacity_grants.py
+++ b/roadhead/machines/capacity_grants.py
@@ -4,67 +4,15 @@
 frames go out through `send`.
 """
 
-from roadhead.machines.machine import fits, fitting_count
+from roadhead.machines.controller_demand import ControllerDemand
+from roadhead.machines.machine import fits
 from roadhead.wire import frames
 
 DEMAND_PART_MARGIN = 1.2  # the other leaders' free capacity may have shrunk since they told of it
-PLACE, CPUS, GPUS, MEMORY, COUNT, SPOT, ZONE, TYPES, STRICT = range(9)  # of a waiting row
 MAX_HOLD_WINDOWS = 2.5  # for which a machine's capacity is held back at most
-# Rows of one shape are merged only within a span of so many windows of the queue: those far behind must not
-# take the place of the first ones.
-MERGE_SPAN_WINDOWS = 1e3
 MAX_HELD_RATIO = 1 / 8  # of the machines may be held back at once for tasks larger than their free capacity
-
-
-def row_fits(row, machine, capacity):
-    """Whether a task of a Demand frame's row may run in this free `capacity` of the machine."""
-    return (
-        row[COUNT] > 0
-        and row[CPUS] <= capacity[0] + 1e-6
-        and row[MEMORY] <= capacity[2] + 1e-6
-        and row[GPUS] <= capacity[1] + 1e-6
-        and (row[SPOT] or not machine.spot)
-        and (not row[ZONE] or row[ZONE] == machine.zone)
-        and (not row[TYPES] or machine.type in row[TYPES])
-    )
-
-
-def row_could_fit(row, machine):
-    """Whether a task of a Demand frame's row could run on the machine if it were empty."""
-    kind = machine.kind
-    return (
-        row[COUNT] > 0
-        and fits((row[CPUS], row[GPUS], row[MEMORY]), (kind.cpus, kind.gpus, kind.memory))
-        and (row[SPOT] or not machine.spot)
-        and (not row[ZONE] or row[ZONE] == machine.zone)
-        and (not row[TYPES] or machine.type in row[TYPES])
-    )
-
-
-class ControllerDemand:
-    """What waits at a controller: rows in the order of its queue, and the length of its idle list."""
-
-    __slots__ = ("left", "length", "rows", "serial")
-
-    def __init__(self, serial, length, rows):
-        self.serial = serial
-        self.length = length
-        self.rows = rows
-        self.left = sum(row[COUNT] for row in rows)
-
-    def serve(self, machine):
-        """Takes the tasks that a granted machine can run off what waits."""
-        remaining = machine.free_capacity()
-        for row in self.rows:
-            if row_fits(row, machine, remaining):
-                count = min(row[COUNT], fitting_count(row[CPUS : MEMORY + 1], remaining))
-                row[COUNT] -= count
-                self.left -= count
-                remaining = (
-                    remaining[0] - count * row[CPUS],
-                    remaining[1] - count * row[GPUS],
-                    remaining[2] - count * row[MEMORY],
-                )
+# After which a row is offered a machine again that its controller returned: a demand is sent anew so often.
+DECLINE_PAUSE_WINDOWS = 1 / 6
 
 
 class CapacityGranter:
@@ -110,7 +58,7 @@
         for machine in self._machines.values():
             if machine.grant.holder == label:
                 machine.grant.holder = None
-                machine.grant.declined_demands.clear()
+                machine.grant.declines.clear()
 
     def revoke(self, machine):
         """Takes back the machine's grant, if it has one."""
@@ -170,22 +118,13 @@
         capacity = machine.free_capacity()
         if capacity[0] <= 0 and capacity[2] <= 0:
             return
-        candidates = []  # (place in queue, label, strict) of each controller's first row that fits
-        larger = None  # the earliest row that the machine could run if it had more capacity free
-        for label, demand in self.demand.items():
-            if not demand.left or machine.grant.declined_demands.get(label) == demand.serial:
-                continue
-            for row in demand.rows:  # in queue order
-                if row_fits(row, machine, capacity):
-                    candidates.append((row[PLACE], label, row[STRICT]))
-                    break
-                if (larger is None or row[PLACE] < larger[PLACE]) and row_could_fit(row, machine):
-                    larger = row
+        now = self._loop.now()
+        candidates, larger = self._candidates(machine, capacity, now)
         if not candidates:
             self.held.pop(machine.id, None)
             return
         first_place, first_label, strict = min(candidates)
-        if larger is not None and larger[PLACE] < first_place and self._hold_back(machine, larger[COUNT]):
+        if larger is not None and larger.place < first_place and self._hold_back(machine, larger.count):
             return
         self.held.pop(machine.id, None)
         # Capacity for a gang is not drawn at random: two gangs that share it would both be stuck.
@@ -199,11 +138,32 @@
         self._count("grants")
         demand = self.demand[label]
         demand.length += 1
-        demand.serve(machine)
+        demand.serve(machine, lambda row: not machine.grant.is_paused(label, row, now))
         self._serial += 1
         machine.grant.begin(label, self._serial)
         self._send_grant(machine)
 
+    def _candidates(self, machine, capacity, now):
+        """Returns (candidates, larger) for the free `capacity` of a machine.
+
+        Candidates are (place in queue, label, strict) of each controller's first row that fits; `larger` is
+        the earliest row before these that the machine could run if it had more capacity free, or None.
+        """
+        candidates = []
+        larger = None
+        for label, demand in self.demand.items():
+            if not demand.left:
+                continue
+            for row in demand.rows:  # in queue order
+                if not row.count or machine.grant.is_paused(label, row, now):
+                    continue
+                if row.fits(machine, capacity):
+                    candidates.append((row.place, label, row.strict))
+                    break
+                if (larger is None or row.place < larger.place) and row.could_fit(machine):
+                    larger = row
+        return candidates, larger
+
     def _hold_back(self, machine, count):
         """Holds the machine's capacity back until a larger task fits; False if it must be granted now.
 
@@ -226,33 +186,28 @@
 
     def on_demand(self, label, frame):
         """Takes in what waits at a controller, and grants it free capacity."""
-        rows = {}
-        for row in frame.rows:
-            urgency, cpus, gpus, memory, count, spot, zone, types, run_s, *_renting, startable, place = row
-            if not startable:
-                continue
-            strict = not run_s
-            span = self.window_s and place // (MERGE_SPAN_WINDOWS * self.window_s)
-            key = (urgency, cpus, gpus, memory, spot, zone, tuple(types), strict, span)
-            row = rows.get(key)
-            if row is None:
-                rows[key] = [place, cpus, gpus, memory, count, spot, zone, types, strict]
-            else:
-                row[COUNT] += count
         self._serial += 1
-        demand = self.demand[label] = ControllerDemand(self._serial, frame.length, list(rows.values()))
+        previous = self.demand.get(label)
+        demand = self.demand[label] = ControllerDemand(self._serial, frame, self.window_s, previous)
         if not demand.left:
             return
-        smallest = min(row[CPUS] for row in demand.rows), min(row[MEMORY] for row in demand.rows)
+        smallest = demand.smallest_need()
         machines = [
             machine
             for machine in self._machines.values()
             if machine.grant.holder is None
-            and fits((smallest[0], 0.0, smallest[1]), machine.free_capacity())
+            and fits(smallest, machine.free_capacity())
             and self.can_grant(machine)
         ]
         wanted = set(frame.images)
-        machines.sort(key=lambda m: (wanted.isdisjoint(m.images), *self._grant_order(m)))
+        machines.sort(
+            key=lambda m: (
+                # Machines that the controller returned come last, so that each is offered in turn.
+                m.grant.times_declined(label, demand.rows),
+                wanted.isdisjoint(m.images),
+                *self._grant_order(m),
+            )
+        )
         # Every leader hears the whole demand. Where there is more free capacity than that, each meets its
         # part, so that the machines last in this order run empty and can be released.
         left_to_others = demand.left * (1.0 - self.part(sum(m.free_capacity()[0] for m in machines)))
@@ -283,5 +238,9 @@
         machine.grant.holder = None
         demand = self.demand.get(label)
         if demand is not None:
-            machine.grant.declined_demands[label] = demand.serial
+            capacity = machine.free_capacity()
+            paused_until = self._loop.now() + DECLINE_PAUSE_WINDOWS * self.window_s
+            machine.grant.decline(
+                label, [row for row in demand.rows if row.fits(machine, capacity)], paused_until
+            )
         self.grant(machine)
--- a/roadhead/machines/report_processor.py
+++ b/roadhead/machines/report_processor.py
@@ -148,7 +148,7 @@
         if first:
             self._reconciliation.answer_syncs()
         if machine.free_capacity() != room_before or first:
-            machine.grant.declined_demands.clear()
+            machine.grant.declines.clear()
             self._capacity_granter.on_capacity_changed(machine)
         if machine.notice_at is not None and not machine.draining:
             self._drain(machine)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -307,6 +307,7 @@
             gap_s=workers.report_s / 8,
             window_s=workers.lease_s,
             default_target_s=self._default_target_s,
+            zones=deployment.zones,
         )
         self.shard_leader.capacity_granter.window_s = workers.lease_s
         self.dispatcher.queue.time_of_day = self._time_of_day
--- a/roadhead/tenants/admission_controller.py
+++ b/roadhead/tenants/admission_controller.py
@@ -67,6 +67,7 @@
             node.dispatcher.schedule_placement,
             patience_s=self._hosted.patience * workers.report_s,
             settle_s=workers.lease_s / 4,
+            zones=node.settings.deployment.zones,
         )
         node.dispatcher.queue.fair_share = fair_share
         if self._hosted.preempt:
--- a/roadhead/tenants/preemption.py
+++ b/roadhead/tenants/preemption.py
@@ -13,6 +13,7 @@
 
 from roadhead.dispatch.headroom import SharedHeadroom, WaitingTasks
 from roadhead.machines.machine import NO_RESOURCES, fits, fitting_count
+from roadhead.machines.placement_rules import allowed_zone
 from roadhead.wire import frames
 
 log = logging.getLogger("roadhead.preemption")
@@ -24,10 +25,21 @@
     """Asks for guaranteed resources of waiting tasks, and stops borrowed work when asked.
 
     Tasks wait `patience_s` before resources are reclaimed, and `settle_s` before they are reclaimed again.
+    `zones`: those of the deployment.
     """
 
     def __init__(
-        self, loop, member, job_store, fair_share, send, counters, schedule_pass, patience_s, settle_s
+        self,
+        loop,
+        member,
+        job_store,
+        fair_share,
+        send,
+        counters,
+        schedule_pass,
+        patience_s,
+        settle_s,
+        zones=(),
     ):
         self._loop = loop
         self._member = member
@@ -38,6 +50,7 @@
         self._schedule_pass = schedule_pass  # () -> None: schedules another placing pass
         self._patience_s = patience_s
         self._settle_s = settle_s
+        self._zones = zones
         self._borrowed = {}  # label -> (cpus, gpus, memory) that its jobs hold beyond guarantees
         self._waiting_since = {}  # job -> when its tasks began to wait within the guarantee
         self._reclaimed = {}  # job -> (when to ask again, tasks whose resources were reclaimed)
@@ -72,7 +85,8 @@
                 continue
             self._reclaimed[job] = (now + self._settle_s, entry.within)
             spec = job.spec
-            key = (*job.resources, spec.spot, spec.zone or "", tuple(spec.types or ()))
+            zone = allowed_zone(job, self._zones)
+            key = (*job.resources, spec.spot, zone, tuple(spec.types or ()))
             rows[key] = rows.get(key, 0) + count
         if soonest is not None and self._timer is None:
             self._timer = self._loop.call_later(soonest, self._on_timer)
--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -6,9 +6,10 @@
 import pytest
 import test_safety
 
-from roadhead.dispatch.dispatcher import Dispatcher
+from roadhead.dispatch import dispatcher
 from roadhead.jobs.job_store import JobStore
 from roadhead.local.world import World
+from roadhead.machines import placement_rules
 from roadhead.machines.machine import LAUNCHING, Task
 from roadhead.machines.report_processor import ReportProcessor
 from roadhead.machines.task_commands import TaskCommands
@@ -125,9 +126,9 @@
 
 def place_by_zones_of_running_tasks_only(patch):
     """Tasks that are launching or stopping don't count for `together` and `scatter`."""
-    real = Dispatcher._zone_allowed
+    real = placement_rules.zone_room
 
-    def zone_allowed(job, zone):
+    def zone_room(job, zone):
         bound = job.bound
         job.bound = {index: task for index, task in bound.items() if task.status == "running"}
         try:
@@ -135,7 +136,8 @@
         finally:
             job.bound = bound
 
-    patch.setattr(Dispatcher, "_zone_allowed", staticmethod(zone_allowed))
+    for module in (dispatcher, placement_rules):
+        patch.setattr(module, "zone_room", zone_room)
 
 
 MUTATIONS = [
