A gateway's list derives the states of waiting jobs as polls do

Cause: the list was built from stored records alone. That a waiting job is cancelled follows from the records of its ancestors; its own says so only once its owner has written it.

Change: the list is a module of its own and derives the records of a page with the Ancestry that polls use, all of them with one look at the cancellations after the page was read. status_of makes a state of a record for polls and lists, and a test knows every module that tells one. Three requests for a list with 10 or 60 waiting jobs whose ancestors are known, two without (counted in a test).

Before: test_a_list_calls_a_job_cancelled_... fails.

--- a/roadhead/gateway/tenants_api.py
+++ b/roadhead/gateway/tenants_api.py
@@ -1,16 +1,15 @@
 """The tenants' API: a tenant's jobs, by its own job ids. Answers contain nothing about other tenants."""
 
 from roadhead.gateway.answers import UNCERTAIN, UNKNOWN_KEY, ProblemError
+from roadhead.gateway.job_list import JobList
 from roadhead.gateway.routes import Route, Routes
 from roadhead.gateway.types import ClassRow, Job, JobPage, Submission, TeamUse, Usage
-from roadhead.jobs.job import ARCHIVE, FINAL, RECORD_PREFIX
 from roadhead.state.client import UnavailableError, UnknownOutcomeError
 from roadhead.tenants import admission, ids
 from roadhead.tenants.keys import split_key
 from roadhead.tenants.records import ADMINISTRATORS, tenant_key
 from roadhead.wire import messages
 
-DEFAULT_PAGE_SIZE, MAX_PAGE_SIZE = 100, 500
 REQUEST_TIMEOUT_S = 4.0
 MAX_CONCURRENT_READS = 4  # tenant records read concurrently to look up unknown keys
 READ_SPARE_BURST = 0.5  # fraction of the request burst that must be left for such a read
@@ -89,6 +88,7 @@
         self._state = state
         self._time_of_day = time_of_day
         self._rates = admission.SubmissionRates(loop)
+        self._job_list = JobList(loop, state)
         self._reading = 0  # tenant records being read to look up unknown keys
 
     async def handle(self, request):
@@ -110,7 +110,7 @@
         if route.name == "submit":
             return await self._submit(entry, request)
         if route.name == "list":
-            return 200, await self._list(number, request)
+            return 200, await self._job_list.page(number, request)
         if route.name == "summary":
             return 200, await self.usage(entry)
         if route.name == "status":
@@ -185,60 +185,6 @@
         body = messages.encode(submission.to_protocol(job_id, number))
         return await self._ask_about_job(number, submission.id, "POST", "/v1/jobs", REQUEST_TIMEOUT_S, body)
 
-    async def _list(self, number, request):
-        """Returns one page of jobs, read from the state service: first the open ones, then the archive."""
-        limit = request.count("limit", DEFAULT_PAGE_SIZE, MAX_PAGE_SIZE)
-        state = request.query.get("state")
-        if state not in (None, "open", *FINAL):
-            raise ProblemError(400, "state: open, done or cancelled")
-        wanted = {name: request.query.get(name) for name in ("class", "team")}
-        place, after = self._parse_cursor(number, request.query.get("after", ""))
-        found = []
-        # A filter may skip many records, so the number of pages read per request is bounded.
-        for _ in range(4):
-            prefix = place + ids.prefix(number)
-            try:
-                items, more, _revision = await self._state.page(prefix, after, MAX_PAGE_SIZE)
-            except (UnavailableError, UnknownOutcomeError):
-                raise UNCERTAIN from None
-            for key, record, _stamp in items:
-                after = key
-                job = job_from_record(number, key[len(place) :], record)
-                if job is None or (state and state != (job.status if job.status in FINAL else "open")):
-                    continue
-                if any(
-                    value and value != getattr(job, "klass" if name == "class" else name)
-                    for name, value in wanted.items()
-                ):
-                    continue
-                found.append(job)
-                if len(found) == limit:
-                    return JobPage(found, self._next_cursor(place, after))
-            if not more:
-                if place == ARCHIVE:
-                    return JobPage(found, None)
-                place, after = ARCHIVE, ""
-        return JobPage(found, self._next_cursor(place, after))
-
-    @staticmethod
-    def _next_cursor(place, after):
-        """Returns the cursor for the next page."""
-        own = ids.from_job(after[len(place) :]) if after else None
-        return f"{place[0]}.{own[1] if own else ''}"
-
-    @staticmethod
-    def _parse_cursor(number, text):
-        """Parses a cursor into (prefix, key to continue after). Raises ProblemError."""
-        if not text:
-            return RECORD_PREFIX, ""
-        place, dot, own = text.partition(".")
-        if f"{place}/" not in (RECORD_PREFIX, ARCHIVE) or not dot:
-            raise ProblemError(400, "after: what a page gave as next")
-        try:
-            return f"{place}/", f"{place}/{ids.to_job(number, own)}" if own else ""
-        except ValueError:
-            raise ProblemError(400, "after: what a page gave as next") from None
-
     async def usage(self, entry):
         """Returns the tenant's Usage, summed over all controllers that answer."""
         answers = await self._controllers.ask_all(f"/v1/tenants/{entry.tenant.number}")
@@ -277,23 +223,3 @@
     ):
         return f"upstream: {named[1]} {reason}"
     return "can never run"
-
-
-def job_from_record(number, job_id, record):
-    """Returns a Job from its stored record, or None if the record is not one of this tenant's jobs."""
-    named = ids.from_job(job_id)
-    if named is None or named[0] != number:
-        return None
-    if record["s"] in FINAL:
-        return Job(named[1], record["s"], record["d"], tasks=record["n"])
-    spec, done = record["spec"], record["done"]
-    count = sum(done[1::2]) - sum(done[0::2])
-    return Job(
-        named[1],
-        "running" if count else "pending",
-        count,
-        None,
-        spec["legs"],
-        spec["jobclass"],
-        ids.from_team(spec["crew"])[1],
-    )
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -302,11 +302,18 @@
     return {**cancelled_record(record), "above": True}
 
 
-def answer(record, job_id):
-    """Returns the answer to a poll, built from a record alone."""
+def status_of(record):
+    """Returns (status, number of tasks done) that a record says.
+
+    The record of a job that waits for others counts only as derived from theirs (pipelines/ancestry.py).
+    """
     if record["s"] == "open":
         done = sum(record["done"][1::2]) - sum(record["done"][0::2])
-        return messages.job_status(
-            job_id, "pending" if not done else "running", done, 0, record.get("waits", ())
-        )
-    return messages.job_status(job_id, record["s"], record["d"], 0)
+        return "running" if done else "pending", done
+    return record["s"], record["d"]
+
+
+def answer(record, job_id):
+    """Returns the answer to a poll, built from a record alone."""
+    status, done = status_of(record)
+    return messages.job_status(job_id, status, done, 0, record.get("waits", ()))
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -15,14 +15,13 @@
 from roadhead.dispatch.targets import class_targets, shortest_targets
 from roadhead.fleet.fleet import Fleet
 from roadhead.frame_router import FrameRouter
+from roadhead.jobs.ancestor_records import ancestor_records
 from roadhead.jobs.creation_guards import NO_GUARDS
 from roadhead.jobs.deadline_risk import DeadlineTracker
 from roadhead.jobs.job import (
     ARCHIVE,
     RECORD_FORMAT,
     RECORD_PREFIX,
-    awaited_ids,
-    cancelled_with_ancestor_record,
     for_polls,
 )
 from roadhead.jobs.job_store import JobStore
@@ -39,7 +38,7 @@
 from roadhead.membership.member import Member
 from roadhead.membership.peers import Peers
 from roadhead.periodic_duties import PeriodicDuties
-from roadhead.pipelines.ancestry import Ancestry, JobRecords
+from roadhead.pipelines.ancestry import Ancestry
 from roadhead.pipelines.dependency_queue import DependencyQueue
 from roadhead.pipelines.upstream_parts import UpstreamParts
 from roadhead.recovery.failover import JobFailover
@@ -92,14 +91,10 @@
         self.ancestry = Ancestry(
             loop,
             self.state,
-            JobRecords(
+            ancestor_records(
+                self.state,
                 final_state=lambda job: (record := self.job_store.final_records.get(job)) and record["s"],
                 learn=lambda job, record: self.job_store.remember_final(job, record),
-                find=partial(find, self.state),
-                complete=partial(complete, self.state),
-                dependencies_of=awaited_ids,
-                cancelled_record=cancelled_with_ancestor_record,
-                prefixes=(RECORD_PREFIX, ARCHIVE),
             ),
         )
         self.record_reader = RecordReader(
--- a/roadhead/pipelines/ancestry.py
+++ b/roadhead/pipelines/ancestry.py
@@ -70,6 +70,18 @@
         await self.history.refresh()
         return await self._walk(record)
 
+    async def derive_all(self, records):
+        """Returns the records of several jobs as they count, in their order.
+
+        The results are as new as this call: all of them share one look at the cancellations. Raises
+        UnavailableError or UnknownOutcomeError.
+        """
+        if any(map(self._dependencies_of, records)):
+            await self.history.refresh()
+        return [
+            (await self._walk(record))[0] if self._dependencies_of(record) else record for record in records
+        ]
+
     async def refresh(self):
         """Takes in all cancellations up to some moment after this call.
 
--- a/tests/test_read_order.py
+++ b/tests/test_read_order.py
@@ -3,6 +3,9 @@
 An answer is stale if it shows a state older than one that was answered before the query was sent.
 """
 
+import ast
+from pathlib import Path
+
 import pytest
 from answer_order import EVENT_S, QueriedWorld, RecordingUser, older_answers
 
@@ -310,3 +313,30 @@
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(StateClient, "failing_for_s", lambda self: 0.0)
         assert len(slow_refusals("cancelled")) > 5 * MAX_WAITING_USERS
+
+
+# The modules of the product that turn what is stored or known into a state that somebody is told, and how
+# each takes in that a waiting job is cancelled with one that it needs.
+STATE_TELLERS = {
+    "jobs/job.py",  # defines it
+    "wire/messages.py",  # encodes it
+    "api/job_states.py",  # of records that RecordReader has derived
+    "api/submissions.py",  # of jobs just created: `pending`, or final
+    "api/cancellations.py",  # of jobs just cancelled
+    "gateway/job_list.py",  # of records that Ancestry.derive_all has derived
+}
+
+
+def test_every_module_that_tells_a_state_is_known():
+    """A new one must derive states as the others do: the list of a gateway did not (review/8)."""
+    root = Path(messages.__file__).parents[1]
+    tellers = set()
+    for path in root.rglob("*.py"):
+        module = path.relative_to(root).as_posix()
+        if module.startswith(("local/", "scale/")):
+            continue  # emulators
+        for node in ast.walk(ast.parse(path.read_text())):
+            name = getattr(node, "id", None) or getattr(node, "attr", None) or getattr(node, "name", None)
+            if name in ("status_of", "job_status"):
+                tellers.add(module)
+    assert tellers == STATE_TELLERS
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -10,6 +10,7 @@
 from job_specs import job_spec
 from openapi_spec_validator import validate
 
+from roadhead.gateway.watch import PREFIX as WATCHED_PREFIX
 from roadhead.jobs.job import Binding, Job
 from roadhead.jobs.recorder import Recorder
 from roadhead.jobs.teams import Account, Accounts
@@ -902,6 +903,72 @@
         assert secret.rpartition("-")[2] not in caplog.text
 
 
+def pipeline_of(call, jobs):
+    """Creates a tenant with a chain of so many jobs, each of which needs the one before; returns its key."""
+    call.finish(call.tenancy.do("tenant", "kestrel", "team=crew"))
+    call.wait(2)
+    key = call.tenancy.keys["kestrel"]
+    for number in range(jobs):
+        upstream = {"upstream": [f"j{number - 1}"]} if number else {}
+        body = {"id": f"j{number}", "team": "crew", "class": "c", "expected_s": 1000.0, **upstream}
+        for _ in range(40):  # pipelines are taken on once all controllers were seen to be new
+            if call("tenants", "POST", "/v1/jobs", body, key)[0] == 201:
+                break
+            call.wait(1)
+        else:
+            raise AssertionError("the pipeline is not accepted")
+    return key
+
+
+def stored_jobs(world):
+    """Returns the stored records of all jobs that were not archived."""
+    return [entry[0] for name, entry in world.state.data.items() if name.startswith("j/")]
+
+
+def listed_states(call, key, query=""):
+    """Returns {job: state} of one page of the tenant's list."""
+    status, page = call("tenants", "GET", f"/v1/jobs{query}", None, key)
+    assert status == 200
+    return {row["id"]: row["status"] for row in page["jobs"]}
+
+
+def test_a_list_calls_a_job_cancelled_with_the_one_that_it_needs_while_its_owner_is_away():
+    """The list was built from stored records alone, so that it called a job pending that a poll had called
+    cancelled (review/8, rule went_back)."""
+    call = GatewayClient("capacity 6")
+    key = pipeline_of(call, 3)
+    call.wait(2)
+    owners = {record["o"][0] for record in stored_jobs(call.world)}
+    assert len(owners) == 1
+    call.world.crash(call.world.labels.index(owners.pop()), 30.0)
+    assert call("tenants", "POST", "/v1/jobs/j0/cancel", None, key)[0] == 200
+    assert call("tenants", "GET", "/v1/jobs/j2", None, key)[1]["status"] == "cancelled"
+    assert "open" in [record["s"] for record in stored_jobs(call.world)], "the records tell of it already"
+    assert listed_states(call, key) == dict.fromkeys(["j0", "j1", "j2"], "cancelled")
+    assert listed_states(call, key, "?state=open") == {}
+
+
+@pytest.mark.parametrize(("ancestors", "further"), [(0, 0), (10, 1), (60, 1)])
+def test_a_list_costs_a_page_of_each_kind_and_one_look_at_the_cancellations(ancestors, further):
+    """All jobs of the list share what is read for them. `further`: requests besides the two pages, once what
+    the jobs need was read."""
+    call = GatewayClient("capacity 6")
+    key = pipeline_of(call, ancestors + 1)
+    for _ in range(10):  # through both gateways, drawn at random
+        listed_states(call, key)
+    requests = []
+    for gateway in call.tenancy.gateways.values():
+
+        def counted(method, target, body, timeout, real=gateway.state._send):
+            if f"under={WATCHED_PREFIX}&" not in target:  # the gateway's own watch goes on meanwhile
+                requests.append(target)
+            return real(method, target, body, timeout)
+
+        gateway.state._send = counted
+    assert len(listed_states(call, key)) == ancestors + 1
+    assert len(requests) == 2 + further, requests
+
+
 async def _cbor(call, path, body, key):
     address = call.tenancy._hosted[0].gateway.tenants
     client = HttpClient(call.world.user_loop, call.world.user_net, address, 0)
