A gateway refuses no submission for good by its own table of tenants alone

Cause: TenantsApi._submit refused an unknown team by its table without asking whether the job was accepted.

Change: the tenant's record is read first; if it can't be read, a controller decides, which looks for the job before it refuses; if the team is not in it, a controller is asked for the job.

--- a/roadhead/gateway/tenants_api.py
+++ b/roadhead/gateway/tenants_api.py
@@ -165,26 +165,43 @@
         raise UNCERTAIN
 
     async def _submit(self, entry, request):
+        """Answers a submission. Nothing is refused for good by what is known here of the tenant alone.
+
+        That may be out of date, and the submission may be a repeat of one that another gateway took.
+        """
         tenant = entry.tenant
         submission = request.read(Submission)
         number = tenant.number
         job_id = ids.to_job(number, submission.id)
         state_refused = admission.state_refusal(tenant)
         if state_refused is not None:
-            try:  # a retry of a job that was accepted earlier is answered with its state
-                return await self._ask_about_job(number, submission.id, "GET", f"/v1/jobs/{job_id}", 2.0)
-            except ProblemError as refused:
-                if refused.status != 404:
-                    raise
-            raise ProblemError(*state_refused)
+            return await self._known_or(ProblemError(*state_refused), number, submission.id)
         refusal = self._rates.take(tenant)
         if refusal is not None:
             raise ProblemError(*refusal)
-        if tenant.team(submission.team) is None:
-            raise ProblemError(422, "unknown team")
+        if tenant.team(submission.team) is None and not await self._read_team(number, submission.team):
+            return await self._known_or(ProblemError(422, "unknown team"), number, submission.id)
         body = messages.encode(submission.to_protocol(job_id, number))
         return await self._ask_about_job(number, submission.id, "POST", "/v1/jobs", REQUEST_TIMEOUT_S, body)
 
+    async def _known_or(self, refusal, number, own):
+        """Returns (status, Job) of a job that was accepted earlier. Raises `refusal` if there is none."""
+        try:
+            return await self._ask_about_job(number, own, "GET", f"/v1/jobs/{ids.to_job(number, own)}", 2.0)
+        except ProblemError as answered:
+            raise (refusal if answered.status == 404 else answered) from None
+
+    async def _read_team(self, number, team):
+        """Reads the tenant's record; returns whether it has the team, and true if it can't be read.
+
+        A controller then decides: it knows the accepted jobs, and has a table of its own.
+        """
+        try:
+            await self._read_tenant(number)
+        except ProblemError:
+            return True
+        return self._table.entry(number).tenant.team(team) is not None
+
     async def usage(self, entry):
         """Returns the tenant's Usage, summed over all controllers that answer."""
         answers = await self._controllers.ask_all(f"/v1/tenants/{entry.tenant.number}")
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -414,6 +414,93 @@
     assert call("tenants", "GET", "/v1/jobs/x", key=key)[0] == 404
 
 
+REFUSED_GATEWAY = 1
+NEW_JOB = {"id": "a", "team": "letters", "class": "c", "expected_s": 500.0}
+
+
+class TwoGateways(GatewayClient):
+    """Sends requests to one gateway or the other; the state service refuses the second on request."""
+
+    def __init__(self, *teams):
+        super().__init__("capacity 4")
+        self.finish(self.tenancy.do("tenant", "kestrel", *(f"team={team}" for team in teams)))
+        self.wait(2)
+        self.key = self.tenancy.keys["kestrel"]
+
+    def refuse(self):
+        """From now on the state service refuses the second gateway alone."""
+        self.world.state.refuse(f"10.3.0.{REFUSED_GATEWAY + 1}", 1e9)
+
+    def via(self, number, *request, **options):
+        """Returns the answer of one gateway."""
+        gateways = self.tenancy.gateways
+        self.tenancy.gateways = {number: gateways[number]}
+        try:
+            return self(*request, **options)
+        finally:
+            self.tenancy.gateways = gateways
+
+    def administrate(self, action, body=None):
+        """Does something to the tenant through the first gateway."""
+        version = self.via(0, "administration", "GET", "/admin/v1/tenants/kestrel")[1]["version"]
+        headers = [("If-Match", f'"{version}"')]
+        method, path = ("PATCH", "") if action == "teams" else ("POST", f"/{action}")
+        path = f"/admin/v1/tenants/kestrel{path}"
+        assert self.via(0, "administration", method, path, body, headers=headers)[0] == 200
+        self.wait(1)
+
+    def set_teams(self, *teams):
+        """Gives the tenant these teams in place of those that it has."""
+        self.administrate("teams", {"teams": [{"name": team} for team in teams]})
+
+    def submit(self, number, job=NEW_JOB):
+        """Returns the status of a submission through one gateway."""
+        return self.via(number, "tenants", "POST", "/v1/jobs", job, self.key)[0]
+
+
+def test_a_refused_gateway_answers_the_repeat_of_an_accepted_submission():
+    """It answered 422 for a team that was added meanwhile, by its own table (review/6, rule forgotten)."""
+    call = TwoGateways("crew")
+    call.refuse()
+    call.set_teams("crew", "letters")
+    assert call.submit(0) == 201
+    assert call.submit(REFUSED_GATEWAY) == 200
+
+
+@pytest.mark.parametrize("refused", [False, True])
+def test_the_repeat_of_a_job_is_answered_though_its_team_is_gone(refused):
+    call = TwoGateways("crew", "letters")
+    assert call.submit(0) == 201
+    if refused:
+        call.refuse()
+    call.set_teams("crew")
+    assert [call.submit(number) for number in (0, REFUSED_GATEWAY)] == [200, 200]
+    assert call.submit(0, {**NEW_JOB, "id": "b"}) == 422
+    assert call.submit(REFUSED_GATEWAY, {**NEW_JOB, "id": "b"}) == 422
+    call.set_teams("crew", "letters")
+    assert [call.submit(number) for number in (0, REFUSED_GATEWAY)] == [200, 200]
+
+
+@pytest.mark.parametrize("refused", [False, True])
+def test_the_repeat_of_a_job_is_answered_though_its_tenant_is_suspended(refused):
+    call = TwoGateways("letters")
+    assert call.submit(0) == 201
+    if refused:
+        call.refuse()
+    call.administrate("suspend", {})
+    assert [call.submit(number) for number in (0, REFUSED_GATEWAY)] == [200, 200]
+    assert call.submit(REFUSED_GATEWAY, {**NEW_JOB, "id": "b"}) == 403
+    call.administrate("resume")
+    assert [call.submit(number) for number in (0, REFUSED_GATEWAY)] == [200, 200]
+
+
+def test_a_gateway_that_lags_behind_accepts_a_job_of_a_new_team():
+    call = TwoGateways("crew")
+    call.refuse()
+    call.set_teams("crew", "letters")
+    assert call.submit(REFUSED_GATEWAY) == 201
+
+
 def test_controllers_accept_requests_of_gateways_only():
     call = GatewayClient()
     for path in ("/v1/jobs/req-000001", "/v1/summary", "/v1/tenants/1"):
