A member that ended before the records are read anew is dropped

A member's end woke whoever drops it by the watch's event alone. After a 410 of the watch, or with a new lease, all records are read anew, and one that ended just before stayed in the term, with its shards, until the next member ended. Reading all records now wakes the same routine if the term names somebody whose record is gone; it still checks in its transaction that the record is.

Test: with the event compacted away at both others, ctl-1 was still in the term 40 s after its end; now it is not.

--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -247,6 +247,8 @@
             self._on_cancel([key[len(CANCEL) :] for key in marks])
         self._watch_revision = revision
         self._note_watched(sent_at)
+        if self.joined and self.term.members.keys() - self._live_formats:
+            self._absence.set()  # the watch will not tell of one that ended before this was read
 
     def _note_watched(self, sent_at):
         """Notes that the state as of `sent_at` is known."""
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -4,7 +4,9 @@
 
 from roadhead.jobs.job_store import MAX_FINAL_RECORDS
 from roadhead.local.world import World
+from roadhead.membership.member import MEMBER
 from roadhead.membership.term import Term
+from roadhead.state.client import CompactedError
 from roadhead.state.record_reader import MAX_CACHED_RECORDS
 
 # Scenario lines of an event that is in progress from second 20 on, and its duration in s.
@@ -91,3 +93,23 @@
     assert max(max_open_sockets.values()) <= 250
     assert world.killed == 0
     assert all(link.stream is not None for node in world.nodes.values() for link in node.peers.links.values())
+
+
+def test_a_member_that_ended_before_the_records_are_read_anew_is_dropped():
+    """Its end was noticed by the watch alone: if just that was compacted away, it stayed in the term until
+    the next member ended, and its machines had no leader."""
+    world = World("until 100000")
+    world.sim.run_until(20.0)
+    world.crash(1, 1e6)
+    for number in (0, 2):
+        state = world.nodes[number].state
+
+        async def changes(prefix, after, wait_s, real=state.changes):
+            events, revision = await real(prefix, after, wait_s)
+            if any(event.get("drop", "").startswith(MEMBER) for event in events):
+                raise CompactedError
+            return events, revision
+
+        state.changes = changes
+    world.sim.run_until(60.0)
+    assert sorted(world.nodes[0].member.term.members) == ["ctl-0", "ctl-2"]
