A lack of descriptors counts as a connection that is not made

An OSError of socket() left Net.connect as it was, which no caller expects: it would have ended the routines that renew the lease, watch and join, for good. It is Closed now, as for any other connection that can't be made.

Test: the OSError came through; now it is Closed.

--- a/roadhead/runtime/net.py
+++ b/roadhead/runtime/net.py
@@ -177,7 +177,10 @@
     async def connect(self, address, timeout):
         """Returns a stream connected to `address`. Raises Closed or Timeout."""
         loop = self.loop
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:  # no descriptors are left: that passes, and must end no routine
+            raise Closed(str(error)) from None
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,5 +1,6 @@
 """What the loop and the links between controllers promise to those who call them."""
 
+import errno
 import socket
 from types import SimpleNamespace
 
@@ -10,7 +11,7 @@
 from roadhead.local.world import World
 from roadhead.membership.peers import Peers
 from roadhead.runtime.loop import Loop
-from roadhead.runtime.net import Closed, Stream
+from roadhead.runtime.net import Closed, Net, Stream
 from roadhead.wire.frames import Heartbeat, RevokeGrant
 
 HEARTBEAT_S = 1.0
@@ -91,6 +92,20 @@
     assert reader.done.done and reader.done.result() == b""
 
 
+def test_a_lack_of_descriptors_ends_no_routine(monkeypatch):
+    """An OSError of `socket()` would have ended the routines that renew the lease and watch, for good."""
+
+    def no_descriptors(*_args):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    loop = Loop()
+    connecting = loop.spawn(Net(loop).connect("127.0.0.1:9", 1.0))
+    monkeypatch.setattr(socket, "socket", no_descriptors)
+    loop.turn()
+    with pytest.raises(Closed):
+        connecting.done.result()
+
+
 def test_a_link_that_is_dropped_within_a_send_is_detected():
     """Without the guard, starts that were decided on are not sent, and their tasks stay bound (review/4)."""
 
