./try takes options beside its defaults; documented commands are tested

A test parses each command that README and the operations pages show: run.py shards, which there is not, stood in operations-shares.md (the command is shares).

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,9 @@
 
 import json
 import os
+import re
+import shlex
+import shutil
 import socket
 import subprocess
 import sys
@@ -189,3 +192,60 @@
     path.write_text(json.dumps(SETTINGS_DOCUMENT))
     assert cli.main(["--config", str(path)]) == 2
     assert capsys.readouterr().err == "roadhead: LOG_LEVEL: 'loud' is none of error, info, debug\n"
+
+
+DOCUMENTED_IN = (
+    "README.md",
+    *(f"docs/{path.name}" for path in sorted((ROOT / "docs").glob("operations*.md"))),
+)
+COMMAND = re.compile(r"python3 run\.py ([^`\n)]+)|`roadhead ([^`]+)`|python3 -m roadhead ([^`\n]+)")
+TABLE_COMMAND = re.compile(r"^\| `((?:--config|[a-z]+) [^`]+)` \| ", re.MULTILINE)
+TENANTS_COMMAND = re.compile(r"^\| [^|]+ \| `([a-z-]+ NAME[^`]*)`", re.MULTILINE)
+
+
+def documented_commands():
+    """Yields (page, arguments) of the commands that the pages show, without what a table or comment adds."""
+    for page in DOCUMENTED_IN:
+        text = (ROOT / page).read_text()
+        shown = [next(filter(None, groups)) for groups in COMMAND.findall(text)]
+        shown += TABLE_COMMAND.findall(text) if page == "README.md" else ()
+        shown += [f"tenants {words}" for words in TENANTS_COMMAND.findall(text)]
+        for command in shown:
+            command = re.sub(r"\[[^]]*\]", "", re.split(r" {2,}|;", command)[0])
+            yield page, shlex.split(command.replace(" ID", " 1"))
+
+
+def test_documented_commands_parse():
+    """A page showed `run.py shards`, which there is not."""
+    commands = [(page, words) for page, words in documented_commands() if "..." not in words]
+    assert len(commands) > 30
+    refused = []
+    for page, words in commands:
+        try:
+            cli._parser(True).parse_args(words if len(words) > 1 else [*words, "--help"])
+        except SystemExit as ended:
+            if ended.code:
+                refused.append((page, words))
+    assert refused == []
+
+
+@pytest.mark.parametrize(
+    ("given", "expected"),
+    [
+        ([], "--run examples/hello.toml"),
+        (["--crash", "3"], "--run examples/hello.toml --crash 3"),
+        (["--keep", "DIR"], "--keep DIR"),
+        (["--run", "FILE", "--crash", "1"], "--run FILE --crash 1"),
+    ],
+)
+def test_try_takes_options_beside_its_defaults(given, expected, tmp_path):
+    """`./try --crash 3` was refused."""
+    shutil.copy(ROOT / "try", tmp_path)
+    (tmp_path / "requirements-local.txt").touch()
+    (tmp_path / "target" / "local").mkdir(parents=True)
+    python = tmp_path / "python3"
+    python.write_text('#!/bin/sh\necho "$@"\n')
+    python.chmod(0o755)
+    environment = {**os.environ, "PATH": f"{tmp_path}:{os.environ['PATH']}"}
+    done = subprocess.run([tmp_path / "try", *given], capture_output=True, text=True, env=environment)
+    assert done.stdout.splitlines()[-1] == f"run.py local {expected}", done.stderr
