Tests: two guards of ancestors' facts that no test noticed

The cancellation of an evicted ancestor must void what was verified with it (AncestorCache._has_evicted), and cancellations that are no longer kept must raise CancellationHistory.since.

--- a/tests/test_ancestry.py
+++ b/tests/test_ancestry.py
@@ -265,6 +265,21 @@
     assert reader.poll(names[-1]) == ("open", 3)
 
 
+def test_the_cancellation_of_an_evicted_ancestor_voids_what_was_verified_with_it(monkeypatch):
+    """Its descendant in the cache was verified while it was there. Without `_has_evicted` a poll calls the
+    job open, though polls elsewhere call it cancelled."""
+    monkeypatch.setattr(ancestor_facts, "MAX_CACHED_JOBS", 2)
+    loop = Sim(1)
+    store = Store(loop)
+    reader = Reader(loop, store)
+    for name, upstream in (("a", []), ("b", ["a"]), ("c", ["b"]), ("y", []), ("z", ["y"])):
+        store.add_job(name, upstream)
+    # What was cached first is evicted first: here that is `a`, by the walk for `z`.
+    assert [reader.poll(name)[0] for name in ("b", "c", "z")] == ["open"] * 3
+    store.cancel("a")
+    assert reader.poll("c")[0] == "cancelled"
+
+
 class Days:
     """Jobs arrive, end and are cancelled while states are derived, beside a reference model."""
 
@@ -363,6 +378,19 @@
     patch.setattr(CancellationHistory, "covers", lambda self, _revision: True)
 
 
+def forget_what_is_not_kept(patch):
+    """Cancellations beyond those that are kept count as known."""
+
+    def add(self, cancelled):
+        self._revisions.update(cancelled)
+        while len(self._revisions) > cancellation_history.MAX_KEPT_CANCELLATIONS:
+            del self._revisions[next(iter(self._revisions))]
+        if cancelled:
+            self._on_cancelled(cancelled)
+
+    patch.setattr(CancellationHistory, "_add", add)
+
+
 def share_requests_sent_before(patch):
     """A caller is answered by a request for changes that was sent before it came."""
     real = CancellationHistory.refresh
@@ -382,6 +410,7 @@
         keep_verified,
         trust_reads_from_before_a_gap,
         share_requests_sent_before,
+        forget_what_is_not_kept,
     ],
 )
 def test_a_removed_guard_is_noticed(mutate, monkeypatch, small_bounds):
