Counting what fits never fails, however small an amount is

Change: fitting_count bounds the quotient before it becomes a whole number, and ResourceRequest.slots, which had the same arithmetic once more, uses it. PROTOCOL sets no lower bound for amounts, so the job runs.

--- a/roadhead/fleet/provisioning.py
+++ b/roadhead/fleet/provisioning.py
@@ -1,6 +1,7 @@
 """Decides how many machines of which kind to rent: pure functions, no I/O."""
 
 from roadhead.fleet.quota_limits import QuotaMark
+from roadhead.machines.machine import fitting_count
 from roadhead.machines.placement_rules import may_use
 
 SUSPECTED_FAULTY_URGENCY = 4  # urgency of jobs that fail wherever they run; the protocol's own are below
@@ -76,15 +77,8 @@
         """Returns how many of these tasks a machine of this offer holds; 0 if it may not run them."""
         if not may_use(self, offer.kind.name, offer.zone, offer.spot):
             return 0
-        fitting = 1 << 30
-        for need, available in (
-            (self.cpus, offer.kind.cpus),
-            (self.gpus, offer.kind.gpus),
-            (self.memory, offer.kind.memory),
-        ):
-            if need > 0:
-                fitting = min(fitting, int((available + 1e-6) / need))
-        return fitting
+        kind = offer.kind
+        return fitting_count((self.cpus, self.gpus, self.memory), (kind.cpus, kind.gpus, kind.memory))
 
 
 def plan_machines(requests, offers, machines, idle, busy, coming, refused, largest, patience, fresh=None):
--- a/roadhead/machines/machine.py
+++ b/roadhead/machines/machine.py
@@ -8,6 +8,7 @@
 from roadhead.wire import messages
 
 LAUNCHING = "launching"
+MAX_FITTING = 1 << 30  # tasks that fit where none of their amounts is a limit
 EXITED = "exited"
 
 
@@ -337,12 +338,16 @@
 
 
 def fitting_count(required, available):
-    """How many tasks with `required` resources fit in `available`; compares the amounts that both name."""
-    count = 1 << 30
+    """How many tasks with `required` resources fit in `available`; compares the amounts that both name.
+
+    At most MAX_FITTING, also for amounts so small that the quotient is infinite: an error here ended all
+    renting (docs/incidents/vanishing-amount.md).
+    """
+    count = MAX_FITTING
     for amount, free in zip(required, available, strict=False):
         if amount > 0:
-            count = min(count, int((free + 1e-6) / amount))
-    return max(0, count)
+            count = min(count, (free + 1e-6) / amount)
+    return int(max(0.0, count))
 
 
 def fits(required, available):
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -6,10 +6,12 @@
 import pytest
 from job_specs import job_spec
 
+from roadhead.fleet.provisioning import InstanceOffer, ResourceRequest
 from roadhead.jobs.job import Binding, Job
 from roadhead.local.sim import Sim
 from roadhead.local.world import World
 from roadhead.machines.capacity_grants import CapacityGranter
+from roadhead.machines.machine import MAX_FITTING, fitting_count
 from roadhead.machines.machine_grant import MachineGrant
 from roadhead.machines.placement_rules import allowed_zone, zone_room
 from roadhead.telemetry import Counters
@@ -171,3 +173,34 @@
         "north",
         "south",
     }
+
+
+VANISHING = [5e-324, 1e-310, 2.3e-308, 1e-300]  # amounts, the first ones subnormal
+
+
+@pytest.mark.parametrize("amount", VANISHING)
+@pytest.mark.parametrize("free", [-1e12, -1.0, 0.0, 4.0, 1e12])
+def test_counting_what_fits_never_fails(amount, free):
+    """`int(inf)` raised OverflowError wherever capacity was granted or machines were rented (review/5)."""
+    assert fitting_count((amount, 0.0, 1.0), (free, 0.0, 16.0)) == (16 if free >= 0 else 0)
+    assert fitting_count((amount,), (free,)) in (0, MAX_FITTING)
+
+
+@pytest.mark.parametrize("amount", VANISHING)
+def test_a_machine_is_rented_for_a_job_with_a_vanishing_amount(amount):
+    kind = SimpleNamespace(name="box", cpus=4.0, gpus=0.0, memory=16.0, price=0.2, spot_price=0.05)
+    request = ResourceRequest(1, amount, 0.0, 2.0, 4, True, "", (), 60.0, 60.0)
+    assert request.slots(InstanceOffer(kind, "north", False)) == 8
+
+
+def test_a_job_with_a_vanishing_amount_keeps_nobody_from_machines():
+    """It ended all renting, for every job, until it was cancelled (review/5)."""
+    world = World("""
+    capacity 6
+    at 1 submit legs=2 vcpus=1e-310
+    at 1 submit legs=2 vcpus=1 paddock=south
+    at 5 submit legs=4 vcpus=4
+    until 90
+    """).run()
+    assert world.violations == [] and world.check() == []
+    assert {user.last_state for user in world.users.values()} == {"done"}
