The routine that dials a controller outlives an error in a frame's handler

An error in a handler ends the link, and ended the routine that dials with it, for good: the two controllers never heard each other again until one restarted. Now the error is logged and counted, and the link is made anew.

Test: after one failing handler on the dialling side there was no link; now both sides have one. On the accepting side it was well before.

--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -102,6 +102,11 @@
                     await self._serve_link(stream, label)
                 except (Closed, Timeout):
                     pass
+                except Exception:
+                    # A frame's handler failed. The link has ended; without a new one the two would never hear
+                    # each other again.
+                    log.exception("the link to %s ended by an error", label)
+                    self._loop.report_failure()
             await self._loop.sleep(self._heartbeat_s / 2)
 
     async def _serve_link(self, stream, expected):
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -24,6 +24,7 @@
     def __init__(self, network, sim, number):
         self.label = f"ctl-{number}"
         self.up, self.down = [], []
+        self.failures = 0
         loop = HostLoop(sim)
         settings = SimpleNamespace(
             label=self.label,
@@ -38,12 +39,18 @@
             own_incarnation=lambda: number,
             may_link=lambda: True,
             heartbeat=lambda: Heartbeat(1, True, False, 0.0, 0.0),
-            on_frame=lambda _label, _incarnation, _frame: None,
+            on_frame=self._on_frame,
             on_up=self.up.append,
             on_down=self.down.append,
         )
         self.peers.start()
 
+    def _on_frame(self, _label, _incarnation, _frame):
+        """Fails as often as `failures` says."""
+        if self.failures:
+            self.failures -= 1
+            raise KeyError("handler")
+
 
 @pytest.fixture
 def linked():
@@ -77,6 +84,19 @@
     assert sender.peers.send("ctl-2", FRAME)
 
 
+@pytest.mark.parametrize("failing", [0, 1])
+def test_a_link_is_made_anew_after_a_frame_whose_handler_failed(linked, failing):
+    """The routine that dials ended with it, for good, so that the two never heard each other again.
+    The first controller dials, the second one accepts."""
+    sim, *controllers = linked
+    controllers[failing].failures = 1
+    sim.run_until(sim.time + 4 * HEARTBEAT_S)
+    assert controllers[failing].failures == 0
+    for controller, other in zip(controllers, reversed(controllers), strict=True):
+        assert list(controller.peers.links) == [other.label]
+        assert controller.up == [other.label] * 2
+
+
 def test_a_stream_that_cannot_be_written_to_wakes_its_reader():
     """Links rely on it: whoever reads the stream learns of the end that a send found."""
     loop = Loop()
