--- a/roadhead/machines/failure_history.py
+++ b/roadhead/machines/failure_history.py
@@ -29,7 +29,6 @@
         if not machine.is_busy():
             machine.idle_since = now
         if task.cause == "done":
-            machine.tasks_done += 1
             machine.errors.clear()
             machine.quarantine_count = 0
             registry.proven[task.job] = now
--- a/roadhead/machines/machine.py
+++ b/roadhead/machines/machine.py
@@ -116,7 +116,6 @@
         "by_name",
         "confirmed_at",
         "confirmed_token",
-        "direct_at",
         "draining",
         "errors",
         "grant",
@@ -141,9 +140,7 @@
         "session",
         "shard",
         "spot",
-        "taken_on",
         "tasks",
-        "tasks_done",
         "token",
         "type",
         "zone",
@@ -184,14 +181,11 @@
         self.grant = MachineGrant()
         self.idle_since = now
         self.draining = False
-        self.taken_on = False
         self.errors = {}  # job -> its tasks failed here since the last success
         self.quarantine_count = 0  # quarantines since the last success
         self.quarantined_until = 0.0  # nothing new starts before this, while its failures are examined
-        self.tasks_done = 0
         self.request_in_flight = False  # a direct request is queued or under way
         self.request_again = False  # another one is to follow it
-        self.direct_at = 0.0
 
     def free_capacity(self):
         """Free (cpus, gpus, memory); none while the requirements of a task are unknown."""
