--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -42,6 +42,18 @@
         self.workers_silent = False
         self.used = None  # (requests, writes) per second to the state service, None before it was told
 
+    def take_heartbeat(self, frame, *, catching_up):
+        """Takes in what a heartbeat tells.
+
+        `catching_up`: this process reads what came while it stalled, so nobody knows when that was sent.
+        """
+        if not catching_up:
+            self.last_heartbeat_at = self.heard_at
+        self.term = frame.term
+        self.state_ok = frame.state_ok
+        self.workers_silent = frame.workers_silent
+        self.used = (frame.requests, frame.writes)
+
 
 class Peers:
     """The links to all other configured controllers.
@@ -125,31 +137,19 @@
                     return
                 splitter.feed(data)
                 for frame in splitter.frames():
-                    if link is None:
-                        if type(frame) is not Hello or frame.label not in self._addresses:
-                            raise FrameError("no hello")
-                        label = frame.label
-                        if (expected or label) != label or mine != self._own_incarnation():
+                    if link is not None:
+                        self._take_frame(label, link, frame)
+                        if not self._is_current(label, link):
                             return
-                        timer.cancel()
-                        self._drop(label, self.links.get(label) or self.non_member_links.get(label))
-                        link = Link(stream, frame.incarnation, self._loop.now())
-                        (self.links if link.incarnation else self.non_member_links)[label] = link
-                        # Before the first heartbeat, whose receiver relies on having been told all before it.
-                        self._on_up(label)
-                        stream.write(self._heartbeat().encode())
                         continue
-                    link.heard_at = self._loop.now()
-                    if type(frame) is Heartbeat:
-                        if not self._loop.catching_up:
-                            link.last_heartbeat_at = link.heard_at
-                        link.term = frame.term
-                        link.state_ok = frame.state_ok
-                        link.workers_silent = frame.workers_silent
-                        link.used = (frame.requests, frame.writes)
-                    self._on_frame(label, link.incarnation, frame)
-                    if not self._is_current(label, link):
+                    if type(frame) is not Hello or frame.label not in self._addresses:
+                        raise FrameError("no hello")
+                    label = frame.label
+                    if (expected or label) != label or mine != self._own_incarnation():
                         return
+                    timer.cancel()
+                    link = Link(stream, frame.incarnation, self._loop.now())
+                    self._begin_link(label, link)
         except FrameError as error:
             log.info("peer %s: %s", label or "unknown", error)
         except (Closed, Cancelled):
@@ -159,6 +159,21 @@
             stream.close()
             self._drop(label, link)
 
+    def _begin_link(self, label, link):
+        """Puts a link in place of an earlier one to the same controller. Raises Closed."""
+        self._drop(label, self.links.get(label) or self.non_member_links.get(label))
+        (self.links if link.incarnation else self.non_member_links)[label] = link
+        # Before the first heartbeat, whose receiver relies on having been told all before it.
+        self._on_up(label)
+        link.stream.write(self._heartbeat().encode())
+
+    def _take_frame(self, label, link, frame):
+        """Handles a frame that came over a link."""
+        link.heard_at = self._loop.now()
+        if type(frame) is Heartbeat:
+            link.take_heartbeat(frame, catching_up=self._loop.catching_up)
+        self._on_frame(label, link.incarnation, frame)
+
     def _is_current(self, label, link):
         return link is not None and link in (self.links.get(label), self.non_member_links.get(label))
 
