A demand says how many tasks each zone must take

A row named a zone only where a job's rules and bound tasks left one. Of a job with scatter that had not begun, or had room in both zones, leaders and the renter were told nothing, and learned by returned machines.

Change: what waits is divided by the zones that must take it, since the others have no room for it by the rule (split_by_zone). Rows and frames keep their form. may_use also decides whether a job can ever run; a type that names no zones now counts as on offer in all of them there, as it does for the renter.

Tests: how a demand divides (9 forms; new behaviour).

--- a/roadhead/admission/feasibility.py
+++ b/roadhead/admission/feasibility.py
@@ -3,13 +3,15 @@
 import msgspec
 
 from roadhead.jobs.job import size_of
+from roadhead.machines.machine import fits
+from roadhead.machines.placement_rules import may_use
 
 
-def infeasibility(spec, teams, types, value_bytes):
+def infeasibility(spec, teams, types, zones, value_bytes):
     """Returns why no machine can ever run the job, as text for its user, or None if one can.
 
-    `teams`: the teams and their limits; `types`: {name: machine type} of the catalogue; `value_bytes`: the
-    size limit of a value in the state service.
+    `teams`: the teams and their limits; `types`: {name: machine type} of the catalogue; `zones`: those of the
+    deployment; `value_bytes`: the size limit of a value in the state service.
     """
     if teams.get(spec.team) is None:
         return "unknown team"
@@ -18,7 +20,7 @@
         return "its description is larger than the state service takes"
     if _above_limits(spec, teams.limits_of(spec.team)):
         return "more than the team's limit"
-    if not any(_fits(spec, kind) for kind in types.values()):
+    if not any(_may_run(spec, kind, kind.zones or zones or [""]) for kind in types.values()):
         return "fits no machine type"
     return None
 
@@ -33,12 +35,10 @@
     )
 
 
-def _fits(spec, kind):
-    """Whether an empty machine of this type can run a task of the job."""
-    return (
-        spec.cpus <= kind.cpus
-        and spec.gpus <= kind.gpus
-        and spec.memory <= kind.memory
-        and (spec.types is None or kind.name in spec.types)
-        and (spec.zone is None or spec.zone in kind.zones)
+def _may_run(spec, kind, zones):
+    """Whether an empty machine of this type in one of the zones can run a task of the job."""
+    if spec.types == [] or spec.zone == "":
+        return False  # the user allows none, while in a row of a demand both mean any
+    return fits((spec.cpus, spec.gpus, spec.memory), (kind.cpus, kind.gpus, kind.memory)) and any(
+        may_use(spec, kind.name, zone, spot=False) for zone in zones
     )
--- a/roadhead/dispatch/demand_broadcast.py
+++ b/roadhead/dispatch/demand_broadcast.py
@@ -3,7 +3,7 @@
 from roadhead.dispatch.headroom import SharedHeadroom, WaitingTasks
 from roadhead.fleet.provisioning import SUSPECTED_FAULTY_URGENCY
 from roadhead.fleet.quota_limits import QuotaMark, encode_urgency
-from roadhead.machines.placement_rules import allowed_zone
+from roadhead.machines.placement_rules import split_by_zone
 from roadhead.wire import frames
 
 MAX_ROWS = 256  # rows of a Demand frame, which keeps it far below the frame size limit
@@ -73,7 +73,7 @@
         first = next((part for part in parts if part.startable and part.within), None)
         for part in parts:
             if part.within:
-                self._add_row(rows, part, part.within, part.mark)
+                self._add_rows(rows, part, part.within, part.mark)
             if part.within and part.startable and part.job.rank == first.job.rank and part.job.spec.image:
                 images[part.job.spec.image] = True
         if self._queue.fair_share is not None or any(leads for _shape, _startable, leads in rows):
@@ -82,7 +82,7 @@
             # Tasks beyond their team's limit come last: no machine is needed for them, so they are the first
             # to go where the number of rows is cut.
             if part.within < part.count and part.mark is not QuotaMark.PENDING:
-                self._add_row(rows, part, part.count - part.within, QuotaMark.BEYOND)
+                self._add_rows(rows, part, part.count - part.within, QuotaMark.BEYOND)
         announced = {key: row[0] for key, row in rows.items()}
         if announced == self._announced:
             return
@@ -161,14 +161,18 @@
         ]
         return [part for part in parts if part.count > 0]
 
-    def _add_row(self, rows, part, count, mark):
-        """Adds `count` tasks of the part to the row of its shape in `rows`."""
+    def _add_rows(self, rows, part, count, mark):
+        """Adds `count` tasks of the part to the rows of their shape, by the zones that they must run in."""
+        for zone, number in split_by_zone(part.job, count, self._zones):
+            self._add_row(rows, part, number, mark, zone)
+
+    def _add_row(self, rows, part, count, mark, zone):
+        """Adds `count` tasks of the part that may run in `zone`, "" for any, to the row of their shape."""
         job = part.job
         # A gang's tasks must all run at once: with no run time in the row, the renter rents for all of them.
         work = 0.0 if job.gang else count * job.spec.estimate_s
         slack = self._queue.slack(job)
         _rank, cpus, gpus, memory, spot, _zone, types, klass = job.shape
-        zone = allowed_zone(job, self._zones)
         shape = (encode_urgency(part.rank, mark), cpus, gpus, memory, spot, zone, types, klass)
         startable = part.startable and mark in (QuotaMark.PLAIN, QuotaMark.WITHIN)
         row = rows.get((shape, startable, part.first_task_leads))
--- a/roadhead/machines/placement_rules.py
+++ b/roadhead/machines/placement_rules.py
@@ -1,7 +1,8 @@
 """Which machines the tasks of a job may use, whatever room they have, and which zones its rules leave open.
 
-`may_use` is the one predicate for granting, placing and renting; `allowed_zone` decides what a controller's
-demand says of jobs whose tasks depend on one another's zones (PROTOCOL: `together`, `scatter`).
+`may_use` is the one predicate for granting, holding room back, placing, renting and for whether a job can
+ever run; `split_by_zone` decides what a controller's demand says of jobs whose tasks depend on one another's
+zones (PROTOCOL: `together`, `scatter`).
 """
 
 
@@ -37,14 +38,26 @@
     return spec.tasks
 
 
-def allowed_zone(job, zones):
-    """Returns the only zone in which further tasks of the job may start, or "" if there are several.
+def split_by_zone(job, count, zones):
+    """Returns [(zone, number)]: how `count` further tasks of the job divide by the zones open to them.
 
-    `zones` are those of the deployment. A row of a demand names one zone or none, which says all for
-    a job with `together` that has begun, and for one with `scatter` wherever one of two zones is full.
+    A zone's number is how many of them must run there, since the other zones have no room for them by the
+    job's rules; "" stands for any zone, and comes last. `zones` are those of the deployment. For two zones
+    this says all that `scatter` asks for; for more it leaves open which of several zones a task goes to.
     """
     spec = job.spec
-    if spec.zone or not (spec.one_zone or spec.spread) or not job.bound:
-        return spec.zone or ""
-    allowed = [zone for zone in zones if zone_room(job, zone) > 0]
-    return allowed[0] if len(allowed) == 1 else ""
+    if spec.zone:
+        return [(spec.zone, count)]
+    if spec.one_zone:
+        return [(next((binding.zone for binding in job.bound.values()), ""), count)]
+    if not spec.spread:
+        return [("", count)]
+    rooms = {zone: zone_room(job, zone) for zone in zones}
+    total = sum(rooms.values())
+    parts = [
+        (zone, min(room, needed))
+        for zone, room in rooms.items()
+        if room and (needed := count - total + room) > 0
+    ]
+    left = count - sum(number for _zone, number in parts)
+    return [*parts, ("", left)] if left > 0 else parts
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -504,7 +504,11 @@
     def infeasibility_of(self, spec):
         """Returns why no machine can ever run the job, or None if one can."""
         return infeasibility(
-            spec, self.teams, self.shard_leader.registry.types, self.state.limits.value_bytes
+            spec,
+            self.teams,
+            self.shard_leader.registry.types,
+            self._deployment.zones,
+            self.state.limits.value_bytes,
         )
 
     def visibility_check(self, spec):
--- a/roadhead/tenants/preemption.py
+++ b/roadhead/tenants/preemption.py
@@ -13,7 +13,7 @@
 
 from roadhead.dispatch.headroom import SharedHeadroom, WaitingTasks
 from roadhead.machines.machine import NO_RESOURCES, fits, fitting_count
-from roadhead.machines.placement_rules import allowed_zone
+from roadhead.machines.placement_rules import split_by_zone
 from roadhead.wire import frames
 
 log = logging.getLogger("roadhead.preemption")
@@ -85,9 +85,9 @@
                 continue
             self._reclaimed[job] = (now + self._settle_s, entry.within)
             spec = job.spec
-            zone = allowed_zone(job, self._zones)
-            key = (*job.resources, spec.spot, zone, tuple(spec.types or ()))
-            rows[key] = rows.get(key, 0) + count
+            for zone, number in split_by_zone(job, count, self._zones):
+                key = (*job.resources, spec.spot, zone, tuple(spec.types or ()))
+                rows[key] = rows.get(key, 0) + number
         if soonest is not None and self._timer is None:
             self._timer = self._loop.call_later(soonest, self._on_timer)
         if rows:
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -13,7 +13,7 @@
 from roadhead.machines.capacity_grants import CapacityGranter
 from roadhead.machines.machine import MAX_FITTING, fitting_count
 from roadhead.machines.machine_grant import MachineGrant
-from roadhead.machines.placement_rules import allowed_zone, zone_room
+from roadhead.machines.placement_rules import split_by_zone, zone_room
 from roadhead.telemetry import Counters
 from roadhead.wire import frames
 
@@ -129,22 +129,29 @@
 @pytest.mark.parametrize(
     ("rules", "bound", "expected"),
     [
-        ({}, ["a"], ""),
-        ({"zone": "b"}, [], "b"),
-        ({"one_zone": True}, [], ""),
-        ({"one_zone": True}, ["b"], "b"),
-        ({"spread": True}, ["a"], ""),
-        ({"spread": True}, ["a", "a"], "b"),
-        ({"spread": True, "zone": "a"}, ["a", "a"], "a"),
+        ({}, ["a"], [("", 3)]),
+        ({"zone": "b"}, [], [("b", 4)]),
+        ({"one_zone": True}, [], [("", 4)]),
+        ({"one_zone": True}, ["b"], [("b", 3)]),
+        ({"spread": True}, [], [("a", 2), ("b", 2)]),
+        ({"spread": True}, ["a"], [("a", 1), ("b", 2)]),
+        ({"spread": True}, ["a", "a"], [("b", 2)]),
+        ({"spread": True, "zone": "a"}, ["a", "a"], [("a", 2)]),
     ],
 )
-def test_a_demand_names_the_only_zone_that_the_rules_of_a_job_leave(rules, bound, expected):
-    assert allowed_zone(job_with(4, bound, **rules), ["a", "b"]) == expected
+def test_a_demand_says_how_many_tasks_each_zone_must_take(rules, bound, expected):
+    job = job_with(4, bound, **rules)
+    assert split_by_zone(job, 4 - len(bound), ["a", "b"]) == expected
+
+
+def test_an_odd_task_of_a_scattered_job_may_go_to_any_zone():
+    assert split_by_zone(job_with(5, [], spread=True), 5, ["a", "b"]) == [("a", 2), ("b", 2), ("", 1)]
+    assert split_by_zone(job_with(5, ["a"], spread=True), 2, ["a", "b"]) == [("", 2)]
 
 
 def test_with_three_zones_a_full_one_leaves_two():
     job = job_with(4, ["a", "a"], spread=True)
-    assert allowed_zone(job, ["a", "b", "c"]) == ""
+    assert split_by_zone(job, 2, ["a", "b", "c"]) == [("", 2)]
     assert [zone_room(job, zone) for zone in "abc"] == [0, 2, 2]
 
 
@@ -175,6 +182,62 @@
     }
 
 
+LAYOUTS = {
+    # The zone that the first tasks chose has room on one machine; the other zone's have the image.
+    "together": """
+    at 1 submit legs=3 vcpus=3 together=True runS=70 expectS=70 paddock=north kit=other
+    at 1 submit legs=6 vcpus=2 paddock=south runS=90 expectS=90
+    at 12 submit legs=8 vcpus=1 together=True runS=15 expectS=15""",
+    # Two gangs need one zone each, and both zones have machines with tasks of other jobs.
+    "gangs of one zone": """
+    at 1 submit legs=4 vcpus=2 paddock=north runS=60 expectS=60
+    at 1 submit legs=4 vcpus=2 paddock=south runS=60 expectS=60
+    at 10 submit count=2 legs=4 vcpus=2 shape=group together=True runS=20 expectS=20""",
+    # All machines are in one zone; half of the tasks must run in the other one.
+    "a zone without machines": """
+    at 1 submit legs=12 vcpus=2 paddock=south runS=25 expectS=25
+    at 20 submit legs=6 vcpus=2 scatter=True runS=30 expectS=30""",
+    # Machines of both zones have tasks of the job, and one zone has its half.
+    "tasks in both zones": """
+    at 1 submit legs=9 vcpus=2 scatter=True runS=30 expectS=30
+    at 1 submit legs=5 vcpus=3 paddock=south runS=60 expectS=60
+    at 30 die 1""",
+    # The team is at its limit until the first job ends.
+    "a team at its limit": """
+    cpus_max 8
+    at 1 submit legs=4 vcpus=2 paddock=south runS=40 expectS=40
+    at 5 submit legs=4 vcpus=2 scatter=True runS=20 expectS=20""",
+}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("layout", LAYOUTS)
+def test_rules_on_zones_leave_nothing_waiting(layout, seed):
+    """Three controllers lead parts of each zone's machines; no job waits beside room that it may use."""
+    world = World(f"""
+    seed {seed}
+    capacity 14
+    boot_s 3
+    {LAYOUTS[layout]}
+    until 200
+    expect told done all
+    """).run()
+    assert world.check() == []
+
+
+def test_a_machine_is_rented_in_the_zone_that_scatter_asks_for():
+    """Free machines of the other zone must not count as the answer to all of what waits."""
+    world = World("""
+    capacity 14
+    boot_s 3
+    at 1 submit legs=4 vcpus=4 paddock=south runS=20 expectS=20
+    at 18 submit legs=8 vcpus=2 scatter=True runS=100 expectS=100
+    until 60
+    """).run()
+    zones = [worker.zone for task, worker in world.running.items() if task.startswith("req-000002/")]
+    assert sorted(zones) == ["north"] * 4 + ["south"] * 4
+
+
 VANISHING = [5e-324, 1e-310, 2.3e-308, 1e-300]  # amounts, the first ones subnormal
 
 
