A gateway lists a pipeline of a thousand jobs with few requests

What callers saw: a gateway that had not read a pipeline of 1,000 jobs yet answered none of the first five lists of it within 5 s (virtual time; 106 to 236 requests to the state service each).

Cause: derive_all walked each job of a page by itself and did not use the page's own records, which are one another's ancestors; every chain began anew with single reads.

Change: records read after a known revision are kept as ancestors' facts, and all jobs of a page share one walk.

Before: the new test fails. Tests of tenants, read order and ancestry that concern it pass. A repeat after each change of a tenant under four troubles is a new test; it held.

--- a/roadhead/gateway/job_list.py
+++ b/roadhead/gateway/job_list.py
@@ -68,15 +68,16 @@
     async def _read_page(self, number, prefix, after):
         """Returns ([(key, Job or None)] after a key, whether there are more). Raises ProblemError."""
         try:
+            since = await self._ancestry.read_since() if prefix == RECORD_PREFIX else 0
             items, more, _revision = await self._state.page(prefix + ids.prefix(number), after, MAX_PAGE_SIZE)
-            records = [await self._complete(key[len(prefix) :], record) for key, record, _stamp in items]
-            derived = await self._ancestry.derive_all(records)
+            found = {}
+            for key, record, _stamp in items:
+                job_id = key[len(prefix) :]
+                found[job_id] = await self._complete(job_id, record)
+            derived = await self._ancestry.derive_all(found, since)
         except (UnavailableError, UnknownOutcomeError):
             raise UNCERTAIN from None
-        return [
-            (key, _job(number, key[len(prefix) :], record))
-            for (key, _stored, _stamp), record in zip(items, derived, strict=True)
-        ], more
+        return [(prefix + job_id, _job(number, job_id, record)) for job_id, record in derived.items()], more
 
     async def _complete(self, job_id, record):
         """Reads the dependency list of a record for which it is stored apart."""
--- a/roadhead/pipelines/ancestry.py
+++ b/roadhead/pipelines/ancestry.py
@@ -68,19 +68,32 @@
         if not self._dependencies_of(record):
             return record, []
         await self.history.refresh()
-        return await self._walk(record)
+        return await self._walk(record, WalkProgress())
 
-    async def derive_all(self, records):
-        """Returns the records of several jobs as they count, in their order.
+    async def derive_all(self, found, since):
+        """Returns {id: record} of several jobs as they count.
 
-        The results are as new as this call: all of them share one look at the cancellations. Raises
-        UnavailableError or UnknownOutcomeError.
+        `found`: {id: record}, read after `read_since` returned `since`. The results are as new as this call:
+        all of them share one look at the cancellations, what is read of ancestors, and the records
+        themselves, which may be ancestors of one another. Raises UnavailableError or UnknownOutcomeError.
         """
-        if any(map(self._dependencies_of, records)):
+        waiting = {name: record for name, record in found.items() if self._dependencies_of(record)}
+        if not waiting:
+            return found
+        await self.history.refresh()
+        progress = WalkProgress()
+        self._keep(found, since, progress)
+        derived = {name: (await self._walk(record, progress))[0] for name, record in waiting.items()}
+        return {**found, **derived}
+
+    async def read_since(self):
+        """Returns the revision from which on cancellations are known, before records are read.
+
+        Raises UnavailableError or UnknownOutcomeError.
+        """
+        if not self.history.has_begun:
             await self.history.refresh()
-        return [
-            (await self._walk(record))[0] if self._dependencies_of(record) else record for record in records
-        ]
+        return self.history.through
 
     async def refresh(self):
         """Takes in all cancellations up to some moment after this call.
@@ -108,10 +121,9 @@
             return self._cancelled_record(record), []
         return None if unknown else self._waiting_record(record, names)
 
-    async def _walk(self, record):
+    async def _walk(self, record, progress):
         """Does the work of `derive` after the history was refreshed."""
         names = self._dependencies_of(record)
-        progress = WalkProgress()
         for _ in range(MAX_WALK_ROUNDS):
             unknown = self._unverified(names)
             while unknown:
@@ -219,4 +231,4 @@
             if (facts := self._cache.get(name)) is not None and facts.is_daemon:
                 return f"upstream: {name} is a service", False
         submitted = {"s": "open", "spec": {"upstream": spec.upstream, "legs": spec.tasks}, "done": []}
-        return None, (await self._walk(submitted))[0]["s"] == "cancelled"
+        return None, (await self._walk(submitted, WalkProgress()))[0]["s"] == "cancelled"
--- a/roadhead/pipelines/cancellation_history.py
+++ b/roadhead/pipelines/cancellation_history.py
@@ -34,6 +34,11 @@
         self._waiting = []  # Futures of callers that the next request answers
         self._is_reading = False
 
+    @property
+    def has_begun(self):
+        """Whether any revision is known yet."""
+        return self.through >= 0
+
     def is_cancelled(self, job_id):
         """Whether the job is known to be cancelled."""
         return job_id in self._revisions
@@ -76,7 +81,7 @@
             self._is_reading = False
 
     async def _read_changes(self):
-        if self.through < 0:
+        if not self.has_begun:
             await self._begin()
             return
         try:
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -494,6 +494,42 @@
     assert [call.submit(number) for number in (0, REFUSED_GATEWAY)] == [200, 200]
 
 
+CONDITIONS = {
+    "the state service refuses a gateway": lambda call: call.refuse(),
+    "the state service is slow": lambda call: call.world.do(["slow-state", "0.8", "1e9"]),
+    "a gateway is cut off from the state service": lambda call: call.world.network.cut(
+        f"10.3.0.{REFUSED_GATEWAY + 1}", "10.2.0.1", "hold"
+    ),
+    "a controller ends after each change": lambda call: None,
+}
+
+
+@pytest.mark.parametrize("condition", CONDITIONS)
+def test_the_repeat_of_a_job_is_never_refused_whatever_changes(condition):
+    """After each change of its tenant; 503 is allowed for a while, but no answer that users take as final."""
+    call = TwoGateways("crew", "letters")
+    assert call.submit(0) == 201
+    CONDITIONS[condition](call)
+    changes = [
+        lambda: call.set_teams("crew", "letters", "post"),
+        lambda: call.set_teams("crew"),
+        lambda: call.set_teams("crew", "letters"),
+        lambda: call.set_teams("crew", "mail"),  # the team was renamed
+        lambda: call.administrate("suspend", {}),
+        lambda: call.administrate("resume"),
+    ]
+    for number, change in enumerate(changes):
+        change()
+        if "controller" in condition:
+            call.world.crash(number % 3)
+        for gateway in (0, REFUSED_GATEWAY):
+            answers = []
+            while not answers or (answers[-1] == 503 and len(answers) < 30):
+                answers.append(call.submit(gateway))
+                call.wait(1)
+            assert answers[-1] == 200 and set(answers) <= {200, 503}, (number, gateway, answers)
+
+
 def test_a_gateway_that_lags_behind_accepts_a_job_of_a_new_team():
     call = TwoGateways("crew")
     call.refuse()
@@ -1043,6 +1079,13 @@
     key = pipeline_of(call, ancestors + 1)
     for _ in range(10):  # through both gateways, drawn at random
         listed_states(call, key)
+    requests = count_requests(call)
+    assert len(listed_states(call, key)) == ancestors + 1
+    assert len(requests) == 2 + further, requests
+
+
+def count_requests(call):
+    """Returns a list to which the targets of the gateways' requests to the state service will be added."""
     requests = []
     for gateway in call.tenancy.gateways.values():
 
@@ -1052,8 +1095,26 @@
             return real(method, target, body, timeout)
 
         gateway.state._send = counted
-    assert len(listed_states(call, key)) == ancestors + 1
-    assert len(requests) == 2 + further, requests
+    return requests
+
+
+READS_OF_A_CHAIN = 1 + 20  # ceil(jobs / 1,000), and a constant, as for a poll
+
+
+def test_a_gateway_that_knows_nothing_lists_a_pipeline_of_a_thousand_jobs():
+    """Each job of the page was walked by itself, so that the list was not answered within 5 s."""
+    call = GatewayClient("capacity 6")
+    key = pipeline_of(call, 1000)
+    requests = count_requests(call)
+    gateways = list(call.tenancy.gateways.items())
+    begin, page, look = 1, 1, 1
+    bounds = [("", begin + page + look), ("&after=j.j499", begin + page + look + READS_OF_A_CHAIN)]
+    for (number, gateway), (after, bound) in zip(gateways, bounds, strict=True):
+        call.tenancy.gateways = {number: gateway}
+        for most in (bound, page + look):
+            requests.clear()
+            assert len(listed_states(call, key, f"?limit=500{after}")) == 500
+            assert len(requests) <= most
 
 
 async def _cbor(call, path, body, key):
