Owners and shard leaders compare attempts once a lease, and repair lasting differences

What one controller decides and another must do was told by one frame, and compared only with a new link or term: a pass that failed half-way, or a lost frame, left tasks bound for ever.

Change: once in a lease each owner sends each shard leader one frame with a digest of its attempts by shard; a leader that differs sends its attempts of that shard. What two comparisons in a row find the same is claimed by the ReconcileRequest that a new link sends, or stopped again: nothing is freed or started by the comparison, and no fencing rule changes. Requests that a leader lacks are sent again, that nothing waits is told again, and grants that lapsed a lease ago are dropped. The frames go out behind the format gate. Each repair is counted and logged.

--- a/roadhead/dispatch/demand_broadcast.py
+++ b/roadhead/dispatch/demand_broadcast.py
@@ -48,6 +48,12 @@
             self._announced = None
             self._request_pass()
 
+    def repeat_empty(self):
+        """Sends again that nothing waits: `refresh` sends only what does."""
+        if self._announced == {}:
+            self._announced = None
+            self._request_pass()
+
     def skip_interval(self):
         """Has the demand sent with the next pass: a controller joined or its link came up."""
         self._announced = None
--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -5,6 +5,8 @@
 `send(leader, frame)`.
 """
 
+import logging
+
 from roadhead.dispatch.demand_broadcast import DemandBroadcaster
 from roadhead.dispatch.gangs import GangReservations, place_gang
 from roadhead.dispatch.job_queue import JobQueue
@@ -12,6 +14,8 @@
 from roadhead.machines.placement_rules import may_use, zone_room
 from roadhead.wire import frames
 
+log = logging.getLogger("roadhead.dispatch")
+
 MAX_ROUNDS = 16  # further rounds of a placing pass where teams share by guarantee and weight
 
 
@@ -147,6 +151,17 @@
             self._demand_broadcaster.invalidate()
             self.schedule_placement()
 
+    def drop_lapsed_grants(self):
+        """Drops grants that lapsed a lease ago: their shard leaders have surely taken them back."""
+        lapsed = [
+            name for name, listing in self.idle.items() if listing.until + self._window_s < self._loop.now()
+        ]
+        for name in lapsed:
+            del self.idle[name]
+        if lapsed:
+            self._count("grants_repaired", len(lapsed))
+            log.warning("repair: %d grants had lapsed and were not taken back", len(lapsed))
+
     def on_refused(self, frame):
         """A shard leader refused a start: the listing is out of date, so the grant is returned."""
         listing = self.idle.pop(frame.machine, None)
@@ -175,6 +190,10 @@
         """Sends the demand again, in case the copies of the leaders and the renter are out of date."""
         self._demand_broadcaster.refresh()
 
+    def repeat_empty_demand(self):
+        """Sends again that nothing waits here, in case some controller has not heard it."""
+        self._demand_broadcaster.repeat_empty()
+
     def rebroadcast_demand(self):
         """Sends the demand again at once: a controller joined or its link came up."""
         self._demand_broadcaster.skip_interval()
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -25,7 +25,7 @@
 class Binding:
     """An attempt of a task that is, or may be, on a machine."""
 
-    __slots__ = ("attempt", "bound_at", "held", "machine", "status", "zone")
+    __slots__ = ("attempt", "bound_at", "held", "machine", "status", "stop_grace_s", "zone")
 
     def __init__(self, machine, zone, attempt, status, bound_at):
         self.bound_at = bound_at  # when it was bound here, on the loop's clock
@@ -34,6 +34,7 @@
         self.attempt = attempt
         self.status = status
         self.held = False  # whether it is counted in its team's account
+        self.stop_grace_s = None  # once it is to stop: its time to save
 
 
 class Job:
--- a/roadhead/jobs/job_store.py
+++ b/roadhead/jobs/job_store.py
@@ -536,12 +536,16 @@
         for job in account.jobs if account is not None else ():
             for index, binding in job.bound.items():
                 if binding.held and job.state == "open":
-                    self.stop(job, index, binding)
+                    self.stop(job, index, binding, job.spec.save_s)
 
-    def stop(self, job, index, binding):
-        """Stops a task, with time to save its state. It waits again once it is surely gone."""
+    def stop(self, job, index, binding, grace_s):
+        """Stops a task, with `grace_s` seconds to save its state.
+
+        If its job is open and it is not done, it waits again once it is surely gone.
+        """
+        binding.stop_grace_s = grace_s
         self.send_to_leader(
-            binding, frames.StopTask(binding.machine, job.id, index, binding.attempt, job.spec.save_s)
+            binding, frames.StopTask(binding.machine, job.id, index, binding.attempt, grace_s)
         )
 
     def unbind(self, job, index):
@@ -576,7 +580,7 @@
         """
         for index, binding in job.bound.items():
             if binding.status not in ("exited", "saving"):
-                self.stop(job, index, binding)
+                self.stop(job, index, binding, job.spec.save_s)
 
     def send_to_leader(self, binding, frame):
         """Sends a frame to the leader of the machine on which an attempt is bound."""
@@ -628,9 +632,7 @@
         for index, _binding in ended:
             del job.bound[index]
         for index, binding in list(job.bound.items()):
-            self.send_to_leader(
-                binding, frames.StopTask(binding.machine, job_id, index, binding.attempt, 0.0)
-            )
+            self.stop(job, index, binding, 0.0)
         self._release_cancelled(job)
 
     def _ask_for_tasks(self, job):
--- a/roadhead/jobs/reconciliation.py
+++ b/roadhead/jobs/reconciliation.py
@@ -117,6 +117,38 @@
             label, frames.ReconcileRequest(term.number, self._last_number, [job.id for job in jobs], claims)
         )
 
+    def claim(self, label, attempts):
+        """Claims attempts, (machine, job, index, attempt), at a shard leader.
+
+        It answers what it knows of each; for no job it is waited for all that the leader knows.
+        """
+        self._last_number += 1
+        self._requests[self._last_number] = Request(label, [])
+        self._send(label, frames.ReconcileRequest(self._member.term.number, self._last_number, [], attempts))
+
+    def unanswered_requests(self):
+        """Returns {leader: [number]} of the requests that were not answered yet."""
+        numbers = {}
+        for number, request in self._requests.items():
+            numbers.setdefault(request.label, []).append(number)
+        return numbers
+
+    def ask_again(self, label, numbers):
+        """Repeats requests that a shard leader does not know of, if they are still unanswered.
+
+        Returns how many those are.
+        """
+        lost = [number for number in numbers if number in self._requests]
+        full = self._full_requests.get(label) in lost
+        jobs = {}
+        for number in lost:
+            jobs.update(dict.fromkeys(self._requests.pop(number).jobs))
+        if full:
+            self.ask(label)
+        elif lost:
+            self.ask(label, [job for job in jobs if self._jobs.get(job.id) is job])
+        return len(lost)
+
     def on_synced(self, label, frame):
         """Handles a shard leader's answer: it has reported all that it knows of the jobs of a request."""
         request = self._requests.pop(frame.number, None)
--- a/roadhead/jobs/task_reports.py
+++ b/roadhead/jobs/task_reports.py
@@ -182,9 +182,7 @@
         if binding is None and index in job.unstarted:
             job.unstarted.remove(index)
         if binding is not None and binding.status != "exited":
-            self._store.send_to_leader(
-                binding, frames.StopTask(binding.machine, job.id, index, binding.attempt, 0.0)
-            )
+            self._store.stop(job, index, binding, 0.0)
         if job.complete():
             job.state, job.ended_at = "done", self._context.time_of_day()
             self._store.recorder.schedule_write(job, URGENT)
--- a/roadhead/local/fault_injector.py
+++ b/roadhead/local/fault_injector.py
@@ -7,6 +7,7 @@
 from roadhead.local.sim import HostLoop
 from roadhead.membership.member import TERM
 from roadhead.runtime.loop import Timeout
+from roadhead.wire.frames import KINDS
 from roadhead.wire.http import HttpClient, NoResponseError
 
 CANCELLED_WITHIN_S = 0.2  # cancellations of `cancel-now` are spread over this time
@@ -35,8 +36,10 @@
         self._loop = HostLoop(world.sim)
         self._net = world.network.host("10.8.0.1", self._loop)
         self._kept_reports = []
+        self._lost_kinds = frozenset()  # names of the kinds of frames that `lose-frames` drops; empty for all
         self.odd_requests = []
         self.verbs = {
+            "lose-frames": self.lose_frames,
             "lose-writes": self._window_verb("lost_writes"),
             "late-reports": self.late_reports,
             "slow-reports": self._window_verb("slow_reports"),
@@ -60,6 +63,32 @@
         """Returns a verb that opens a fault window."""
         return lambda share, seconds: self._open_window(name, share, seconds)
 
+    # Frames between controllers
+
+    def lose_frames(self, share, seconds, *kinds):
+        """Drops a share of the frames that controllers send one another, of these kinds or of all.
+
+        Their links stay up, so nobody notices. Heartbeats are not dropped.
+        """
+        unknown = set(kinds) - {frame.__name__ for frame in KINDS.values()}
+        if unknown:
+            raise ValueError(f"unknown kinds of frames {sorted(unknown)}")
+        self._lost_kinds = frozenset(kinds)
+        self._open_window("lost_frames", share, seconds)
+
+    def lossy(self, send):
+        """Returns the `send` of a controller, with frames dropped while a scenario says so."""
+
+        def send_or_drop(label, frame):
+            if self._is_lossy_kind(frame) and self._world.fault_windows.lost_frames.strikes(self._sim):
+                return True
+            return send(label, frame)
+
+        return send_or_drop
+
+    def _is_lossy_kind(self, frame):
+        return not self._lost_kinds or type(frame).__name__ in self._lost_kinds
+
     # Copies of reports
 
     def late_reports(self, share, seconds, whom=None):
--- a/roadhead/local/fault_windows.py
+++ b/roadhead/local/fault_windows.py
@@ -32,6 +32,8 @@
     lost_writes: FaultWindow = field(default_factory=FaultWindow)
     # Reports of which a copy arrives late.
     late_reports: FaultWindow = field(default_factory=FaultWindow)
+    # Frames between controllers that are lost on links that stay up.
+    lost_frames: FaultWindow = field(default_factory=FaultWindow)
     slow_reports: FaultWindow = field(default_factory=FaultWindow)
     # Answers to reports that arrive late, but in time for their workers to carry them out.
     slow_answers: FaultWindow = field(default_factory=FaultWindow)
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -23,6 +23,7 @@
 
 EPOCH_S = 1e9  # Unix time at which a simulation begins
 MAX_EXPLANATIONS = 3
+REPAIRS = ("attempts_repaired", "requests_repaired", "grants_repaired")  # counters of anti-entropy
 
 
 class Failures(logging.Handler):
@@ -193,6 +194,7 @@
             time_of_day=lambda: EPOCH_S + self.sim.time,
             hosted=self.tenancy.tenant_admission(loop) if self.tenancy is not None else None,
         )
+        node.peers.send = self.injector.lossy(node.peers.send)
         self.nodes[number] = node
         if hasattr(node, "decisions"):  # an older version may have no decision log
             self._decisions.append((node.label, node.decisions))
@@ -323,4 +325,10 @@
         faults = [*self.violations, *self.failures.texts[:3]]
         if self.counter("duties_failed"):
             faults.append("a periodic duty failed (counter duties_failed)")
+        if not self.fault_windows.lost_frames.struck:
+            faults += [
+                f"{count} repairs though no frame was lost (counter {name})"
+                for name in REPAIRS
+                if (count := self.counter(name))
+            ]
         return faults + expectations.unmet_expectations(self)
--- a/roadhead/machines/owner_notifier.py
+++ b/roadhead/machines/owner_notifier.py
@@ -20,7 +20,8 @@
         if owner is not None and self._member.term.serves(*owner):
             self._send(owner[0], frame)
 
-    def _owner_of(self, task):
+    def owner_of(self, task):
+        """Returns the owner of a task, (label, incarnation), or None if it is not known."""
         return task.owner or self._registry.owners.get(task.job)
 
     def attempt_gone(self, machine, task, cause):
@@ -40,7 +41,7 @@
         if task.status not in (EXITED, LAUNCHING) and not cancelled:
             self._count("tasks_lost")
         if not task.forget or cancelled:
-            self.notify(self._owner_of(task), frames.AttemptGone(machine.id, *task.key, cause))
+            self.notify(self.owner_of(task), frames.AttemptGone(machine.id, *task.key, cause))
 
     def send_existing(self, owner, jobs):
         """Sends `owner` the tasks of these jobs that another owner was told of.
@@ -53,7 +54,7 @@
             rows = [
                 (task.job, task.index, task.attempt, task.status, task.cause or "")
                 for task in tasks
-                if self._owner_of(task) != owner and not task.forget
+                if self.owner_of(task) != owner and not task.forget
             ]
             if rows:
                 self.notify(owner, frames.TaskStates(machine.id, machine.zone, rows))
@@ -70,7 +71,7 @@
             if (not again and (state == task.sent_state or task.status == LAUNCHING)) or task.forget:
                 continue
             task.sent_state = state
-            owner = self._owner_of(task)
+            owner = self.owner_of(task)
             if owner is not None and self._member.term.serves(*owner):
                 rows.setdefault(owner[0], []).append(
                     (task.job, task.index, task.attempt, task.status, task.cause or "")
--- a/roadhead/machines/shard_leader.py
+++ b/roadhead/machines/shard_leader.py
@@ -61,9 +61,9 @@
         lag_s = deployment.cloud.list_lag_s
         self.registry = registry = MachineRegistry(member, workers.lease_s, workers.cancel_s, lag_s)
         self.machines = registry.machines
-        self._notifier = OwnerNotifier(member, registry, send, counters, decisions)
+        self.notifier = OwnerNotifier(member, registry, send, counters, decisions)
         self.reconciliation = ShardReconciliation(
-            loop, member, registry, self._notifier, workers.lease_s, workers.cancel_s, lag_s, decisions
+            loop, member, registry, self.notifier, workers.lease_s, workers.cancel_s, lag_s, decisions
         )
         self.capacity_granter = CapacityGranter(
             loop, label, self.machines, grant_lifetime_s, random, send, counters
@@ -75,7 +75,7 @@
             loop,
             member,
             registry,
-            self._notifier,
+            self.notifier,
             self.reconciliation,
             self.capacity_granter,
             self.failure_history,
@@ -86,7 +86,7 @@
         self.task_commands = TaskCommands(
             loop,
             registry,
-            self._notifier,
+            self.notifier,
             self.reconciliation,
             self.capacity_granter,
             grant_lifetime_s,
@@ -246,7 +246,7 @@
         self.registry.gone[machine.id] = now
         self.capacity_granter.revoke(machine)
         for task in list(machine.tasks.values()):
-            self._notifier.attempt_gone(machine, task, cause)
+            self.notifier.attempt_gone(machine, task, cause)
         self._remove_machine(machine)
         self.reconciliation.free_claims(machine.id, cause)
 
@@ -343,7 +343,7 @@
             self._count("leases_out")
             self.capacity_granter.revoke(machine)
             for task in list(machine.tasks.values()):
-                self._notifier.attempt_gone(machine, task, "lease ended")
+                self.notifier.attempt_gone(machine, task, "lease ended")
             reconciliation.free_claims(machine.id, "lease ended")
             machine.confirmed_token = 0
             reconciliation.mark_unheard(machine)
--- a/roadhead/machines/shard_reconciliation.py
+++ b/roadhead/machines/shard_reconciliation.py
@@ -245,6 +245,10 @@
             del fence.awaited_machines[name]
         return True
 
+    def is_shard_reconciled(self, shard):
+        """Whether all tasks of one of this leader's shards are known."""
+        return shard not in self._unverified or self._is_shard_reconciled(self._fences[shard])
+
     # Owners' claims on attempts on machines that were not heard yet
 
     def claim(self, name, key, owner):
@@ -320,6 +324,10 @@
         self._syncs.append(PendingSync(label, incarnation, frame.term, frame.number, frame.jobs))
         self.answer_syncs()
 
+    def pending_requests(self, owner):
+        """Returns the numbers of the requests of an owner, (label, incarnation), that wait for an answer."""
+        return {sync.number for sync in self._syncs if (sync.label, sync.incarnation) == owner}
+
     def answer_syncs(self):
         """Answers the pending syncs if all tasks here are known."""
         if not self._syncs or not self.is_reconciled():
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -7,6 +7,8 @@
 
 from roadhead.admission.feasibility import infeasibility
 from roadhead.admission.socket_budget import SocketBudget
+from roadhead.anti_entropy.leader_comparison import LeaderComparison
+from roadhead.anti_entropy.owner_comparison import OwnerComparison
 from roadhead.api.answers import Cause, RefusedError, refusal_events
 from roadhead.api.server import Api
 from roadhead.cloud.client import CloudClient
@@ -333,7 +335,10 @@
             self.fleet,
             self.failover,
             self._summary,
-            self.tenant_admission.handlers() if self.tenant_admission is not None else {},
+            {
+                **self._comparison_handlers(),
+                **(self.tenant_admission.handlers() if self.tenant_admission is not None else {}),
+            },
         )
         recorder = self.job_store.recorder
         duties = [
@@ -351,6 +356,19 @@
             duties += self.tenant_admission.begin(self)
         self._duties = [loop.spawn(self._run_forever(duty), duty.__name__) for duty in duties]
 
+    def _comparison_handlers(self):
+        """Begins anti-entropy for a new incarnation. Returns {frame class: handler}."""
+        owner = self.owner_comparison = OwnerComparison(self.member, self.job_store, self.send, self.counters)
+        leader = LeaderComparison(self.member, self.shard_leader, self.send)
+        return {
+            frames.AttemptDigests: leader.on_digests,
+            frames.PendingRequests: leader.on_pending_requests,
+            frames.ShardAttempts: lambda label, _incarnation, frame: owner.on_shard_attempts(label, frame),
+            frames.UnknownRequests: lambda label, _incarnation, frame: owner.on_unknown_requests(
+                label, frame
+            ),
+        }
+
     async def _run_forever(self, duty):
         """Runs a duty for ever, and restarts it after an exception: the service must not lose it."""
         while True:
--- a/roadhead/periodic_duties.py
+++ b/roadhead/periodic_duties.py
@@ -14,6 +14,7 @@
 # After its lease has lapsed, a member acts on a term for so long after the others showed it to be in force.
 TERM_VALID_HEARTBEATS = SILENT_HEARTBEATS + 1.5
 UNCONFIRMED_HEARTBEATS = 12  # a workers' lease, in which a launch is reported or its machine is given up
+COMPARISON_HEARTBEATS = 12  # a workers' lease
 MAX_MARKS_PER_RUN = 20  # stale cancellation marks deleted at a time
 MAX_SAMPLE = 3  # workers probed by a relieved controller
 
@@ -38,6 +39,7 @@
             (6, self._restore_if_reachable),
             (2, self._send_demand),
             (5, self._send_summary),
+            (COMPARISON_HEARTBEATS, self._compare),
             (30, self._scan_as_quota_leader),
             (10, self._log_status),
         )
@@ -153,6 +155,14 @@
         node.dispatcher.refresh()
         self._send_to_members(frames.MachineCounts(node.shard_leader.machine_counts()))
 
+    def _compare(self):
+        """Finds what a frame that was lost left different here and at another controller."""
+        node = self._node
+        node.dispatcher.drop_lapsed_grants()
+        node.dispatcher.repeat_empty_demand()
+        if node.member.format_gate.is_open:
+            node.owner_comparison.compare()
+
     def _send_summary(self):
         self._send_to_members(self._node.summary_part())
 
--- a/roadhead/telemetry.py
+++ b/roadhead/telemetry.py
@@ -86,6 +86,9 @@
     "records_too_large": "records set aside, as the state service takes none so large",
     "duties_failed": "duties that failed (see the log)",
     "callbacks_failed": "callbacks and routines that ended by an error (see the log)",
+    "attempts_repaired": "attempts on which an owner and a shard leader disagreed (see the log)",
+    "requests_repaired": "requests to shard leaders that were lost and sent again (see the log)",
+    "grants_repaired": "grants that had lapsed and were not taken back (see the log)",
     "starts_unsent": "starts of tasks not sent, as the link to the shard leader had ended",
 }
 
--- a/roadhead/tenants/preemption.py
+++ b/roadhead/tenants/preemption.py
@@ -228,4 +228,4 @@
         self._count("tasks_preempted")
         key = (job.id, index, binding.attempt)
         self._stopping[key] = self._loop.now() + self._settle_s + job.spec.save_s
-        self._job_store.stop(job, index, binding)
+        self._job_store.stop(job, index, binding, job.spec.save_s)
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -448,6 +448,42 @@
     fields = ("lowered",)
 
 
+class AttemptDigests(Frame):
+    """Digests of the attempts that the sender, an owner, has bound in each of the receiver's shards.
+
+    Shards without any are left out. Sent only once all controllers support it (the format gate is open), as
+    are the three frames below.
+    """
+
+    kind, layout = 28, "qR"
+    fields = ("term", "rows")
+    row = "qq"  # shard digest
+
+
+class ShardAttempts(Frame):
+    """The attempts that a shard leader knows of the receiver's in a shard whose digest differs."""
+
+    kind, layout = 29, "qqR"
+    fields = ("term", "shard", "rows")
+    row = "ssqqs"  # machine job index attempt state
+
+
+class PendingRequests(Frame):
+    """Numbers of the sender's ReconcileRequests that the receiver has not answered yet."""
+
+    kind, layout = 30, "qR"
+    fields = ("term", "rows")
+    row = "q"  # number
+
+
+class UnknownRequests(Frame):
+    """Those of the receiver's PendingRequests that the sender is not about to answer."""
+
+    kind, layout = 31, "qR"
+    fields = ("term", "rows")
+    row = "q"  # number
+
+
 KINDS = {cls.kind: cls for cls in Frame.__subclasses__()}
 
 
