Tasks on a machine and commands in a message are bounded by what 64 KiB hold

Cause: nothing but CPUs, GPUs and memory bounded the tasks on a machine, and nothing the commands in a message. 1,600 launches made a message of 90 KB, which workers refuse or drop: nothing was carried out and no lease renewed, again and again.

Commands are split into messages, ends first. Refused ones are counted and logged. The simulator's workers refuse what is too large, as real ones do.

--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -10,7 +10,7 @@
 from roadhead.dispatch.demand_broadcast import DemandBroadcaster
 from roadhead.dispatch.gangs import GangReservations, place_gang
 from roadhead.dispatch.job_queue import JobQueue
-from roadhead.machines.machine import fits, fitting_count
+from roadhead.machines.machine import fits, fitting_count, tasks_per_machine
 from roadhead.machines.placement_rules import may_use, zone_room
 from roadhead.wire import frames
 
@@ -24,7 +24,7 @@
 
     `free`: the free (cpus, gpus, memory); `serial`: the grant's number; `until`: when the grant lapses;
     `taken`: how many starts the leader has subtracted from the room it last reported; `unacked`: needs of the
-    starts sent since, which are subtracted here.
+    starts sent since, which are subtracted here; `slots`: how many further tasks its report has room for.
     """
 
     __slots__ = (
@@ -33,6 +33,7 @@
         "images",
         "leader",
         "serial",
+        "slots",
         "spot",
         "taken",
         "type",
@@ -52,6 +53,7 @@
         self.taken = 0
         self.unacked = []
         self.free = (0.0, 0.0, 0.0)
+        self.slots = 0
         self.until = until
 
     def update(self, frame, until):
@@ -61,13 +63,23 @@
         self.until = until
         self.images = set(frame.images)
         self.free = (frame.cpus, frame.gpus, frame.memory)
+        self.slots = frame.slots
         for need in self.unacked:
             self._use(need)
 
     def _use(self, need):
         """Subtracts a task's need from the room."""
+        self.slots -= 1
         self.free = tuple(free - part for free, part in zip(self.free, need, strict=True))
 
+    def fits(self, need):
+        """Whether the machine has room for a task of that need."""
+        return self.slots > 0 and fits(need, self.free)
+
+    def room_for(self, need):
+        """Returns how many tasks of that need the machine has room for."""
+        return tasks_per_machine(need, self.free, self.slots)
+
     def take(self, need):
         """Records a start that the shard leader has yet to confirm."""
         self.unacked.append(need)
@@ -248,7 +260,8 @@
         self._open_listings = [
             listing
             for listing in self.idle.values()
-            if listing.free[0] >= cpus - 1e-6
+            if listing.slots > 0
+            and listing.free[0] >= cpus - 1e-6
             and listing.free[2] >= memory - 1e-6
             and listing.until > now
             and listing.id not in reserved
@@ -304,9 +317,7 @@
         """Returns the open listings that have room for a task of the job and that it may use."""
         need = job.resources
         return [
-            listing
-            for listing in self._open_listings
-            if fits(need, listing.free) and self._allowed(job, listing)
+            listing for listing in self._open_listings if listing.fits(need) and self._allowed(job, listing)
         ]
 
     def _start_gang(self, job, starts):
@@ -364,7 +375,7 @@
             fitting[index] = fitting[-1]
             fitting.pop()
             tasks = None
-            while job.unstarted and fits(need, listing.free) and (unshared or job.round_allowance > 0):
+            while job.unstarted and listing.fits(need) and (unshared or job.round_allowance > 0):
                 if has_zone_rule and not zone_room(job, listing.zone):
                     break
                 if job.suspected_faulty and job.startable() <= 0:
@@ -400,7 +411,7 @@
             jobs = starts.get(listing.id)
             if listing.id in open_ids:
                 is_useless = not any(
-                    fits(job.resources, listing.free) and self._allowed(job, listing) for job in left.values()
+                    listing.fits(job.resources) and self._allowed(job, listing) for job in left.values()
                 )
             else:
                 is_useless = listing.until > now and listing.id not in self._gang_reservations.reserved
--- a/roadhead/dispatch/gangs.py
+++ b/roadhead/dispatch/gangs.py
@@ -7,7 +7,6 @@
 deadlock by each holding half of what they need.
 """
 
-from roadhead.machines.machine import fitting_count
 from roadhead.machines.placement_rules import max_tasks_per_zone
 
 MAX_RESERVE_WINDOWS = 2.5  # the longest reservation, as for large tasks (machines/capacity_grants.py)
@@ -29,7 +28,7 @@
         for listing in drawn:
             if zone is not None and listing.zone != zone:
                 continue
-            count = min(left, fitting_count(job.resources, listing.free))
+            count = min(left, listing.room_for(job.resources))
             if job.spec.spread:
                 count = min(count, max_tasks_per_zone(job.spec) - per_zone.get(listing.zone, 0))
             if count > 0:
--- a/roadhead/fleet/provisioning.py
+++ b/roadhead/fleet/provisioning.py
@@ -1,7 +1,7 @@
 """Decides how many machines of which kind to rent: pure functions, no I/O."""
 
 from roadhead.fleet.quota_limits import QuotaMark
-from roadhead.machines.machine import fitting_count
+from roadhead.machines.machine import tasks_per_machine
 from roadhead.machines.placement_rules import may_use
 
 SUSPECTED_FAULTY_URGENCY = 4  # urgency of jobs that fail wherever they run; the protocol's own are below
@@ -78,7 +78,7 @@
         if not may_use(self, offer.kind.name, offer.zone, offer.spot):
             return 0
         kind = offer.kind
-        return fitting_count((self.cpus, self.gpus, self.memory), (kind.cpus, kind.gpus, kind.memory))
+        return tasks_per_machine((self.cpus, self.gpus, self.memory), (kind.cpus, kind.gpus, kind.memory))
 
 
 def plan_machines(requests, offers, machines, idle, busy, coming, refused, largest, patience, fresh=None):
--- a/roadhead/frame_router.py
+++ b/roadhead/frame_router.py
@@ -49,6 +49,7 @@
         self._handlers = {
             frames.Demand: on_demand,
             frames.Grant: lambda _label, _incarnation, frame: dispatcher.on_grant(frame),
+            frames.GrantWithSlots: lambda _label, _incarnation, frame: dispatcher.on_grant(frame),
             frames.ReturnGrant: lambda label, _incarnation, frame: shard_leader.capacity_granter.on_return(
                 label, frame
             ),
--- a/roadhead/gateway/job_list.py
+++ b/roadhead/gateway/job_list.py
@@ -1,5 +1,7 @@
 """Lists a tenant's jobs, read from the state service: first the open ones, then the archive."""
 
+import msgspec
+
 from roadhead.gateway.answers import UNCERTAIN, ProblemError
 from roadhead.gateway.types import Job, JobPage
 from roadhead.jobs.ancestor_records import ancestor_records
@@ -8,8 +10,11 @@
 from roadhead.pipelines.ancestry import Ancestry
 from roadhead.state.client import UnavailableError, UnknownOutcomeError
 from roadhead.tenants import ids
+from roadhead.wire.worker_limits import MAX_MESSAGE_BYTES
 
 DEFAULT_PAGE_SIZE, MAX_PAGE_SIZE = 100, 500
+# Of JSON in the rows of one page: "responses to [...] users" hold at most 64 KiB (PROTOCOL).
+MAX_ROWS_BYTES = MAX_MESSAGE_BYTES - 1024
 MAX_PAGES = 4  # read per request, as a filter may skip many records
 MAX_FINAL_STATES = 20_000  # final states of ancestors kept in memory
 STATES = ("open", *FINAL)
@@ -49,14 +54,16 @@
         limit = request.count("limit", DEFAULT_PAGE_SIZE, MAX_PAGE_SIZE)
         matches = _filter(request.query)
         prefix, after = _parse_cursor(number, request.query.get("after", ""))
-        found = []
+        found, left = [], MAX_ROWS_BYTES
         for _ in range(MAX_PAGES):
             rows, more = await self._read_page(number, prefix, after)
             for key, job in rows:
+                if job is not None and matches(job):
+                    left -= len(msgspec.json.encode(job)) + 1
+                    if left < 0:
+                        return JobPage(found, _next_cursor(prefix, after))
+                    found.append(job)
                 after = key
-                if job is None or not matches(job):
-                    continue
-                found.append(job)
                 if len(found) == limit:
                     return JobPage(found, _next_cursor(prefix, after))
             if not more:
--- a/roadhead/local/processes.py
+++ b/roadhead/local/processes.py
@@ -58,6 +58,7 @@
         self.network = self
         self.fetch_s, self.stuck_boots, self.no_rooms, self.killed = 0.05, 0, 0, 0
         self.given_back = 0
+        self.oversized = []
         self.fault_windows = FaultWindows()
         self.completed, self.gangs = set(), {}
 
--- a/roadhead/local/worker.py
+++ b/roadhead/local/worker.py
@@ -5,6 +5,8 @@
 `boss`, and a task `leg`.
 """
 
+import json
+
 import cbor2
 
 from roadhead.local.fault_windows import QUICK_BOOT_S, SLOW_ANSWER_S, SLOW_REPORT_S
@@ -12,8 +14,10 @@
 from roadhead.local.server import EmulatedServer
 from roadhead.runtime.loop import Future
 from roadhead.wire.http import HttpClient, NoResponseError
+from roadhead.wire.worker_limits import MAX_MESSAGE_BYTES
 
 REPORT_TIMEOUT_S = 4.0  # a worker ignores a response that takes longer, as the protocol requires
+MIN_BYTES_TO_COUNT = MAX_MESSAGE_BYTES // 4  # of CBOR; the JSON form of a shorter message is below the limit
 
 
 class TaskAttempt:
@@ -97,6 +101,7 @@
             client = clients.setdefault(front, HttpClient(self.loop, self.net, front, 1))
             sent_at, session = self.loop.now(), self.session
             body = cbor2.dumps(self.report())
+            self._is_too_large(body)
             if self.world.fault_windows.late_reports.strikes(self.sim):
                 self.loop.spawn(self._send_late_copy(front, body), "late copy")
             if self.world.fault_windows.reports_for_next.strikes(self.sim):
@@ -116,6 +121,8 @@
                 await self.loop.sleep(self.sim.random.uniform(*SLOW_ANSWER_S))
                 if self.loop.now() - sent_at > REPORT_TIMEOUT_S:
                     status, data = 0, b""
+            if status == 200 and self._is_too_large(data):
+                status = 0  # dropped: it renews nothing and is not carried out
             if status == 200:
                 answer = cbor2.loads(data)
                 if answer.get("brand", -1) >= self.token and session == self.session:
@@ -183,6 +190,8 @@
             await Future()
         if path == "/inspect":
             return 200, self.report()
+        if self._is_too_large(cbor2.dumps(body)):
+            return 413, {"error": "larger than 64 KiB"}
         if body["brand"] < self.token or body["stint"] != self.session:
             return 409, self.report()
         if body["brand"] > self.token:
@@ -191,6 +200,16 @@
         self.execute(body["orders"])
         return 200, self.report()
 
+    def _is_too_large(self, data):
+        """Whether a message, in CBOR, is larger than allowed in its JSON form, which is noted as a fault."""
+        if len(data) < MIN_BYTES_TO_COUNT:
+            return False
+        size = len(json.dumps(cbor2.loads(data), separators=(",", ":")))
+        if size <= MAX_MESSAGE_BYTES:
+            return False
+        self.world.oversized.append(f"a message of {size} bytes from or to {self.name}")
+        return True
+
     def execute(self, orders):
         """Carries out the commands of a controller."""
         for order in orders:
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -81,6 +81,7 @@
         self.gangs = {}  # (job id, attempt) -> Gang
         self.together = set()  # ids of gang jobs whose tasks all ran at the same time
         self.stuck_boots = 0  # how many of the next machines never finish booting
+        self.oversized = []  # messages from and to workers that are larger than allowed, as texts
         self.no_rooms = 0  # task starts on machines without room
         self.killed = 0  # tasks killed because their worker's lease expired
         self.given_back = 0  # tasks lost because their machine was released to the cloud
@@ -322,7 +323,7 @@
         """Returns the violations, the logged errors and the unmet expectations, as texts."""
         for requests in self.injector.odd_requests:
             requests.check()
-        faults = [*self.violations, *self.failures.texts[:3]]
+        faults = [*self.violations, *self.failures.texts[:3], *self.oversized[:3]]
         if self.counter("duties_failed"):
             faults.append("a periodic duty failed (counter duties_failed)")
         if not self.fault_windows.lost_frames.struck:
--- a/roadhead/machines/capacity_grants.py
+++ b/roadhead/machines/capacity_grants.py
@@ -34,6 +34,7 @@
         self.held = {}  # machine -> since when its capacity is held back for a larger task
         self.free_cpus = {}  # leader's label -> its free CPUs that are granted to nobody, as last told
         self._serial = 0
+        self.tells_slots = lambda: True  # whether all controllers know GrantWithSlots
 
     def can_grant(self, machine):
         """Whether the machine's free capacity may be granted."""
@@ -83,9 +84,10 @@
             return
         machine.grant.sent = state
         machine.grant.lapses_at = self._loop.now() + self._grant_lifetime_s
+        slots = [machine.free_slots()] if self.tells_slots() else []
         self._send(
             machine.grant.holder,
-            frames.Grant(
+            (frames.GrantWithSlots if slots else frames.Grant)(
                 machine.id,
                 machine.grant.serial,
                 machine.grant.taken,
@@ -96,6 +98,7 @@
                 *(max(0.0, part) for part in capacity),
                 list(machine.images),
                 self._grant_lifetime_s,
+                *slots,
             ),
         )
 
@@ -116,7 +119,7 @@
         if machine.grant.holder is not None or not self.can_grant(machine):
             return
         capacity = machine.free_capacity()
-        if capacity[0] <= 0 and capacity[2] <= 0:
+        if (capacity[0] <= 0 and capacity[2] <= 0) or not machine.free_slots():
             return
         now = self._loop.now()
         candidates, larger = self._candidates(machine, capacity, now)
@@ -196,6 +199,7 @@
             machine
             for machine in self._machines.values()
             if machine.grant.holder is None
+            and machine.free_slots()
             and fits(smallest, machine.free_capacity())
             and self.can_grant(machine)
         ]
@@ -237,7 +241,7 @@
         self._count("returns")
         machine.grant.holder = None
         demand = self.demand.get(label)
-        if demand is not None:
+        if demand is not None and machine.free_slots():
             capacity = machine.free_capacity()
             paused_until = self._loop.now() + DECLINE_PAUSE_WINDOWS * self.window_s
             machine.grant.decline(
--- a/roadhead/machines/controller_demand.py
+++ b/roadhead/machines/controller_demand.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from roadhead.machines.machine import fits, fitting_count
+from roadhead.machines.machine import fits, tasks_per_machine
 from roadhead.machines.placement_rules import may_use
 
 # Rows of one shape are merged only within a span of so many windows of the queue: those far behind must not
@@ -75,12 +75,13 @@
 
     def serve(self, machine, is_offered):
         """Takes the tasks that a granted machine can run off what waits, of rows with `is_offered(row)`."""
-        remaining = machine.free_capacity()
+        remaining, slots = machine.free_capacity(), machine.free_slots()
         for row in self.rows:
-            if row.count and row.fits(machine, remaining) and is_offered(row):
-                count = min(row.count, fitting_count(row.need, remaining))
+            if row.count and slots and row.fits(machine, remaining) and is_offered(row):
+                count = min(row.count, tasks_per_machine(row.need, remaining, slots))
                 row.count -= count
                 self.left -= count
+                slots -= count
                 remaining = tuple(part - count * need for part, need in zip(remaining, row.need, strict=True))
 
 
--- a/roadhead/machines/machine.py
+++ b/roadhead/machines/machine.py
@@ -6,6 +6,7 @@
 from roadhead.machines.machine_grant import MachineGrant
 from roadhead.machines.worker_lease import WorkerLease
 from roadhead.wire import messages
+from roadhead.wire.worker_limits import MAX_ORDERS_PER_MESSAGE, MAX_TASKS_PER_MACHINE
 
 LAUNCHING = "launching"
 MAX_FITTING = 1 << 30  # tasks that fit where none of their amounts is a limit
@@ -23,17 +24,19 @@
 
 
 class PendingCommands(NamedTuple):
-    """The commands that a worker has yet to carry out, in order, and the tasks that they are about.
+    """Commands that a worker has yet to carry out, in order, and the tasks that they are about.
 
-    `orders` are wire commands; `launches` and `forgets` the tasks that are launched or forgotten by them.
+    `orders` are wire commands, no more than one message holds; `launches` and `forgets` the tasks that are
+    launched or forgotten by them; `left` is the number of commands for the messages after this one.
     """
 
     orders: list
     launches: list
     forgets: list
+    left: int
 
 
-NO_COMMANDS = PendingCommands([], [], [])
+NO_COMMANDS = PendingCommands([], [], [], 0)
 
 
 class Task:
@@ -199,6 +202,10 @@
             self._free_capacity = capacity
         return capacity
 
+    def free_slots(self):
+        """How many further tasks its report has room for."""
+        return max(0, MAX_TASKS_PER_MACHINE - len(self.tasks))
+
     def set_type(self, kind):
         """Sets the machine's type once the cloud's types are known."""
         self.kind = kind
@@ -304,31 +311,57 @@
         return not self.active and all(task.forget or task.cause != "done" for task in self.tasks.values())
 
     def commands(self):
-        """The PendingCommands of all commands that the worker has yet to carry out.
+        """The PendingCommands to be sent now.
 
         A launch is repeated with the same attempt until a report shows it, and is never given up before. So
         a launch that arrives late can't start an attempt that is not known here. A forget waits until no
-        launch of the attempt can arrive any more.
+        launch of the attempt can arrive any more. Commands that end something come first, so that they never
+        wait for launches that the message has no room for.
         """
-        orders, launches, forgets = [], [], []
+        ends, launches = [], []  # [(task, its orders)]
         for task in list(self.pending_commands.values()):
-            wanted = False
             if task.status == LAUNCHING:
-                wanted = True
-                orders.append(messages.launch(*task.key))
-                launches.append(task)
-            if task.stop_grace is not None and task.status != EXITED:
-                wanted = True
-                if task.status != "saving" or not task.stop_grace:
-                    orders.append(messages.stop(*task.key, task.stop_grace))
-            elif task.forget:
-                wanted = True
-                if task.status == EXITED and not self.launches.may_arrive(task):
-                    orders.append(messages.forget(*task.key))
-                    forgets.append(task)
-            if not wanted:
+                launches.append((task, [messages.launch(*task.key), *self._stop_orders(task)]))
+            elif self._is_ending(task):
+                ends.append((task, self._stop_orders(task) or self._forget_orders(task)))
+            else:
                 del self.pending_commands[task.key]
-        return PendingCommands(orders, launches, forgets)
+        sent, left = _split_at_limit(ends + launches)
+        return PendingCommands(
+            [order for _task, orders in sent for order in orders],
+            [task for task, _orders in sent if task.status == LAUNCHING],
+            [task for task, orders in sent if orders and self._may_forget(task)],
+            left,
+        )
+
+    @staticmethod
+    def _is_ending(task):
+        """Whether a task that was launched is still to be stopped or forgotten."""
+        return task.forget or (task.stop_grace is not None and task.status != EXITED)
+
+    @staticmethod
+    def _stop_orders(task):
+        """The command that stops a task, unless it does not have to, or is saving in its time of grace."""
+        if task.stop_grace is None or task.status == EXITED or (task.status == "saving" and task.stop_grace):
+            return []
+        return [messages.stop(*task.key, task.stop_grace)]
+
+    def _may_forget(self, task):
+        return task.forget and task.status == EXITED and not self.launches.may_arrive(task)
+
+    def _forget_orders(self, task):
+        """The command that has an attempt forgotten, unless a launch of it may still arrive."""
+        return [messages.forget(*task.key)] if self._may_forget(task) else []
+
+
+def _split_at_limit(entries):
+    """Returns ([(task, orders)] that fit into one message, number of the orders that don't)."""
+    count = 0
+    for position, (_task, orders) in enumerate(entries):
+        if count + len(orders) > MAX_ORDERS_PER_MESSAGE:
+            return entries[:position], sum(len(later) for _task, later in entries[position:])
+        count += len(orders)
+    return entries, 0
 
 
 def fitting_count(required, available):
@@ -344,6 +377,16 @@
     return int(max(0.0, count))
 
 
+def tasks_per_machine(required, capacity, slots=MAX_TASKS_PER_MACHINE):
+    """How many tasks with `required` resources fit on a machine, by its free `capacity` and `slots`.
+
+    `slots` is how many further tasks its report has room for; by default those of an empty machine.
+    """
+    if not fits(required, capacity):
+        return 0
+    return min(max(1, fitting_count(required, capacity)), max(0, slots))
+
+
 def fits(required, available):
     """Whether a task with `required` (cpus, gpus, memory) fits in `available`."""
     return (
--- a/roadhead/machines/report_processor.py
+++ b/roadhead/machines/report_processor.py
@@ -141,13 +141,13 @@
             machine.lease.begin(now)
             machine.launches.on_token_seen(report.token)
             self._reconciliation.mark_heard(machine)
-        room_before = machine.free_capacity()
+        room_before = machine.free_capacity(), bool(machine.free_slots())
         self._take_tasks(machine, report.tasks, confirmed)
         if confirmed:
             self._resolve_claims(machine)
         if first:
             self._reconciliation.answer_syncs()
-        if machine.free_capacity() != room_before or first:
+        if (machine.free_capacity(), bool(machine.free_slots())) != room_before or first:
             machine.grant.declines.clear()
             self._capacity_granter.on_capacity_changed(machine)
         if machine.notice_at is not None and not machine.draining:
--- a/roadhead/machines/task_commands.py
+++ b/roadhead/machines/task_commands.py
@@ -70,6 +70,7 @@
             machine is None
             or not machine.grant.is_held(label, frame.serial)
             or not self._capacity_granter.can_grant(machine)
+            or not machine.free_slots()
             or not fits(requirements.resources, machine.free_capacity())
             or frame.job in self._registry.cancelled
             or (frame.job, index) in machine.attempts
--- a/roadhead/machines/worker_client.py
+++ b/roadhead/machines/worker_client.py
@@ -1,6 +1,8 @@
 """Direct requests to workers: one at a time per machine, over connections that are kept open."""
 
 import logging
+import math
+from typing import NamedTuple
 
 from roadhead.decision_log import Decision
 from roadhead.machines.machine import NO_COMMANDS, decision_subject
@@ -10,6 +12,13 @@
 log = logging.getLogger("roadhead.workers")
 
 
+class Exchange(NamedTuple):
+    """A direct request that was answered: the Report, and how many commands the message had no room for."""
+
+    report: messages.Report
+    left: int
+
+
 class WorkerClient:
     """Sends machines their commands directly, without waiting for their next report.
 
@@ -18,7 +27,7 @@
     `may_command()` tells whether this controller may command workers now.
     """
 
-    def __init__(self, loop, net, member, timeout_s, may_command, silent_s, sockets, decisions):
+    def __init__(self, loop, net, member, timeout_s, may_command, silent_s, sockets, decisions, counters):
         self._loop = loop
         self._net = net
         self._member = member
@@ -28,6 +37,7 @@
         self._silent_s = silent_s
         self._sockets = sockets
         self._decisions = decisions
+        self._count = counters.add
         self._clients = {}  # machine -> Client, least recently used first
         self._queues = {}, {}  # machines to be asked -> True, ordered sets: heard lately, silent
         self._in_flight = [0, 0]  # requests under way for each of the two queues
@@ -54,6 +64,7 @@
 
     async def _run_requests(self, machine, silent):
         leader = self.shard_leader
+        left = math.inf
         try:
             while True:
                 machine.request_again = False
@@ -63,12 +74,14 @@
                     # A job may have been cancelled without word reaching this controller, and a worker
                     # whose lease has ended would still accept a direct launch.
                     return
-                report = await self._send_once(machine)
-                if report is None:
+                exchange = await self._send_once(machine)
+                if exchange is None:
                     return
                 if leader.machines.get(machine.id) is machine and self._member.joined:
-                    leader.report_processor.observe(machine, report)
-                if not machine.request_again:
+                    leader.report_processor.observe(machine, exchange.report)
+                has_more_to_send = 0 < exchange.left < left
+                left = exchange.left
+                if not machine.request_again and not has_more_to_send:
                     return
         finally:
             machine.request_in_flight = False
@@ -86,7 +99,7 @@
         return client
 
     async def _send_once(self, machine):
-        """Sends the commands, twice if the session was wrong; returns the answered Report or None."""
+        """Sends one message of commands, twice if the session was wrong; returns the Exchange or None."""
         client = self._client(machine)
         # The session of a machine never heard is a guess. A wrong one is answered with a report (409)
         # that tells the right one.
@@ -114,6 +127,14 @@
                     Decision.AUTHORITY_LOST, decision_subject(machine), status=status, session=session
                 )
             if status not in (200, 409):
+                self._count("commands_refused", len(commands.orders))
+                log.warning(
+                    "machine %s answered %d commands of %d bytes with %d",
+                    machine.id,
+                    len(commands.orders),
+                    len(body),
+                    status,
+                )
                 return None
             try:
                 report = messages.decode_as(data, messages.Report)
@@ -122,7 +143,7 @@
                 log.error("machine %s answered a command with an invalid report: %s", machine.id, error)
                 return None
             if status == 200 or report.session == session:
-                return report
+                return Exchange(report, commands.left)
             if self.shard_leader.machines.get(machine.id) is not machine:
                 return None  # its shard has another leader meanwhile, which hears and commands it
             self.shard_leader.report_processor.observe(machine, report)
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -227,6 +227,7 @@
             silent_s=SILENT_REPORT_INTERVALS * workers.report_s,
             sockets=self._sockets,
             decisions=self.decisions,
+            counters=self.counters,
         )
         types = self.fleet.types if hasattr(self, "fleet") else {}
         self.shard_leader = ShardLeader(
@@ -307,6 +308,7 @@
             zones=deployment.zones,
         )
         self.shard_leader.capacity_granter.window_s = workers.lease_s
+        self.shard_leader.capacity_granter.tells_slots = lambda: self.member.format_gate.is_open
         self.dispatcher.queue.time_of_day = self._time_of_day
         self.fleet = Fleet(
             loop,
--- a/roadhead/wire/frames.py
+++ b/roadhead/wire/frames.py
@@ -220,6 +220,7 @@
     """
 
     kind, layout = 5, "sqqsss?dddTd"
+    slots = 64  # an older controller tells none: as many starts are sent before its next Grant
     fields = (
         "machine",
         "serial",
@@ -236,6 +237,16 @@
     )
 
 
+class GrantWithSlots(Frame):
+    """A Grant that also says how many further tasks the machine has room for in its report.
+
+    Sent in place of a Grant once all controllers support it (the format gate is open).
+    """
+
+    kind, layout = 32, Grant.layout + "q"
+    fields = (*Grant.fields, "slots")
+
+
 class ReturnGrant(Frame):
     """The holder of a grant gives it back; `length` is the number of machines still granted to it."""
 
--- a/tests/test_anti_entropy.py
+++ b/tests/test_anti_entropy.py
@@ -57,7 +57,7 @@
     "requests of successors": ("ReconcileRequest", "at 21 crash 0", ["requests_repaired"]),
     "answers to successors": ("ReconcileDone", "at 18 crash 0", ["requests_repaired"]),
     "demand": ("Demand", "at 20 submit count=2 legs=12", []),
-    "grants": ("Grant", "at 20 submit count=3 legs=12", []),
+    "grants": ("GrantWithSlots", "at 20 submit count=3 legs=12", []),
     "returned grants": ("ReturnGrant", "at 18 submit count=8 legs=7 runS=3", []),
     "revoked grants": (
         "RevokeGrant",
@@ -191,6 +191,14 @@
     assert any("attempts_repaired" in fault for fault in world.check())
 
 
+COMPARISON_FRAMES = (
+    frames.AttemptDigests,
+    frames.ShardAttempts,
+    frames.PendingRequests,
+    frames.UnknownRequests,
+)
+
+
 def test_a_comparison_is_one_frame_a_pair_while_nothing_differs():
     """At most one frame from each controller to each other one in the length of a lease."""
     world = World("""
@@ -204,7 +212,7 @@
     for node in world.nodes.values():
 
         def count(label, frame, node=node, send=node.peers.send):
-            if frame.kind >= frames.AttemptDigests.kind:
+            if type(frame) in COMPARISON_FRAMES:
                 key = type(frame).__name__, node.label, label
                 sent.setdefault(key, []).append(len(frame.encode()))
             return send(label, frame)
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -38,6 +38,10 @@
     def free_capacity():
         return 4.0, 0.0, 16.0
 
+    @staticmethod
+    def free_slots():
+        return 100
+
 
 class Leader:
     """A leader of free machines, and an owner that uses those of one zone only and returns all others."""
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -306,6 +306,7 @@
         silent_s=4.0,
         sockets=SocketBudget(200, lambda _name: None),
         decisions=DecisionLog(lambda: 0.0, counters or Counters()),
+        counters=counters or Counters(),
     )
     workers.shard_leader = leader
     workers._clients[machine.id] = client
