A submission without an image lacks a field

Submissions without kit, or with kit null, were accepted.

Gateways, whose interface leaves the image open, send an empty name, as an old controller takes it.

--- a/roadhead/api/submissions.py
+++ b/roadhead/api/submissions.py
@@ -52,7 +52,9 @@
             raise RefusedError(Cause.FORMAT_GATE, FORMAT_RETRY_S)
         self._readiness.check_state()
         fault, cancelled = await self._check_runnable(spec)
-        refused = Answer(422, messages.error(fault)) if fault else self._tenant_refusal(spec)
+        refused = self._incomplete(spec) or (
+            Answer(422, messages.error(fault)) if fault else self._tenant_refusal(spec)
+        )
         if refused is not None:
             # A retry of a job that was accepted earlier is answered with the job's state.
             return await self._states.read(spec.id) or refused
@@ -83,6 +85,16 @@
             return fault, False
         return await self._node.ancestry.check_submission(spec, self._node.visibility_check(spec))
 
+    def _incomplete(self, spec):
+        """Returns the Answer if the submission has no image, else None.
+
+        PROTOCOL says of other fields that they may be null, and 400 of one that is missing. Earlier versions
+        took such jobs, so what was accepted is looked for first. At gateways an image is not required.
+        """
+        if spec.image is not None or self._node.tenant_admission is not None:
+            return None
+        return Answer(400, messages.error("kit"))
+
     def _tenant_refusal(self, spec):
         """Returns the Answer if the job exceeds its tenant's limits, else None."""
         node = self._node
--- a/roadhead/gateway/types.py
+++ b/roadhead/gateway/types.py
@@ -56,7 +56,7 @@
             "vcpus": self.cpus,
             "gpus": self.gpus,
             "ramGb": self.memory_gb,
-            "kit": self.image,
+            "kit": self.image or "",
             "sizeGb": self.image_gb,
             "rigs": self.types,
             "paddock": self.zone,
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -1,6 +1,7 @@
 """Tenants: records, rates and fair sharing in isolation, then all of it through gateways and controllers."""
 
 import json
+import math
 import random
 
 import cbor2
@@ -1123,6 +1124,58 @@
     return await client.request("POST", path, cbor2.dumps(body), 5.0, [("Authorization", f"Bearer {key}")])
 
 
+SUBMISSION = {
+    "id": "a",
+    "team": "crew",
+    "class": "c",
+    "tasks": 2,
+    "cpus": 1.0,
+    "gpus": 0.0,
+    "memory_gb": 1.0,
+    "image": "img",
+    "image_gb": 1.0,
+    "same_zone": False,
+    "spread": False,
+    "spot": True,
+    "expected_s": 5.0,
+    "checkpoint_s": 0.0,
+    "save_s": 0.0,
+}
+AMOUNTS = ("cpus", "gpus", "memory_gb", "image_gb", "expected_s", "checkpoint_s", "save_s")
+WRONG_TYPES = {str: 1, bool: "yes", int: "2", float: "1"}
+
+
+def invalid_submissions():
+    """Yields (field, value) of each field in each form that no submission may have; `...` leaves it out."""
+    for name in ("id", "team", "class"):
+        yield name, ...
+    for name, value in SUBMISSION.items():
+        yield name, WRONG_TYPES[type(value)]
+        if name != "image":
+            yield name, None
+    for name in AMOUNTS:
+        for amount in (-1.0, math.nan, math.inf, -math.inf, 2.0**63, 10**400):
+            yield name, amount
+    for count in (0, -1, 100_001, 2**70, 1.5):
+        yield "tasks", count
+    yield from (("id", name) for name in ("", "A", "x" * 16, "a/b"))
+    yield from (("image", "x" * 201), ("nmae", "x"))
+
+
+def test_no_field_of_a_submission_may_have_an_invalid_form():
+    call = GatewayClient("capacity 2")
+    call.finish(call.tenancy.do("tenant", "kestrel", "team=crew"))
+    call.wait(2)
+    key = call.tenancy.keys["kestrel"]
+    for name, value in invalid_submissions():
+        body = {field: kept for field, kept in {**SUBMISSION, name: value}.items() if kept is not ...}
+        status, _data, _headers = call.finish(_cbor(call, "/v1/jobs", body, key))
+        assert status == 400, (name, value)
+    for name, value in (("image", None), ("image", ...), *((amount, 5e-324) for amount in AMOUNTS)):
+        body = {field: kept for field, kept in {**SUBMISSION, name: value}.items() if kept is not ...}
+        assert call.finish(_cbor(call, "/v1/jobs", body, key))[0] in (200, 201), (name, value)
+
+
 @pytest.mark.parametrize(
     ("method", "path", "body", "status"),
     [
