A machine is quarantined for a lease at most

Each quarantine of a machine on which faulty jobs fail was twice as long as the one before, up to 64 times the first, also if other jobs could run nowhere else.

--- a/roadhead/machines/failure_history.py
+++ b/roadhead/machines/failure_history.py
@@ -5,20 +5,22 @@
 log = logging.getLogger("roadhead.home")
 
 QUARANTINE_REPORTS = 2  # report intervals given to owners to find out whether the job fails elsewhere too
+MAX_DOUBLINGS = 16
 MIN_FAILING_JOBS = 4  # so many jobs failing on one machine, with no success between, are not all at fault
 
 
 class FailureHistory:
     """Counts failures by machine and job, and drains machines at fault.
 
-    `drain(machine)` takes a machine out of use; `report_s` is the workers' report interval.
+    `drain(machine)` takes a machine out of use; `workers` are their settings, with the report interval and
+    the lease in seconds.
     """
 
-    def __init__(self, loop, registry, capacity_granter, report_s, drain, counters):
+    def __init__(self, loop, registry, capacity_granter, workers, drain, counters):
         self._loop = loop
         self._registry = registry
         self._capacity_granter = capacity_granter
-        self._report_s = report_s
+        self._workers = workers
         self._drain = drain
         self._count = counters.add
         self._quarantined = {}  # quarantined machines -> True; an ordered set
@@ -43,13 +45,16 @@
             ):
                 # Grant nothing for a while: the job's owner sees other machines too, and may find the job
                 # at fault.
-                machine.quarantined_until = now + QUARANTINE_REPORTS * self._report_s * 2 ** min(
-                    machine.quarantine_count, 6
-                )
+                machine.quarantined_until = now + self._quarantine_s(machine)
                 machine.quarantine_count += 1
                 self._quarantined[machine] = True
                 self._capacity_granter.on_capacity_changed(machine)
 
+    def _quarantine_s(self, machine):
+        """How long the machine is quarantined now: other jobs that can run nowhere else wait meanwhile."""
+        first_s = QUARANTINE_REPORTS * self._workers.report_s
+        return min(self._workers.lease_s, first_s * 2 ** min(machine.quarantine_count, MAX_DOUBLINGS))
+
     def _failure_counts(self, machine, proven=False):
         """Failures of each job on the machine, without jobs known to fail everywhere.
 
@@ -72,7 +77,7 @@
         """Drains a quarantined machine if its failures are its own, else puts it back into use.
 
         They are its own after two failures in a row of jobs that succeed elsewhere, or when MIN_FAILING_JOBS
-        different jobs fail there. Each quarantine is twice as long as the last, up to 64 times the first.
+        different jobs fail there. Each quarantine is twice as long as the last, up to a lease.
         """
         if (
             sum(self._failure_counts(machine, True)) > 1
--- a/roadhead/machines/shard_leader.py
+++ b/roadhead/machines/shard_leader.py
@@ -69,7 +69,7 @@
             loop, label, self.machines, grant_lifetime_s, random, send, counters
         )
         self.failure_history = FailureHistory(
-            loop, registry, self.capacity_granter, workers.report_s, self._drain, counters
+            loop, registry, self.capacity_granter, workers, self._drain, counters
         )
         self.report_processor = ReportProcessor(
             loop,
