Long-lived routines run under a supervisor

An error that nobody expected ended a routine that has to go on for ever, for good: the member's renewal, watch, drop of absent members and amendments, the heartbeats, a gateway's watch. Duties of a node alone were started again.

Change: one Supervisor starts each of them again, with growing pauses, logs and counts the error, and after ten leases of failing has the process leave in good order and end with status 1. A member that is begun again joins anew.

--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -219,9 +219,23 @@
     hosted = load(path)
     set_up_logging("gateway")
     loop = Loop()
-    Gateway(loop, Net(loop), hosted).start()
+    process = Gateway(loop, Net(loop), hosted)
+    failed = _stop_if_hopeless(process, loop)
+    process.start()
     loop.run()
-    return 0
+    return 1 if failed else 0
+
+
+def _stop_if_hopeless(process, loop):
+    """Stops the loop once the process has given up. Returns a list that isn't empty from then on."""
+    failed = []
+
+    def stop():
+        failed.append(True)
+        loop.stop()
+
+    process.on_hopeless = stop
+    return failed
 
 
 def desk_of(loop, path):
@@ -247,13 +261,14 @@
     set_up_logging(settings.label)
     loop = Loop()
     node = Node(loop, Net(loop), settings, tuning, hosted=desk_of(loop, hosted))
+    failed = _stop_if_hopeless(node, loop)
     node.start()
     # The loop notices the callback at its next timer, at most one heartbeat later.
     signal.signal(signal.SIGTERM, lambda *_: loop.call_soon(node.leave, loop.stop))
     signal.signal(signal.SIGUSR1, lambda *_: loop.call_soon(node.decisions.dump, _to_standard_error))
     gc.freeze()
     loop.run()
-    return 0
+    return 1 if failed else 0
 
 
 def _to_standard_error(line):
--- a/roadhead/gateway/gateway.py
+++ b/roadhead/gateway/gateway.py
@@ -9,6 +9,7 @@
 from roadhead.gateway.controllers import Controllers
 from roadhead.gateway.tenants_api import TenantsApi
 from roadhead.gateway.watch import Watch
+from roadhead.runtime.supervisor import Supervisor
 from roadhead.state.client import StateClient
 from roadhead.tenants.keys import Secrets
 from roadhead.tenants.table import TenantTable
@@ -16,6 +17,8 @@
 
 log = logging.getLogger("roadhead.gateway")
 
+RESTART_S = 1.0  # after which a routine that ended by an error is started again
+GIVE_UP_FACTOR = 5  # times `stale_s`, for which a routine may keep failing before the process gives up
 REQUEST_TIMEOUT_S = 10.0  # how long a request may take to arrive completely
 
 
@@ -30,6 +33,15 @@
         self._net = net
         self._hosted = hosted
         self._streams = {"tenants": 0, "administration": 0}
+        self.on_hopeless = None  # called once a routine has kept failing
+        self._supervisor = Supervisor(
+            loop,
+            restart_s=RESTART_S,
+            max_restart_s=hosted.stale_s / 2,
+            give_up_s=GIVE_UP_FACTOR * hosted.stale_s,
+            on_failure=lambda: None,
+            on_hopeless=lambda _name: self.on_hopeless and self.on_hopeless(),
+        )
         self.table = TenantTable()
         secrets = Secrets(hosted.master)
         self.state = StateClient(loop, net, hosted.cluster.state, hosted.gateway_limits(), 1)
@@ -51,7 +63,7 @@
     def start(self):
         """Starts watching the tenants and listening on both addresses."""
         gateway = self._hosted.gateway
-        self._loop.spawn(self.watch.run(), "watch")
+        self._supervisor.spawn(self.watch.run, "watch")
         self._net.listen(gateway.tenants, self._accepting("tenants", self._serve_tenants))
         self._net.listen(
             gateway.administration, self._accepting("administration", self._serve_administration)
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -27,15 +27,17 @@
 class Member:
     """Keeps this controller a member and its knowledge of the term up to date.
 
-    `lease_s`: of the member's lease; `watch_s`: for how long one watch request waits. Callbacks:
-    `on_term(old, new)` for each adopted term, `on_lost()` when this incarnation was dropped,
-    `on_cancel(jobs)` for cancellations seen, `on_tenant(key, record, revision)` for tenants' records.
+    `supervisor` runs its routines; `lease_s`: of the member's lease; `watch_s`: for how long one watch
+    request waits. Callbacks: `on_term(old, new)` for each adopted term, `on_lost()` when this incarnation
+    was dropped, `on_cancel(jobs)` for cancellations seen, `on_tenant(key, record, revision)` for tenants'
+    records.
     """
 
     def __init__(
         self,
         loop,
         state,
+        supervisor,
         label,
         lease_s,
         watch_s,
@@ -49,6 +51,7 @@
     ):
         self._loop = loop
         self._state = state
+        self._supervisor = supervisor
         self.label = label
         self._lease_s = lease_s
         self._watch_s = watch_s
@@ -113,6 +116,8 @@
 
     async def run(self):
         """Joins, serves until dropped, and joins again as a new incarnation, until it leaves."""
+        if self.joined:
+            self._end_incarnation()  # this was begun again after an error
         while not self._leaving:
             try:
                 if not await self._join():
@@ -122,7 +127,7 @@
                 await self._loop.sleep(self._lease_s / 20)
                 continue
             duties = [
-                self._loop.spawn(duty(), duty.__name__)
+                self._supervisor.spawn(duty)
                 for duty in (self._renew, self._watch, self._drop_absent, self._amend_term)
             ]
             try:
--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+from functools import partial
 
 from roadhead.membership.cancellation_freshness import SILENT_HEARTBEATS
 from roadhead.runtime.loop import Cancelled, Timeout
@@ -61,11 +62,22 @@
     `links` has those of members by label, `non_member_links` those of controllers that are no members.
     `may_link()` tells whether this controller may have links now. Callbacks: `on_frame(label, incarnation,
     frame)`; `on_up(label)` for each new link, before its first heartbeat; `on_down(label)` when a member's
-    link ends.
+    link ends. `supervisor` runs the routines that dial and send heartbeats.
     """
 
     def __init__(
-        self, loop, net, settings, heartbeat_s, own_incarnation, may_link, heartbeat, on_frame, on_up, on_down
+        self,
+        loop,
+        net,
+        settings,
+        heartbeat_s,
+        supervisor,
+        own_incarnation,
+        may_link,
+        heartbeat,
+        on_frame,
+        on_up,
+        on_down,
     ):
         self._loop = loop
         self._net = net
@@ -73,6 +85,7 @@
         self._addresses = {member.label: member.endpoint for member in settings.members}
         self._listen_on = settings.internal_addr
         self._heartbeat_s = heartbeat_s
+        self._supervisor = supervisor
         # () -> this controller's incarnation, 0 while it is no member
         self._own_incarnation = own_incarnation
         self._may_link = may_link
@@ -89,8 +102,8 @@
         self._net.listen(self._listen_on, self._accept)
         for label in self._addresses:
             if self.label < label:
-                self._loop.spawn(self._dial(label), f"dial {label}")
-        self._loop.spawn(self._send_heartbeats(), "beats")
+                self._supervisor.spawn(partial(self._dial, label), f"dial {label}")
+        self._supervisor.spawn(self._send_heartbeats, "heartbeats")
 
     def _accept(self, stream):
         if self._accepted > 8 * (len(self._addresses) + 1):
--- a/roadhead/node.py
+++ b/roadhead/node.py
@@ -45,6 +45,7 @@
 from roadhead.pipelines.upstream_parts import UpstreamParts
 from roadhead.recovery.failover import JobFailover
 from roadhead.runtime.loop import Timeout
+from roadhead.runtime.supervisor import Supervisor
 from roadhead.shards.balancer import ShardBalancer
 from roadhead.state.client import StateClient, UnavailableError
 from roadhead.state.record_reader import RecordReader
@@ -59,6 +60,7 @@
 SUBMIT_TIMEOUT_S = 5.0  # how long users wait for the answer to a submission (PROTOCOL)
 POLL_ANSWER_PART = 0.85  # of the poll's timeout, after which the answer is that the state is unknown
 SUBMIT_ANSWER_PART = 0.9  # of the submission's timeout, after which the answer is that the outcome is unknown
+GIVE_UP_LEASES = 10  # of workers, for which a routine may keep failing before the process gives up
 JOBS_PER_FRAME = 500  # ids in one JobsCancelled frame
 MAX_CANCELLATIONS = 20_000  # cancellations passed on; with more, users can't cancel or confirm older ones
 
@@ -112,9 +114,19 @@
         self.cancellations = KnownCancellations(CANCELLATION_KEPT_FACTOR * workers.cancel_s)
         self._heartbeat_s = workers.lease_s / 12
         self._partition_count = tuning.membership.quota_partitions if hosted is None else hosted.partitions
+        self.on_hopeless = None  # called once this process has left after a routine kept failing
+        self._supervisor = Supervisor(
+            loop,
+            restart_s=self._heartbeat_s,
+            max_restart_s=workers.lease_s / 2,
+            give_up_s=GIVE_UP_LEASES * workers.lease_s,
+            on_failure=partial(self.counters.add, "duties_failed"),
+            on_hopeless=self._on_hopeless,
+        )
         self.member = Member(
             loop,
             self.state,
+            self._supervisor,
             self.label,
             lease_s=max(0.1, min(600.0, tuning.membership.lease_ratio * workers.lease_s)),
             watch_s=max_staleness_s(workers) / 4,
@@ -136,6 +148,7 @@
             net,
             settings,
             self._heartbeat_s,
+            self._supervisor,
             own_incarnation=lambda: self.member.incarnation,
             may_link=self._may_send_heartbeats,
             heartbeat=self._heartbeat,
@@ -356,7 +369,7 @@
             duties.append(QuotaBalancer(loop, self.member, self.job_store, workers.lease_s / 4).run)
         if self.tenant_admission is not None:
             duties += self.tenant_admission.begin(self)
-        self._duties = [loop.spawn(self._run_forever(duty), duty.__name__) for duty in duties]
+        self._duties = [self._supervisor.spawn(duty) for duty in duties]
 
     def _comparison_handlers(self):
         """Begins anti-entropy for a new incarnation. Returns {frame class: handler}."""
@@ -371,15 +384,10 @@
             ),
         }
 
-    async def _run_forever(self, duty):
-        """Runs a duty for ever, and restarts it after an exception: the service must not lose it."""
-        while True:
-            try:
-                await duty()
-            except Exception:
-                log.exception("duty %s failed", duty.__name__)
-                self.counters.add("duties_failed")
-            await self._loop.sleep(self._heartbeat_s)
+    def _on_hopeless(self, _name):
+        """Leaves in good order, so that the others take over what this process can't do."""
+        if self.on_hopeless is not None:
+            self.leave(self.on_hopeless)
 
     def _on_stall(self, seconds):
         """Handles a pause of the process, during which its lease may have ended and others taken over.
@@ -414,7 +422,7 @@
         self._loop.on_failure = partial(self.counters.add, "callbacks_failed")
         self._net.listen(self.settings.front, self.api.accept)
         self.peers.start()
-        self._loop.spawn(self.member.run(), "member")
+        self._supervisor.spawn(self.member.run, "member")
 
     def leave(self, done):
         """Shuts down gracefully: takes on no new work, hands over machines and jobs, then calls `done()`.
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -12,12 +12,25 @@
 from roadhead.membership.peers import Peers
 from roadhead.runtime.loop import Loop
 from roadhead.runtime.net import Closed, Net, Stream
+from roadhead.runtime.supervisor import Supervisor
 from roadhead.wire.frames import Heartbeat, RevokeGrant
 
 HEARTBEAT_S = 1.0
 FRAME = RevokeGrant("n-000020", 7)
 
 
+def supervisor_of(loop):
+    """Returns a Supervisor that counts and gives up nothing."""
+    return Supervisor(
+        loop,
+        restart_s=HEARTBEAT_S,
+        max_restart_s=HEARTBEAT_S,
+        give_up_s=1e9,
+        on_failure=lambda: None,
+        on_hopeless=None,
+    )
+
+
 class Controller:
     """The links of one of two controllers, and the calls back from them."""
 
@@ -36,6 +49,7 @@
             network.host(f"10.0.0.{number}", loop),
             settings,
             HEARTBEAT_S,
+            supervisor_of(loop),
             own_incarnation=lambda: number,
             may_link=lambda: True,
             heartbeat=lambda: Heartbeat(1, True, False, 0.0, 0.0),
