--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -98,6 +98,49 @@
     assert world.state.oversized == 0 and world.counter("duties_failed") == 0
 
 
+COMPARISON_FRAMES = ("AttemptDigests", "ShardAttempts", "PendingRequests", "UnknownRequests")
+GATED_FRAMES = {*COMPARISON_FRAMES, "GrantWithSlots"}
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_zone_rules_and_small_tasks_during_an_upgrade(seed):
+    """Rows of a demand have the old form; grants with slots and digests wait for the last old controller."""
+    work = "\n".join(
+        f"at {at} submit legs=6 vcpus=2 scatter=True runS=9\n"
+        f"at {at + 1} submit legs=4 vcpus=2 together=True runS=9\n"
+        f"at {at + 2} submit legs=300 vcpus=0.01 ramGb=0.01 runS=4"
+        for at in (1, 17, 32, 48)
+    )
+    world = UpgradeWorld(f"""{LIMITS}
+    seed {seed}
+    capacity 14
+    boot_s 3
+    {work}
+    at 15 upgrade 0
+    at 30 upgrade 1
+    at 45 upgrade 2
+    until 200
+    expect told done all
+    """)
+    too_early = []
+
+    def watch_frames():
+        for node in world.nodes.values():
+            peers = node.peers
+
+            def send(label, frame, real=peers.send):
+                if type(frame).__name__ in GATED_FRAMES and world.gate() == FIRST_FORMAT:
+                    too_early.append(frame)
+                return real(label, frame)
+
+            peers.send = send
+
+    for at in (16.0, 19.0, 31.0, 34.0):
+        world.sim.call_at(at, watch_frames)
+    world.run()
+    assert world.check() == [] and too_early == [] and world.gate() == 4
+
+
 @pytest.mark.parametrize("seed", [1, 2])
 def test_upgrades_and_downgrades_with_several_quota_partitions(seed):
     """Each version leads quota partitions that the other has created."""
