--- a/roadhead/admission/feasibility.py
+++ b/roadhead/admission/feasibility.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from roadhead.jobs.job import size_of
-from roadhead.machines.machine import fits
+from roadhead.machines.fitting import fits
 from roadhead.machines.placement_rules import may_use
 
 
--- a/roadhead/anti_entropy/leader_comparison.py
+++ b/roadhead/anti_entropy/leader_comparison.py
@@ -1,7 +1,7 @@
 """The shard leader's side of anti-entropy: compares owners' digests with what runs in its shards."""
 
 from roadhead.anti_entropy.attempts import AttemptKey, attempt_state, digest
-from roadhead.machines.machine import LAUNCHING
+from roadhead.machines.task import LAUNCHING
 from roadhead.wire import frames
 
 
--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -9,8 +9,9 @@
 
 from roadhead.dispatch.demand_broadcast import DemandBroadcaster
 from roadhead.dispatch.gangs import GangReservations, place_gang
+from roadhead.dispatch.granted_machine import GrantedMachine
 from roadhead.dispatch.job_queue import JobQueue
-from roadhead.machines.machine import fits, fitting_count, tasks_per_machine
+from roadhead.machines.fitting import fitting_count
 from roadhead.machines.placement_rules import may_use, zone_room
 from roadhead.wire import frames
 
@@ -19,73 +20,6 @@
 MAX_ROUNDS = 16  # further rounds of a placing pass where teams share by guarantee and weight
 
 
-class GrantedMachine:
-    """A granted machine: an entry of the idle list, here called a listing.
-
-    `free`: the free (cpus, gpus, memory); `serial`: the grant's number; `until`: when the grant lapses;
-    `taken`: how many starts the leader has subtracted from the room it last reported; `unacked`: needs of the
-    starts sent since, which are subtracted here; `slots`: how many further tasks its report has room for.
-    """
-
-    __slots__ = (
-        "free",
-        "id",
-        "images",
-        "leader",
-        "serial",
-        "slots",
-        "spot",
-        "taken",
-        "type",
-        "unacked",
-        "until",
-        "zone",
-    )
-
-    def __init__(self, frame, until):
-        self.id = frame.machine
-        self.leader = frame.leader
-        self.serial = frame.serial
-        self.type = frame.type
-        self.zone = frame.zone
-        self.spot = frame.spot
-        self.images = set()
-        self.taken = 0
-        self.unacked = []
-        self.free = (0.0, 0.0, 0.0)
-        self.slots = 0
-        self.until = until
-
-    def update(self, frame, until):
-        """Takes over the room that a newer Grant frame reports, less the starts that it doesn't include."""
-        del self.unacked[: max(0, frame.taken - self.taken)]
-        self.taken = max(self.taken, frame.taken)
-        self.until = until
-        self.images = set(frame.images)
-        self.free = (frame.cpus, frame.gpus, frame.memory)
-        self.slots = frame.slots
-        for need in self.unacked:
-            self._use(need)
-
-    def _use(self, need):
-        """Subtracts a task's need from the room."""
-        self.slots -= 1
-        self.free = tuple(free - part for free, part in zip(self.free, need, strict=True))
-
-    def fits(self, need):
-        """Whether the machine has room for a task of that need."""
-        return self.slots > 0 and fits(need, self.free)
-
-    def room_for(self, need):
-        """Returns how many tasks of that need the machine has room for."""
-        return tasks_per_machine(need, self.free, self.slots)
-
-    def take(self, need):
-        """Records a start that the shard leader has yet to confirm."""
-        self.unacked.append(need)
-        self._use(need)
-
-
 class Dispatcher:
     """The scheduler of the jobs that one controller owns.
 
--- a/roadhead/dispatch/headroom.py
+++ b/roadhead/dispatch/headroom.py
@@ -1,7 +1,7 @@
 """Divides the headroom under teams' limits among their waiting jobs, so that demand doesn't exceed it."""
 
 from roadhead.fleet.quota_limits import QuotaMark
-from roadhead.machines.machine import fitting_count
+from roadhead.machines.fitting import fitting_count
 
 
 class WaitingTasks:
--- a/roadhead/fleet/provisioning.py
+++ b/roadhead/fleet/provisioning.py
@@ -1,7 +1,7 @@
 """Decides how many machines of which kind to rent: pure functions, no I/O."""
 
 from roadhead.fleet.quota_limits import QuotaMark
-from roadhead.machines.machine import tasks_per_machine
+from roadhead.machines.fitting import tasks_per_machine
 from roadhead.machines.placement_rules import may_use
 
 SUSPECTED_FAULTY_URGENCY = 4  # urgency of jobs that fail wherever they run; the protocol's own are below
--- a/roadhead/jobs/job.py
+++ b/roadhead/jobs/job.py
@@ -18,7 +18,6 @@
 NO_OWNER = ("", 0)  # owner of a job that its quota leader has yet to take over
 # JSON bytes of a record besides the description, with room for some ranges of done tasks.
 RECORD_OVERHEAD_BYTES = 200
-LAUNCHING = "launching"  # status of a Binding of which no shard leader has reported anything
 MAX_DOUBTFUL_TASKS = 2  # tasks that may be started at once of a job that seems to fail wherever it runs
 
 
--- a/roadhead/jobs/job_store.py
+++ b/roadhead/jobs/job_store.py
@@ -8,12 +8,13 @@
 from bisect import insort
 
 from roadhead.jobs.context import OwnerContext
-from roadhead.jobs.job import FINAL, LAUNCHING, NO_OWNER, Binding, Job, from_record
+from roadhead.jobs.job import FINAL, NO_OWNER, Binding, Job, from_record
 from roadhead.jobs.quota import QuotaPartitions
 from roadhead.jobs.reconciliation import Reconciliation
 from roadhead.jobs.task_reports import TaskReports
 from roadhead.jobs.teams import Accounts
 from roadhead.jobs.write_queue import LATER, SOON, URGENT
+from roadhead.machines.task import LAUNCHING
 from roadhead.runtime.loop import Future
 from roadhead.wire import frames
 
--- a/roadhead/jobs/quota.py
+++ b/roadhead/jobs/quota.py
@@ -5,7 +5,7 @@
 the group that may be on a machine (docs/fault-combinations.md, "What a quota leader counts").
 """
 
-from roadhead.machines.machine import NO_RESOURCES
+from roadhead.machines.fitting import NO_RESOURCES
 
 NO_HEADROOM = (-1.0, -1.0)  # (cpus, gpus); excludes even a task that takes nothing
 UNLIMITED = 1e12  # CPUs or GPUs left to a team without a limit on them
--- a/roadhead/jobs/task_reports.py
+++ b/roadhead/jobs/task_reports.py
@@ -3,8 +3,9 @@
 import logging
 from typing import NamedTuple
 
-from roadhead.jobs.job import LAUNCHING, Binding
+from roadhead.jobs.job import Binding
 from roadhead.jobs.write_queue import LATER, URGENT
+from roadhead.machines.task import LAUNCHING
 from roadhead.wire import frames
 
 log = logging.getLogger("roadhead.jobs")
--- a/roadhead/jobs/teams.py
+++ b/roadhead/jobs/teams.py
@@ -4,7 +4,7 @@
 the settings is a group by itself; the teams of a tenant form one group (`tenants/teams.py`).
 """
 
-from roadhead.machines.machine import NO_RESOURCES
+from roadhead.machines.fitting import NO_RESOURCES
 
 
 class Account:
--- a/roadhead/local/fault_injector.py
+++ b/roadhead/local/fault_injector.py
@@ -7,7 +7,7 @@
 from roadhead.local.sim import HostLoop
 from roadhead.membership.member import TERM
 from roadhead.runtime.loop import Timeout
-from roadhead.wire.frames import KINDS
+from roadhead.wire.frame_codec import KINDS
 from roadhead.wire.http import HttpClient, NoResponseError
 
 CANCELLED_WITHIN_S = 0.2  # cancellations of `cancel-now` are spread over this time
--- a/roadhead/machines/capacity_grants.py
+++ b/roadhead/machines/capacity_grants.py
@@ -5,7 +5,7 @@
 """
 
 from roadhead.machines.controller_demand import ControllerDemand
-from roadhead.machines.machine import fits
+from roadhead.machines.fitting import fits
 from roadhead.wire import frames
 
 DEMAND_PART_MARGIN = 1.2  # the other leaders' free capacity may have shrunk since they told of it
--- a/roadhead/machines/controller_demand.py
+++ b/roadhead/machines/controller_demand.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from roadhead.machines.machine import fits, tasks_per_machine
+from roadhead.machines.fitting import fits, tasks_per_machine
 from roadhead.machines.placement_rules import may_use
 
 # Rows of one shape are merged only within a span of so many windows of the queue: those far behind must not
--- a/roadhead/machines/machine.py
+++ b/roadhead/machines/machine.py
@@ -1,87 +1,13 @@
 """A machine as its shard leader knows it, and the tasks on it."""
 
-from typing import NamedTuple
-
+from roadhead.machines.fitting import NO_RESOURCES
 from roadhead.machines.launches_in_flight import LaunchesInFlight
 from roadhead.machines.machine_grant import MachineGrant
+from roadhead.machines.pending_commands import next_commands
+from roadhead.machines.task import EXITED, LAUNCHING
 from roadhead.machines.worker_lease import WorkerLease
 from roadhead.wire import messages
-from roadhead.wire.worker_limits import MAX_ORDERS_PER_MESSAGE, MAX_TASKS_PER_MACHINE
-
-LAUNCHING = "launching"
-MAX_FITTING = 1 << 30  # tasks that fit where none of their amounts is a limit
-EXITED = "exited"
-
-
-class TaskRequirements(NamedTuple):
-    """What a shard leader must know of a job to run its tasks; `resources` is (cpus, gpus, memory)."""
-
-    resources: tuple
-    image: str
-    image_gb: float
-    save_s: float
-    saves: bool  # whether its tasks can save their progress before they stop
-
-
-class PendingCommands(NamedTuple):
-    """Commands that a worker has yet to carry out, in order, and the tasks that they are about.
-
-    `orders` are wire commands, no more than one message holds; `launches` and `forgets` the tasks that are
-    launched or forgotten by them; `left` is the number of commands for the messages after this one.
-    """
-
-    orders: list
-    launches: list
-    forgets: list
-    left: int
-
-
-NO_COMMANDS = PendingCommands([], [], [], 0)
-
-
-class Task:
-    """One attempt of a job's task on a machine. `requirements` is None while unknown."""
-
-    __slots__ = (
-        "attempt",
-        "cause",
-        "forget",
-        "index",
-        "job",
-        "last_read",
-        "name",
-        "owner",
-        "requirements",
-        "saved",
-        "sent_state",
-        "status",
-        "stop_grace",
-        "was_reported",
-    )
-
-    def __init__(self, job, index, attempt, status, owner=None):
-        self.job = job
-        self.index = index
-        self.attempt = attempt
-        self.status = status
-        self.owner = owner  # (label, incarnation)
-        self.cause = None
-        self.saved = False
-        self.requirements = None
-        self.was_reported = False
-        self.last_read = 0  # value of the machine's `reports_read` when a report last showed it
-        self.name = None  # as the machine reports it, None before
-        self.sent_state = None  # (status, cause, owner) as last sent to the owner
-        self.stop_grace = None
-        self.forget = False
-
-    @property
-    def key(self):
-        """(job, index, attempt), unique among all tasks."""
-        return self.job, self.index, self.attempt
-
-
-NO_RESOURCES = (0.0, 0.0, 0.0)
+from roadhead.wire.worker_limits import MAX_TASKS_PER_MACHINE
 
 
 def decision_subject(machine, task=None):
@@ -311,86 +237,5 @@
         return not self.active and all(task.forget or task.cause != "done" for task in self.tasks.values())
 
     def commands(self):
-        """The PendingCommands to be sent now.
-
-        A launch is repeated with the same attempt until a report shows it, and is never given up before. So
-        a launch that arrives late can't start an attempt that is not known here. A forget waits until no
-        launch of the attempt can arrive any more. Commands that end something come first, so that they never
-        wait for launches that the message has no room for.
-        """
-        ends, launches = [], []  # [(task, its orders)]
-        for task in list(self.pending_commands.values()):
-            if task.status == LAUNCHING:
-                launches.append((task, [messages.launch(*task.key), *self._stop_orders(task)]))
-            elif self._is_ending(task):
-                ends.append((task, self._stop_orders(task) or self._forget_orders(task)))
-            else:
-                del self.pending_commands[task.key]
-        sent, left = _split_at_limit(ends + launches)
-        return PendingCommands(
-            [order for _task, orders in sent for order in orders],
-            [task for task, _orders in sent if task.status == LAUNCHING],
-            [task for task, orders in sent if orders and self._may_forget(task)],
-            left,
-        )
-
-    @staticmethod
-    def _is_ending(task):
-        """Whether a task that was launched is still to be stopped or forgotten."""
-        return task.forget or (task.stop_grace is not None and task.status != EXITED)
-
-    @staticmethod
-    def _stop_orders(task):
-        """The command that stops a task, unless it does not have to, or is saving in its time of grace."""
-        if task.stop_grace is None or task.status == EXITED or (task.status == "saving" and task.stop_grace):
-            return []
-        return [messages.stop(*task.key, task.stop_grace)]
-
-    def _may_forget(self, task):
-        return task.forget and task.status == EXITED and not self.launches.may_arrive(task)
-
-    def _forget_orders(self, task):
-        """The command that has an attempt forgotten, unless a launch of it may still arrive."""
-        return [messages.forget(*task.key)] if self._may_forget(task) else []
-
-
-def _split_at_limit(entries):
-    """Returns ([(task, orders)] that fit into one message, number of the orders that don't)."""
-    count = 0
-    for position, (_task, orders) in enumerate(entries):
-        if count + len(orders) > MAX_ORDERS_PER_MESSAGE:
-            return entries[:position], sum(len(later) for _task, later in entries[position:])
-        count += len(orders)
-    return entries, 0
-
-
-def fitting_count(required, available):
-    """How many tasks with `required` resources fit in `available`; compares the amounts that both name.
-
-    At most MAX_FITTING, also for amounts so small that the quotient is infinite: an error here ended all
-    renting (docs/incidents/vanishing-amount.md).
-    """
-    count = MAX_FITTING
-    for amount, free in zip(required, available, strict=False):
-        if amount > 0:
-            count = min(count, (free + 1e-6) / amount)
-    return int(max(0.0, count))
-
-
-def tasks_per_machine(required, capacity, slots=MAX_TASKS_PER_MACHINE):
-    """How many tasks with `required` resources fit on a machine, by its free `capacity` and `slots`.
-
-    `slots` is how many further tasks its report has room for; by default those of an empty machine.
-    """
-    if not fits(required, capacity):
-        return 0
-    return min(max(1, fitting_count(required, capacity)), max(0, slots))
-
-
-def fits(required, available):
-    """Whether a task with `required` (cpus, gpus, memory) fits in `available`."""
-    return (
-        required[0] <= available[0] + 1e-6
-        and required[1] <= available[1] + 1e-6
-        and required[2] <= available[2] + 1e-6
-    )
+        """The PendingCommands to be sent now, no more than one message holds."""
+        return next_commands(self.pending_commands, self.launches)
--- a/roadhead/machines/owner_notifier.py
+++ b/roadhead/machines/owner_notifier.py
@@ -1,7 +1,8 @@
 """What a shard leader tells the owners of tasks."""
 
 from roadhead.decision_log import Decision
-from roadhead.machines.machine import EXITED, LAUNCHING, decision_subject
+from roadhead.machines.machine import decision_subject
+from roadhead.machines.task import EXITED, LAUNCHING
 from roadhead.wire import frames
 
 
--- a/roadhead/machines/report_processor.py
+++ b/roadhead/machines/report_processor.py
@@ -4,7 +4,8 @@
 from typing import NamedTuple
 
 from roadhead.decision_log import Decision
-from roadhead.machines.machine import EXITED, LAUNCHING, Task, decision_subject, note_sent
+from roadhead.machines.machine import decision_subject, note_sent
+from roadhead.machines.task import EXITED, LAUNCHING, Task
 from roadhead.machines.worker_lease import ReportNumber
 from roadhead.wire import frames, messages
 
--- a/roadhead/machines/shard_leader.py
+++ b/roadhead/machines/shard_leader.py
@@ -11,11 +11,12 @@
 from roadhead.machines.capacity_grants import CapacityGranter
 from roadhead.machines.failure_history import FailureHistory
 from roadhead.machines.handover import handover
-from roadhead.machines.machine import EXITED, TaskRequirements, decision_subject
+from roadhead.machines.machine import decision_subject
 from roadhead.machines.machine_registry import MachineRegistry
 from roadhead.machines.owner_notifier import OwnerNotifier
 from roadhead.machines.report_processor import ReportProcessor
 from roadhead.machines.shard_reconciliation import ShardReconciliation
+from roadhead.machines.task import EXITED, TaskRequirements
 from roadhead.machines.task_commands import TaskCommands
 from roadhead.machines.worker_lease import CLOCK_DRIFT
 
--- a/roadhead/machines/spec_lookup.py
+++ b/roadhead/machines/spec_lookup.py
@@ -4,7 +4,7 @@
 
 from roadhead.jobs.job import FINAL, spec_of
 from roadhead.jobs.records import find
-from roadhead.machines.machine import TaskRequirements
+from roadhead.machines.task import TaskRequirements
 from roadhead.state.client import UnavailableError, UnknownOutcomeError
 
 log = logging.getLogger("roadhead.homes")
--- a/roadhead/machines/task_commands.py
+++ b/roadhead/machines/task_commands.py
@@ -1,7 +1,9 @@
 """Handles what job owners ask of a shard leader's machines, and tracks commands on their way to workers."""
 
 from roadhead.decision_log import Decision
-from roadhead.machines.machine import EXITED, LAUNCHING, Task, TaskRequirements, fits, note_sent
+from roadhead.machines.fitting import fits
+from roadhead.machines.machine import note_sent
+from roadhead.machines.task import EXITED, LAUNCHING, Task, TaskRequirements
 from roadhead.wire import frames
 
 
--- a/roadhead/machines/worker_client.py
+++ b/roadhead/machines/worker_client.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 
 from roadhead.decision_log import Decision
-from roadhead.machines.machine import NO_COMMANDS, decision_subject
+from roadhead.machines.machine import decision_subject
+from roadhead.machines.pending_commands import NO_COMMANDS
 from roadhead.wire import messages
 from roadhead.wire.http import HttpClient, NoResponseError
 
--- a/roadhead/membership/peers.py
+++ b/roadhead/membership/peers.py
@@ -10,7 +10,8 @@
 from roadhead.membership.cancellation_freshness import SILENT_HEARTBEATS
 from roadhead.runtime.loop import Cancelled, Timeout
 from roadhead.runtime.net import Closed
-from roadhead.wire.frames import FrameDecoder, FrameError, Heartbeat, Hello
+from roadhead.wire.frame_codec import FrameDecoder, FrameError
+from roadhead.wire.frames import Heartbeat, Hello
 
 log = logging.getLogger("roadhead.peers")
 
--- a/roadhead/tenants/admission_controller.py
+++ b/roadhead/tenants/admission_controller.py
@@ -5,7 +5,7 @@
 
 import logging
 
-from roadhead.machines.machine import NO_RESOURCES, fitting_count
+from roadhead.machines.fitting import NO_RESOURCES, fitting_count
 from roadhead.tenants import admission, ids
 from roadhead.tenants.keys import Secrets
 from roadhead.tenants.preemption import Preemption
--- a/roadhead/tenants/preemption.py
+++ b/roadhead/tenants/preemption.py
@@ -12,7 +12,7 @@
 import logging
 
 from roadhead.dispatch.headroom import SharedHeadroom, WaitingTasks
-from roadhead.machines.machine import NO_RESOURCES, fits, fitting_count
+from roadhead.machines.fitting import NO_RESOURCES, fits, fitting_count
 from roadhead.machines.placement_rules import split_by_zone
 from roadhead.wire import frames
 
--- a/roadhead/tenants/teams.py
+++ b/roadhead/tenants/teams.py
@@ -8,7 +8,7 @@
 import heapq
 from itertools import chain, islice
 
-from roadhead.machines.machine import NO_RESOURCES, fitting_count
+from roadhead.machines.fitting import NO_RESOURCES, fitting_count
 from roadhead.tenants import ids
 from roadhead.tenants.records import ACTIVE, REMOVED, STOP, SUSPENDED
 
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -16,8 +16,8 @@
 from roadhead.jobs.job_store import JobStore as RealJobStore
 from roadhead.local.sim import Sim
 from roadhead.local.world import World
-from roadhead.machines.machine import TaskRequirements
 from roadhead.machines.shard_leader import ShardLeader
+from roadhead.machines.task import TaskRequirements
 from roadhead.membership.format_gate import FormatGate
 from roadhead.pipelines.dependency_queue import DependencyQueue
 from roadhead.telemetry import Counters
--- a/tests/test_fault_combinations.py
+++ b/tests/test_fault_combinations.py
@@ -10,8 +10,8 @@
 from roadhead.jobs.job_store import JobStore
 from roadhead.local.world import World
 from roadhead.machines import placement_rules
-from roadhead.machines.machine import LAUNCHING, Task
 from roadhead.machines.report_processor import ReportProcessor
+from roadhead.machines.task import LAUNCHING, Task
 from roadhead.machines.task_commands import TaskCommands
 
 MAX_CASES = 40  # cases played before a mutation counts as undetected
--- a/tests/test_launches_in_flight.py
+++ b/tests/test_launches_in_flight.py
@@ -8,7 +8,7 @@
 from test_worker_leases import LeasedMachine
 
 from roadhead.machines.launches_in_flight import LaunchesInFlight
-from roadhead.machines.machine import EXITED, LAUNCHING, Task
+from roadhead.machines.task import EXITED, LAUNCHING, Task
 from roadhead.wire import messages
 
 
--- a/tests/test_offers.py
+++ b/tests/test_offers.py
@@ -11,7 +11,7 @@
 from roadhead.local.sim import Sim
 from roadhead.local.world import World
 from roadhead.machines.capacity_grants import CapacityGranter
-from roadhead.machines.machine import MAX_FITTING, fitting_count
+from roadhead.machines.fitting import MAX_FITTING, fitting_count
 from roadhead.machines.machine_grant import MachineGrant
 from roadhead.machines.placement_rules import split_by_zone, zone_room
 from roadhead.telemetry import Counters
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -15,8 +15,8 @@
 from roadhead.jobs.job import Job
 from roadhead.local.sim import Sim
 from roadhead.local.world import World
-from roadhead.machines.machine import LAUNCHING, Task
 from roadhead.machines.relieved_controllers import RelievedControllers
+from roadhead.machines.task import LAUNCHING, Task
 from roadhead.machines.worker_client import WorkerClient
 from roadhead.membership.term import Term
 from roadhead.settings import StateLimits, state_faults
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -15,7 +15,7 @@
 from roadhead.jobs.job import Job
 from roadhead.jobs.ranges import Ranges, TaskPool
 from roadhead.settings import SettingsError, parse, parse_tuning
-from roadhead.wire import frames, messages
+from roadhead.wire import frame_codec, frames, messages
 from roadhead.wire.http import MAX_BODY, MAX_HEAD, HttpMessageError, HttpParser, request_bytes
 
 fixed = settings(derandomize=True, database=None, max_examples=150, deadline=None)
@@ -116,7 +116,7 @@
         frames.StartTasks(1, "m", number, "j", [(1, number)], 0, 1.0, 0.0, 2.5, "img", 0.9, 0.0, True, False),
     ]
     data = b"".join(frame.encode() for frame in sent)
-    decoder = frames.FrameDecoder()
+    decoder = frame_codec.FrameDecoder()
     found = []
     for at in range(0, len(data), step):
         decoder.feed(data[at : at + step])
@@ -127,11 +127,11 @@
 @fixed
 @given(st.binary(min_size=1, max_size=200))
 def test_random_frame_input_raises_frame_errors_only(data):
-    decoder = frames.FrameDecoder()
+    decoder = frame_codec.FrameDecoder()
     decoder.feed(data)
     try:
-        assert all(isinstance(frame, frames.Frame) for frame in decoder.frames())
-    except frames.FrameError:
+        assert all(isinstance(frame, frame_codec.Frame) for frame in decoder.frames())
+    except frame_codec.FrameError:
         pass
 
 
--- a/tests/test_worker_limits.py
+++ b/tests/test_worker_limits.py
@@ -11,8 +11,9 @@
 from roadhead.gateway.job_list import JobList
 from roadhead.local.sim import Sim
 from roadhead.local.world import World
-from roadhead.machines import machine as machine_module
-from roadhead.machines.machine import LAUNCHING, Machine, Task, TaskRequirements
+from roadhead.machines import pending_commands
+from roadhead.machines.machine import Machine
+from roadhead.machines.task import LAUNCHING, Task, TaskRequirements
 from roadhead.tenants import ids
 from roadhead.wire import frames, messages
 from roadhead.wire.worker_limits import (
@@ -170,7 +171,7 @@
 def test_an_unbounded_number_of_tasks_on_a_machine_is_detected():
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(Machine, "free_slots", lambda self: 1 << 30)
-        patch.setattr(machine_module, "MAX_ORDERS_PER_MESSAGE", 1 << 30)
+        patch.setattr(pending_commands, "MAX_ORDERS_PER_MESSAGE", 1 << 30)
         patch.setattr(frames.Grant, "slots", 1 << 30)
         world = small_tasks(4000)
     assert any("a message of" in fault for fault in world.check())
