A ReconcileRequest is split into several above 20,000 rows

A request with more than some 80,000 attempts would have been above the 4 MiB of a frame, and would have ended each link it was sent over.

Change: requests of at most 20,000 jobs and claims, each with its own number and answer; lost ones are asked again by themselves.

Before: one frame of 40,005 claims; the new test needs three. tests/test_reconciliation.py passes.

--- a/roadhead/jobs/reconciliation.py
+++ b/roadhead/jobs/reconciliation.py
@@ -4,6 +4,8 @@
 
 from roadhead.wire import frames
 
+MAX_ROWS_PER_REQUEST = 20_000  # jobs and claims, of up to 80 bytes each: far below the largest frame
+
 
 class Request(NamedTuple):
     """A request to a shard leader that it has not answered yet."""
@@ -90,7 +92,7 @@
         return moved
 
     def ask(self, label, jobs=None, *, complete=False):
-        """Asks one shard leader for these jobs, or for all jobs if `jobs` is None.
+        """Asks one shard leader for these jobs, or for all jobs if `jobs` is None, in one request or several.
 
         `complete` means that `jobs` includes all jobs that are not fully reconciled.
         """
@@ -99,22 +101,45 @@
             return
         full = jobs is None
         jobs = list(self._jobs.values()) if full else jobs
-        claims = [
-            (binding.machine, job.id, index, binding.attempt)
-            for job in jobs
-            for index, binding in job.bound.items()
-            if term.leader_of(binding.machine) == label
-        ]
-        self._last_number += 1
-        if full:
-            self._full_requests[label] = self._last_number
         if full or complete:
             # This request names all jobs of the earlier ones, so these are superseded. Otherwise none may be
             # dropped: jobs whose answer is not waited for would never start.
             self._requests = {n: request for n, request in self._requests.items() if request.label != label}
+        for part_of_jobs, claims in self._parts(label, jobs):
+            self._request(label, part_of_jobs, claims)
+        if full:
+            self._full_requests[label] = self._last_number
+
+    def _parts(self, label, jobs):
+        """Yields (jobs, claims) for requests of at most MAX_ROWS_PER_REQUEST rows; one request at least.
+
+        Claims of a job that exceed it follow in requests that don't name the job.
+        """
+        part, claims = [], []
+        for job in jobs:
+            part.append(job)
+            for index, binding in job.bound.items():
+                if self._member.term.leader_of(binding.machine) != label:
+                    continue
+                if len(part) + len(claims) >= MAX_ROWS_PER_REQUEST:
+                    yield part, claims
+                    part, claims = [], []
+                claims.append((binding.machine, job.id, index, binding.attempt))
+            if len(part) + len(claims) >= MAX_ROWS_PER_REQUEST:
+                yield part, claims
+                part, claims = [], []
+        if part or claims or not jobs:
+            yield part, claims
+
+    def _request(self, label, jobs, claims):
+        """Sends one request, and keeps it until it is answered."""
+        self._last_number += 1
         self._requests[self._last_number] = Request(label, jobs)
         self._send(
-            label, frames.ReconcileRequest(term.number, self._last_number, [job.id for job in jobs], claims)
+            label,
+            frames.ReconcileRequest(
+                self._member.term.number, self._last_number, [job.id for job in jobs], claims
+            ),
         )
 
     def claim(self, label, attempts):
@@ -122,9 +147,8 @@
 
         It answers what it knows of each; for no job it is waited for all that the leader knows.
         """
-        self._last_number += 1
-        self._requests[self._last_number] = Request(label, [])
-        self._send(label, frames.ReconcileRequest(self._member.term.number, self._last_number, [], attempts))
+        for at in range(0, len(attempts), MAX_ROWS_PER_REQUEST):
+            self._request(label, [], attempts[at : at + MAX_ROWS_PER_REQUEST])
 
     def unanswered_requests(self):
         """Returns {leader: [number]} of the requests that were not answered yet."""
--- a/tests/test_reconciliation.py
+++ b/tests/test_reconciliation.py
@@ -6,9 +6,10 @@
 
 from roadhead.jobs.context import OwnerContext
 from roadhead.jobs.job import Binding
-from roadhead.jobs.reconciliation import Reconciliation
+from roadhead.jobs.reconciliation import MAX_ROWS_PER_REQUEST, Reconciliation
 from roadhead.membership.term import Term
 from roadhead.wire import frames
+from roadhead.wire.frame_codec import MAX_FRAME_BYTES
 
 MACHINE = "n-000020"
 
@@ -76,6 +77,38 @@
     assert frame.claims == [(MACHINE, BoundJob.id, 0, 7)]
 
 
+def test_many_claims_go_out_in_several_requests_that_are_answered_one_by_one(term):
+    """One frame of more than 4 MiB ends the link, again and again."""
+    owner = Owner(term)
+    job = owner.jobs[BoundJob.id]
+    job.bound = {
+        index: Binding(MACHINE, "a", (1 << 40) + index, "running", 0.0)
+        for index in range(2 * MAX_ROWS_PER_REQUEST + 5)
+    }
+    job.unreconciled_leaders = {"ctl-0"}
+    owner.reconciliation.ask("ctl-0")
+    sent = [frame for _label, frame in owner.sent]
+    assert [frame.jobs for frame in sent] == [[job.id], [], []]
+    claimed = [claim for frame in sent for claim in frame.claims]
+    assert sorted(claim[2] for claim in claimed) == sorted(job.bound)
+    assert max(len(frame.encode()) for frame in sent) < MAX_FRAME_BYTES / 2
+    for frame in sent[1:]:
+        owner.reconciliation.on_synced("ctl-0", frames.ReconcileDone(frame.term, frame.number))
+    assert job.unreconciled_leaders
+    assert owner.reconciliation.unanswered_requests() == {"ctl-0": [sent[0].number]}
+    owner.sent.clear()
+    assert owner.reconciliation.ask_again("ctl-0", [sent[0].number]) == 1
+    assert [frame.jobs for _label, frame in owner.sent] == [[job.id], [], []]
+
+
+def test_an_owner_without_jobs_still_asks(term):
+    """The answer says that all tasks there are known."""
+    owner = Owner(term)
+    owner.jobs.clear()
+    owner.reconciliation.ask("ctl-1")
+    assert [(label, frame.jobs, frame.claims) for label, frame in owner.sent] == [("ctl-1", [], [])]
+
+
 def test_an_answered_claim_is_not_sent_again(term):
     owner = Owner(term)
     first_term = move_machine_shard(term, "ctl-1")
