A grant is taken only from the controller that leads its machine

What callers would see: a task bound for ever, until the comparison of attempts found it.

Cause, from a trace of the attempt: a grant of the old leader was under way as its shard moved to the job's owner, who started a task on it; that leader ended, and no later term made the owner ask, since the attempt was bound under the new term already.

Change: Dispatcher.on_grant looks at the owner's own term, which a leader sends before all else over the same link.

Before: the new test fails, as the listing is taken. After: it passes.

--- a/roadhead/dispatch/dispatcher.py
+++ b/roadhead/dispatch/dispatcher.py
@@ -80,7 +80,13 @@
     # The idle list
 
     def on_grant(self, frame):
-        """A shard leader grants a machine, or reports the new room of a granted one."""
+        """A shard leader grants a machine, or reports the new room of a granted one.
+
+        A grant under way while the machine's shard moves comes from a controller that leads it no more. It is
+        not taken: what was started on it would be lost with that controller, and nobody would ask about it.
+        """
+        if self._member.term.leader_of(frame.machine) != frame.leader:
+            return
         until = self._loop.now() + frame.lifetime_s
         listing = self.idle.get(frame.machine)
         if listing is None or listing.serial != frame.serial:
--- a/tests/test_anti_entropy.py
+++ b/tests/test_anti_entropy.py
@@ -224,3 +224,18 @@
     assert all(len(sizes) <= leases + 1 for sizes in sent.values())
     assert max(max(sizes) for sizes in sent.values()) <= 21 + 16 * 64  # a header, and a row for each shard
     assert not any(world.counter(name) for name in REPAIRS)
+
+
+def test_a_grant_of_a_controller_that_leads_the_machine_no_more_is_not_taken():
+    """It is under way while the shard moves. Its starts were lost if that controller ended, as the owner asks
+    the leader by its own term alone (drawn day 9026 of reports in any order)."""
+    world = World("until 20")
+    world.run()
+    owner = world.nodes[0]
+    machine = "n-000020"
+    leader = owner.member.term.leader_of(machine)
+    for label in world.labels:
+        capacity = ("box", "north", label, False, 4.0, 0.0, 16.0, [], 10.0, 100)
+        owner.dispatcher.on_grant(frames.GrantWithSlots(machine, 7, 0, *capacity))
+        assert (machine in owner.dispatcher.idle) == (label == leader)
+        owner.dispatcher.idle.clear()
