--- a/roadhead/runtime/supervisor.py
+++ b/roadhead/runtime/supervisor.py
@@ -24,11 +24,11 @@
         self.routines = {}  # name -> the Routine that runs under it
 
     def spawn(self, duty, name=None):
-        """Starts the coroutine function `duty`, under its own name by default. Returns the Routine.
+        """Starts the coroutine function `duty`, under its qualified name by default. Returns the Routine.
 
         The Routine ends when the duty returns without an error, or is cancelled.
         """
-        name = name or duty.__name__
+        name = name or duty.__qualname__
         routine = self.routines[name] = self._loop.spawn(self._run(duty, name), name)
         return routine
 
--- a/tests/test_supervisor.py
+++ b/tests/test_supervisor.py
@@ -96,7 +96,7 @@
 
 def test_a_process_gives_up_once_if_a_duty_keeps_failing():
     _failing, failures, hopeless = supervise(1000)
-    assert failures > 10 and hopeless == ["duty"]
+    assert failures > 10 and hopeless == ["Failing.duty"]
 
 
 def test_a_duty_that_fails_now_and_then_is_no_reason_to_give_up():
@@ -136,7 +136,7 @@
     """)
     world.sim.run_until(20)
     names = sorted({name for node in world.nodes.values() for name in node._supervisor.routines})
-    assert {"member", "heartbeats", "_renew", "_watch", "_drop_absent", "_amend_term"} < set(names)
+    assert {"member", "heartbeats", "Member._renew", "Recorder.run", "PeriodicDuties.run"} < set(names)
     thrown = []
     for number, name in enumerate(names):
         for controller in range(3):
