A comparison of one shard goes over that shard's attempts alone

What a shard leader sends of a shard in which digests differ made the owner build the states of all its attempts.

--- a/roadhead/anti_entropy/owner_comparison.py
+++ b/roadhead/anti_entropy/owner_comparison.py
@@ -40,14 +40,17 @@
             if numbers := unanswered.get(label):
                 self._send(label, frames.PendingRequests(term.number, [(number,) for number in numbers]))
 
-    def _attempts_by_shard(self, term):
-        """Returns {shard: {AttemptKey: state}} of all attempts bound here."""
+    def _attempts_by_shard(self, term, only=None):
+        """Returns {shard: {AttemptKey: state}} of the attempts bound here; `only`: those of that shard."""
         by_shard = {}
         for job in self._job_store.jobs.values():
             for index, binding in job.bound.items():
+                shard = term.shard_of(binding.machine)
+                if only is not None and shard != only:
+                    continue
                 key = AttemptKey(binding.machine, job.id, index, binding.attempt)
                 state = attempt_state(binding.status, stopping=binding.stop_grace_s is not None)
-                by_shard.setdefault(term.shard_of(binding.machine), {})[key] = state
+                by_shard.setdefault(shard, {})[key] = state
         return by_shard
 
     def on_shard_attempts(self, label, frame):
@@ -55,7 +58,7 @@
         term = self._member.term
         if frame.term != term.number or term.shards_of(label).get(frame.shard) is None:
             return
-        here = self._attempts_by_shard(term).get(frame.shard, {})
+        here = self._attempts_by_shard(term, frame.shard).get(frame.shard, {})
         there = {AttemptKey(*key): state for *key, state in frame.rows}
         claims = []
         for key in sorted(here.keys() | there.keys()):
