--- a/roadhead/local/cloud_api.py
+++ b/roadhead/local/cloud_api.py
@@ -7,6 +7,8 @@
 class CloudEmulator(EmulatedServer):
     """Serves the cloud's HTTP API; rents at most `capacity` machines of each type in each zone."""
 
+    copies_window = "copied_cloud_requests"
+
     def __init__(self, world, machine_types, capacity, address="10.2.0.2:8443"):
         super().__init__(world, address.rpartition(":")[0], address)
         self.machine_types = machine_types
--- a/roadhead/local/fault_injector.py
+++ b/roadhead/local/fault_injector.py
@@ -14,6 +14,12 @@
 MAX_HUNG_WORKERS = 8  # workers of cancelled jobs that `cancel-now` makes hang
 MIN_REMAINING_S = 10.0  # `cancel-now` takes jobs with a task that would run for at least so long
 SECOND_COPY_AFTER_S = 0.5
+COPIES_WINDOWS = {
+    "workers": "copied_commands",
+    "state": "copied_state_requests",
+    "cloud": "copied_cloud_requests",
+    "controllers": "copied_user_requests",
+}  # receiver of a scenario's `late-copies` -> its fault window
 
 
 @dataclass(frozen=True)
@@ -46,6 +52,7 @@
             "slow-answers": self._window_verb("slow_answers"),
             "late-commands": self._window_verb("late_commands"),
             "slow-commands": self._window_verb("slow_commands"),
+            "late-copies": self.late_copies,
             "cancel-at-end": self._window_verb("cancelled_at_end"),
             "quick-boots": lambda seconds: self._open_window("quick_boots", 1, seconds),
             "close-looks": lambda seconds: self._open_window("close_looks", 1, seconds),
@@ -89,6 +96,17 @@
     def _is_lossy_kind(self, frame):
         return not self._lost_kinds or type(frame).__name__ in self._lost_kinds
 
+    # Copies of answered requests
+
+    def late_copies(self, receiver, share, seconds):
+        """Delivers copies of a share of the requests that a receiver has carried out and answered.
+
+        `receiver`: `workers` for direct commands, `state`, `cloud`, or `controllers` for users' requests.
+        """
+        if receiver not in COPIES_WINDOWS:
+            raise ValueError(f"late-copies: unknown receiver {receiver!r}, not one of {list(COPIES_WINDOWS)}")
+        self._open_window(COPIES_WINDOWS[receiver], share, seconds)
+
     # Copies of reports
 
     def late_reports(self, share, seconds, whom=None):
--- a/roadhead/local/fault_windows.py
+++ b/roadhead/local/fault_windows.py
@@ -7,6 +7,8 @@
 SLOW_ANSWER_S = (0.2, 3.9)  # range of the delay of an answer to a report, likewise
 SLOW_COMMAND_S = (0.2, 1.5)  # range of the delay of a direct command that is answered in time
 QUICK_BOOT_S = (0.2, 2.0)  # range of a boot time
+LATE_COPY_S = (0.2, 60.0)  # range of the time from a request's answer to the arrival of a copy
+LATE_COPIES = (1, 1, 3)  # a request that is copied arrives so many times more, drawn from these
 
 
 @dataclass
@@ -42,6 +44,11 @@
     late_commands: FaultWindow = field(default_factory=FaultWindow)
     # Direct commands that arrive late, but are answered in time.
     slow_commands: FaultWindow = field(default_factory=FaultWindow)
+    # Requests that were carried out and answered, of which copies arrive later, by their receiver.
+    copied_commands: FaultWindow = field(default_factory=FaultWindow)
+    copied_state_requests: FaultWindow = field(default_factory=FaultWindow)
+    copied_cloud_requests: FaultWindow = field(default_factory=FaultWindow)
+    copied_user_requests: FaultWindow = field(default_factory=FaultWindow)
     # Jobs that their user cancels as their last task ends.
     cancelled_at_end: FaultWindow = field(default_factory=FaultWindow)
     # Machines that boot much faster than usual.
--- a/roadhead/local/server.py
+++ b/roadhead/local/server.py
@@ -1,8 +1,12 @@
 """The base of all emulators: an HTTP server that loses or delays requests on demand."""
 
+from functools import partial
+from http import HTTPStatus
+
 import cbor2
 
 from roadhead.local.fault_windows import LATE_COMMAND_S, SLOW_COMMAND_S
+from roadhead.local.late_copies import schedule_copies
 from roadhead.runtime.loop import Future
 from roadhead.wire import http
 
@@ -10,9 +14,12 @@
 class EmulatedServer:
     """An HTTP server on a host of its own; subclasses define `handle`.
 
-    The next `lose` POST requests are executed, but their responses are never sent.
+    The next `lose` POST requests are executed, but their responses are never sent. `copies_window` names the
+    fault window of late copies of the requests that it has carried out.
     """
 
+    copies_window = None
+
     def __init__(self, world, host, address):
         self.world = world
         self.sim = world.sim
@@ -44,6 +51,8 @@
             status, answer = await self.handle(request.method, path, args, body, host)
             if lost:
                 await Future()  # sends no response, so the client times out
+            if status == HTTPStatus.OK:
+                self._schedule_copies(request.method, path, args, body, host)
             if self.lose > 0 and request.method == "POST":
                 self.lose -= 1
                 stream.close()
@@ -51,6 +60,12 @@
 
         await http.serve(self.loop, stream, handle, 60.0)
 
+    def _schedule_copies(self, *request):
+        """Has copies of a request that was carried out arrive later, if its fault window strikes it."""
+        if self.copies_window is not None:
+            window = getattr(self.world.fault_windows, self.copies_window)
+            schedule_copies(window, self.sim, self.loop, request[0], partial(self.handle, *request))
+
     def _delay_of(self, method, path, body):
         """Returns by how many seconds to delay a request, or None."""
         for matches, delay_s in list(self.late):
--- a/roadhead/local/state_service.py
+++ b/roadhead/local/state_service.py
@@ -18,6 +18,8 @@
     `store` saves every change to disk before the response; without one, no data outlives the process.
     """
 
+    copies_window = "copied_state_requests"
+
     def __init__(self, world, address="10.2.0.1:2379", store=None):
         super().__init__(world, address.rpartition(":")[0], address)
         self.store = store
--- a/roadhead/local/user.py
+++ b/roadhead/local/user.py
@@ -5,11 +5,14 @@
 import cbor2
 
 from roadhead.local.histories import FINAL, REFUSED, Answer, RequestKind
+from roadhead.local.late_copies import schedule_copies
 from roadhead.runtime.loop import Timeout
 from roadhead.wire.http import HttpClient, NoResponseError
 
 SIMULATION_FIELDS = ("runS", "apartS", "faulty")  # fields for the emulated worker, not part of a submission
 
+COPY_TIMEOUT_S = 5.0  # for the response to a copy of a request
+
 
 def _question_of(method, path):
     """Returns the kind of a request."""
@@ -75,10 +78,30 @@
         client = HttpClient(self.world.user_loop, self.world.user_net, front, 0)
         data = cbor2.dumps(body) if body is not None else b""
         try:
-            status, data, _ = await client.request(method, path, data, timeout)
+            status, answer, _ = await client.request(method, path, data, timeout)
         except (NoResponseError, Timeout):
             return 0, None
-        return status, (cbor2.loads(data) if data else None)
+        if status in (200, 201):
+            schedule_copies(
+                self.world.fault_windows.copied_user_requests,
+                self.sim,
+                self.world.user_loop,
+                method,
+                lambda: self._send_copy(method, path, body),
+            )
+        return status, (cbor2.loads(answer) if answer else None)
+
+    async def _send_copy(self, method, path, body):
+        """Sends a copy of an answered request to any controller; nobody reads its response."""
+        front = self._front(None)
+        if front is None:
+            return
+        data = cbor2.dumps(body) if body is not None else b""
+        client = HttpClient(self.world.user_loop, self.world.user_net, front, 0)
+        try:
+            await client.request(method, path, data, COPY_TIMEOUT_S)
+        except (NoResponseError, Timeout):
+            pass
 
     def _handle_reply(self, reply):
         """Takes the job's state from a response of 200 or 201, and checks it against what really runs."""
--- a/roadhead/local/worker.py
+++ b/roadhead/local/worker.py
@@ -36,6 +36,8 @@
 class EmulatedWorker(EmulatedServer):
     """A worker machine: boots, reports to controllers, serves commands, and runs tasks by timers."""
 
+    copies_window = "copied_commands"
+
     def __init__(self, world, name, number, kind, zone, spot, address=None):
         self.address = address or f"10.1.{number // 200}.{number % 200 + 1}:9000"
         super().__init__(world, self.address.rpartition(":")[0], self.address)
--- a/tests/drawn_days.py
+++ b/tests/drawn_days.py
@@ -338,3 +338,57 @@
         return [f"at {at:.2f} cut peers {rng.choice(('even', 'odd'))}-workers {length} hold"]
     places = rng.sample(range(12), 6)
     return [f"at {at + rng.uniform(0, 3):.2f} hang {place} {length}" for place in places]
+
+
+def random_late_copy_day(seed, receivers=("workers",)):
+    """Returns a scenario in which copies of requests arrive after the requests were carried out and answered.
+
+    Meanwhile tasks are short or fail, jobs are cancelled, and controllers end and are back at once.
+    `receivers`: whose requests are copied, as in the verb `late-copies`.
+    """
+    rng = random.Random(seed)
+    capacity = rng.choice((4, 6, 8))
+    lines = [
+        f"seed {seed}",
+        f"capacity {capacity}",
+        "boot_s 3",
+        "fetch_s 0.05",
+        f"fail_s {rng.choice((0.01, 0.5))}",
+        "until 400",
+        f"at 1 submit count={2 * capacity} legs=1 runS=60 expectS=60 musterS=10 stowS=1 urgency=low",
+    ]
+    lines += [f"at 15 late-copies {receiver} 0.6 90" for receiver in receivers]
+    jobs = 2 * capacity
+    for number in range(24):
+        at, count = 16 + 2.5 * number, rng.choice((1, 2))
+        jobs += count
+        lines.append(
+            f"at {at} submit count={count} legs={rng.choice((1, 2, 4))} "
+            f"runS={rng.choice((1, 3, 20))} expectS=3 urgency={rng.choice(('high', 'standard'))}"
+        )
+        if number % 6 == 2:
+            lines.append(f"at {at} sick {rng.choice((1, 2))}")
+        if rng.random() < 0.4:
+            lines.append(f"at {at + rng.uniform(0.2, 9):.2f} cancel {rng.randrange(1, jobs + 1)}")
+    for _ in range(rng.randrange(1, 4)):
+        at, node, back_after = rng.uniform(20, 90), rng.randrange(3), rng.choice((0.1, 3))
+        lines.append(
+            f"at {at:.2f} "
+            + rng.choice(
+                (
+                    f"crash {node} {back_after}",
+                    f"crash {node} {back_after}",
+                    f"leave {node} 0.2",
+                    f"outage {rng.choice((3, 14, 40))}",
+                    f"hang 0 {rng.choice((5, 14))}",
+                    f"cut {node} workers 8 hold",
+                    f"slow-answers 0.5 {rng.choice((10, 40))}",
+                    f"slow-commands 0.5 {rng.choice((10, 40))}",
+                    f"late-reports 0.3 {rng.choice((10, 40))}",
+                )
+            )
+        )
+    if rng.random() < 0.3:
+        at = rng.uniform(40, 80)
+        lines += [f"at {at:.2f} crash {number} {rng.choice((0.1, 0.1, 3))}" for number in range(3)]
+    return "\n".join(lines)
--- a/tests/hunt.py
+++ b/tests/hunt.py
@@ -1,11 +1,14 @@
 """Searches for broken rules by playing random scenarios ("days") with many faults in virtual time.
 
 The days are of a hosted service, of pipelines (`--pipelines`), of two to four overlapping faults
-(`--meetings`), of reports and answers to direct commands in any order (`--report-orders`), or of answers to
-reports that are held up while tasks fail and are forgotten (`--slow-answers`).
-
-    python3 tests/hunt.py [--pipelines | --meetings | --report-orders | --slow-answers] [--days N]
-                          [--seed FIRST] [--jobs N] [--show SEED | --explain SEED]
+(`--meetings`), of reports and answers to direct commands in any order (`--report-orders`), of answers to
+reports that are held up while tasks fail and are forgotten (`--slow-answers`), or of copies of requests that
+arrive after the request was carried out and answered: direct commands (`--late-copies`), or requests to the
+services and by users (`--service-copies`).
+
+    python3 tests/hunt.py [--pipelines | --meetings | --report-orders | --slow-answers | --late-copies
+                           | --service-copies] [--days N] [--seed FIRST] [--jobs N]
+                          [--show SEED | --explain SEED]
     python3 tests/hunt.py --first-meeting | --leader [--jobs N]
 
 The last two play every order and spacing of the first fault combination, and of a leader that is cut off from
@@ -23,6 +26,7 @@
 from drawn_days import (
     random_combination_day,
     random_hosted_day,
+    random_late_copy_day,
     random_pipeline_day,
     random_report_order_day,
     random_slow_answer_day,
@@ -59,6 +63,19 @@
     return run_pipeline_day(seed, random_slow_answer_day)
 
 
+def run_late_copy_day(seed):
+    return run_pipeline_day(seed, random_late_copy_day)
+
+
+def random_service_copy_day(seed):
+    """As `random_late_copy_day`, with copies of requests to the services and of users' requests."""
+    return random_late_copy_day(seed, ("state", "cloud", "controllers"))
+
+
+def run_service_copy_day(seed):
+    return run_pipeline_day(seed, random_service_copy_day)
+
+
 def run_pipeline_day(seed, draw=random_pipeline_day):
     """Plays a day of pipelines, or of `draw`. Returns (seed, faults).
 
@@ -89,6 +106,8 @@
     parser.add_argument("--meetings", action="store_true")
     parser.add_argument("--report-orders", action="store_true")
     parser.add_argument("--slow-answers", action="store_true")
+    parser.add_argument("--late-copies", action="store_true")
+    parser.add_argument("--service-copies", action="store_true")
     parser.add_argument("--first-meeting", action="store_true")
     parser.add_argument("--leader", action="store_true")
     args = parser.parse_args()
@@ -107,6 +126,10 @@
         draw, play = random_report_order_day, run_report_order_day
     elif args.slow_answers:
         draw, play = random_slow_answer_day, run_slow_answer_day
+    elif args.late_copies:
+        draw, play = random_late_copy_day, run_late_copy_day
+    elif args.service_copies:
+        draw, play = random_service_copy_day, run_service_copy_day
     if args.show is not None:
         print(draw(args.show))
         return
