A forgotten attempt is fenced off from copies of its launch by the machine's token

Callers saw a task on two machines at once, and a task of a cancelled job start again: a copy of a direct command that had been carried out and answered reached its worker once more, up to a minute later, and started an attempt that had ended and been forgotten meanwhile.

Cause: an answer was taken as proof that a message is used up. LaunchesInFlight held a forget back while a direct launch of the attempt was unanswered; once answered the launch counted as arrived for good.

The token of a machine's commands is its shard's token followed by a count of its own, raised by the answer that forgets: no write, no wait, no clock. A direct command that the raise overtakes is refused whole and sent again at once. Until the format gate is open, tokens have no count and launches travel in answers only. LaunchesInFlight, the request for a higher shard token and Term.raise_share are gone. An attempt in a confirmed report that this leader has not launched is counted (unexpected_attempts, a fault in any scenario), logged and stopped. A second direct request checks the authority again. Decisions tell session, token and path of launches, stops and forgets.

The tests of terms renew a token by a move to the same leader, as raise_share did.

--- a/roadhead/decision_log.py
+++ b/roadhead/decision_log.py
@@ -24,7 +24,9 @@
     REPORT_OVERTAKEN = "report_overtaken"  # answered, though a newer message of the worker has arrived
     LEASE_ENDED = "lease_ended"
     LAUNCH_SENT = "launch_sent"
+    STOP_SENT = "stop_sent"
     FORGET_SENT = "forget_sent"  # from then on a copy of the attempt's launch would start it again
+    UNEXPECTED_ATTEMPT = "unexpected_attempt"  # a report shows an attempt that nothing can have launched
     TASK_FREED = "task_freed"  # the attempt surely runs nowhere any more
     ALL_TOLD = "all_told"  # an owner was sent everything known about its jobs
     AUTHORITY_LOST = "authority_lost"  # the right to command ended while a command waited to be sent
@@ -37,6 +39,7 @@
         Decision.FENCE_LENGTHENED,
         Decision.LEASE_ENDED,
         Decision.AUTHORITY_LOST,
+        Decision.UNEXPECTED_ATTEMPT,
     )
 )  # logged at info: their number doesn't grow with the work done
 
--- a/roadhead/local/world.py
+++ b/roadhead/local/world.py
@@ -326,6 +326,8 @@
         faults = [*self.violations, *self.failures.texts[:3], *self.oversized[:3]]
         if self.counter("duties_failed"):
             faults.append("a periodic duty failed (counter duties_failed)")
+        if count := self.counter("unexpected_attempts"):
+            faults.append(f"{count} attempts that nothing can have launched (counter unexpected_attempts)")
         if not self.fault_windows.lost_frames.struck:
             faults += [
                 f"{count} repairs though no frame was lost (counter {name})"
--- a/roadhead/machines/machine.py
+++ b/roadhead/machines/machine.py
@@ -1,7 +1,8 @@
 """A machine as its shard leader knows it, and the tasks on it."""
 
+from roadhead.decision_log import Decision
+from roadhead.machines.command_fence import CommandFence
 from roadhead.machines.fitting import NO_RESOURCES
-from roadhead.machines.launches_in_flight import LaunchesInFlight
 from roadhead.machines.machine_grant import MachineGrant
 from roadhead.machines.pending_commands import next_commands
 from roadhead.machines.task import EXITED, LAUNCHING
@@ -18,10 +19,18 @@
     return subject
 
 
-def note_sent(decisions, decision, machine, tasks, **evidence):
-    """Records that launches or forgets (`decision`) of `tasks` are about to be sent; `evidence`: the path."""
-    for task in tasks:
-        decisions.note(decision, decision_subject(machine, task), **evidence)
+def note_sent(decisions, machine, commands, **evidence):
+    """Records PendingCommands that are about to be sent to a machine; `evidence`: by which path."""
+    if not commands.orders:
+        return
+    evidence = {"session": machine.session, "command_token": machine.command_token, **evidence}
+    for decision, tasks in (
+        (Decision.LAUNCH_SENT, commands.launches),
+        (Decision.STOP_SENT, commands.stops),
+        (Decision.FORGET_SENT, commands.forgets),
+    ):
+        for task in tasks:
+            decisions.note(decision, decision_subject(machine, task), **evidence)
 
 
 class Machine:
@@ -43,6 +52,7 @@
         "attempts",
         "born_at",
         "by_name",
+        "command_fence",
         "confirmed_at",
         "confirmed_token",
         "draining",
@@ -54,7 +64,6 @@
         "idle_since",
         "images",
         "kind",
-        "launches",
         "lease",
         "listed_at",
         "notice_at",
@@ -75,7 +84,7 @@
         "zone",
     )
 
-    def __init__(self, name, address, kind_name, zone, spot, kind, now, locations, shard, token):
+    def __init__(self, name, address, kind_name, zone, spot, kind, now, locations, shard, token, format_gate):
         self._locations = locations  # job -> {Task: its machine}, of all machines of the leader
         self.id = name
         self.address = address
@@ -86,12 +95,12 @@
         self.session = 0
         self.sequence = -1
         self.shard = shard
-        self.token = token  # the fencing token that its commands carry
-        self.confirmed_token = 0  # token that its newest report carried, 0 if none of this leader
+        self.token = token  # its shard's token
+        self.command_fence = CommandFence(format_gate)
+        self.confirmed_token = 0  # shard's token that its newest report carried, 0 if none of this leader
         self.confirmed_at = 0.0
         self.heard_at = None
         self.lease = WorkerLease(now)
-        self.launches = LaunchesInFlight()
         self.listed_at = None
         self.has_been_up = False  # seen running, by a list or a report, when nobody else can have led it
         self.born_at = 0.0  # it was rented, or came up, no earlier than this
@@ -172,7 +181,6 @@
         if not self.attempts[name]:
             del self.attempts[name]
         self.pending_commands.pop(task.key, None)
-        self.launches.remove(task)
         if task.name is not None:
             self.by_name.pop((task.name, task.attempt), None)
         self.reported = None
@@ -236,6 +244,20 @@
         """Whether nothing runs there and no success there is still to be recorded."""
         return not self.active and all(task.forget or task.cause != "done" for task in self.tasks.values())
 
-    def commands(self):
-        """The PendingCommands to be sent now, no more than one message holds."""
-        return next_commands(self.pending_commands, self.launches)
+    @property
+    def command_token(self):
+        """The fencing token of the commands to be sent now."""
+        return self.command_fence.token(self.token)
+
+    def direct_commands(self):
+        """The PendingCommands to be sent directly, no more than one message holds."""
+        return next_commands(
+            self.pending_commands, may_launch=self.command_fence.is_counted, may_forget=False
+        )
+
+    def commands_for_answer(self):
+        """The PendingCommands for the answer to the worker's newest report; what it forgets is fenced off."""
+        commands = next_commands(self.pending_commands, may_launch=True, may_forget=True)
+        if commands.forgets:
+            self.command_fence.raise_count()
+        return commands
--- a/roadhead/machines/machine_registry.py
+++ b/roadhead/machines/machine_registry.py
@@ -43,6 +43,7 @@
             self.locations,
             term.shard_of(name),
             term.leader_and_token(name)[1],
+            self._member.format_gate,
         )
         self.machines[name] = machine
         return machine
--- a/roadhead/machines/owner_notifier.py
+++ b/roadhead/machines/owner_notifier.py
@@ -27,7 +27,6 @@
 
     def attempt_gone(self, machine, task, cause):
         """Drops an attempt that certainly runs nowhere, and tells its owner."""
-        unanswered_launch = machine.launches.direct_token(task)
         machine.remove_task(task)
         self._count(f"freed_{cause.replace(' ', '_')}")
         self._decisions.note(
@@ -36,7 +35,6 @@
             cause=cause.replace(" ", "_"),
             status=task.status,
             newest=f"{machine.session}.{machine.sequence}",
-            unanswered_launch=unanswered_launch,
         )
         cancelled = task.job in self._registry.cancelled
         if task.status not in (EXITED, LAUNCHING) and not cancelled:
--- a/roadhead/machines/pending_commands.py
+++ b/roadhead/machines/pending_commands.py
@@ -10,41 +10,45 @@
 class PendingCommands(NamedTuple):
     """Commands that a worker has yet to carry out, in order, and the tasks that they are about.
 
-    `orders` are wire commands, no more than one message holds; `launches` and `forgets` the tasks that are
-    launched or forgotten by them; `left` is the number of commands for the messages after this one.
+    `orders` are wire commands, no more than one message holds; `launches`, `stops` and `forgets` the tasks
+    that are launched, stopped or forgotten by them; `left` is the number of commands for the messages after
+    this one.
     """
 
     orders: list
     launches: list
+    stops: list
     forgets: list
     left: int
 
 
-NO_COMMANDS = PendingCommands([], [], [], 0)
+NO_COMMANDS = PendingCommands([], [], [], [], 0)
 
 
-def next_commands(pending, launches_in_flight):
+def next_commands(pending, *, may_launch, may_forget):
     """Returns the PendingCommands to be sent now.
 
     `pending`: tasks that may have commands to be carried out, {key: Task}; those that have none are removed.
     A launch is repeated with the same attempt until a report shows it, and is never given up before. So a
-    launch that arrives late can't start an attempt that is not known here. A forget waits until no launch of
-    the attempt can arrive any more. Commands that end something come first, so that they never wait for
+    launch that arrives late can't start an attempt that is not known here. Which messages may launch or
+    forget follows from command_fence.py. Commands that end something come first, so that they never wait for
     launches that the message has no room for.
     """
     ends, launches = [], []  # [(task, its orders)]
     for task in list(pending.values()):
         if task.status == LAUNCHING:
-            launches.append((task, [messages.launch(*task.key), *_stop_orders(task)]))
+            if may_launch:
+                launches.append((task, [messages.launch(*task.key), *_stop_orders(task)]))
         elif _is_ending(task):
-            ends.append((task, _stop_orders(task) or _forget_orders(task, launches_in_flight)))
+            ends.append((task, _stop_orders(task) or (_forget_orders(task) if may_forget else [])))
         else:
             del pending[task.key]
     sent, left = _split_at_limit(ends + launches)
     return PendingCommands(
         [order for _task, orders in sent for order in orders],
         [task for task, _orders in sent if task.status == LAUNCHING],
-        [task for task, orders in sent if orders and _may_forget(task, launches_in_flight)],
+        [task for task, orders in sent if any(order["verb"] == "stop" for order in orders)],
+        [task for task, orders in sent if orders and _is_to_be_forgotten(task)],
         left,
     )
 
@@ -61,13 +65,13 @@
     return [messages.stop(*task.key, task.stop_grace)]
 
 
-def _may_forget(task, launches_in_flight):
-    return task.forget and task.status == EXITED and not launches_in_flight.may_arrive(task)
+def _is_to_be_forgotten(task):
+    return task.forget and task.status == EXITED
 
 
-def _forget_orders(task, launches_in_flight):
-    """The command that has an attempt forgotten, unless a launch of it may still arrive."""
-    return [messages.forget(*task.key)] if _may_forget(task, launches_in_flight) else []
+def _forget_orders(task):
+    """The command that has an attempt forgotten once it has exited."""
+    return [messages.forget(*task.key)] if _is_to_be_forgotten(task) else []
 
 
 def _split_at_limit(entries):
--- a/roadhead/machines/report_processor.py
+++ b/roadhead/machines/report_processor.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from roadhead.decision_log import Decision
+from roadhead.machines.command_fence import shard_token_of
 from roadhead.machines.machine import decision_subject, note_sent
 from roadhead.machines.task import EXITED, LAUNCHING, Task
 from roadhead.machines.worker_lease import ReportNumber
@@ -13,7 +14,7 @@
 
 
 class Renewal(NamedTuple):
-    """The answer to a report: the machine's token, and the commands for its worker in order."""
+    """The answer to a report: the token of its commands, and the commands for its worker in order."""
 
     token: int
     orders: list
@@ -37,6 +38,7 @@
         failure_history,
         drain,
         need_spec,
+        counters,
         decisions,
     ):
         self._loop = loop
@@ -48,6 +50,7 @@
         self._failure_history = failure_history
         self._drain = drain
         self._need_spec = need_spec
+        self._count = counters.add
         self._decisions = decisions
 
     def answer(self, report):
@@ -63,16 +66,10 @@
         number = ReportNumber.of(report)
         if number < (machine.session, machine.sequence):
             self._note_overtaken(machine, number)
-        if machine.lease.answer(number, self._loop.now()):
-            machine.launches.on_newer_report()
-        commands = machine.commands()
-        machine.launches.add_answered(commands.launches)
-        for decision, tasks in (
-            (Decision.LAUNCH_SENT, commands.launches),
-            (Decision.FORGET_SENT, commands.forgets),
-        ):
-            note_sent(self._decisions, decision, machine, tasks, path="answer", report=str(number))
-        return Renewal(machine.token, commands.orders)
+        is_newest = machine.lease.answer(number, self._loop.now())
+        commands = machine.commands_for_answer() if is_newest else machine.direct_commands()
+        note_sent(self._decisions, machine, commands, path="answer", report=str(number))
+        return Renewal(machine.command_token, commands.orders)
 
     def _note_overtaken(self, machine, number):
         """Records that a report older than the worker's newest message is about to be answered."""
@@ -101,7 +98,7 @@
                 report.machine, report.address, report.type, report.zone, report.spot, now
             )
             self._reconciliation.mark_unheard(machine)
-        if report.token > machine.token or self._may_be_led_elsewhere(machine):
+        if shard_token_of(report.token) > machine.token or self._may_be_led_elsewhere(machine):
             return None
         self.observe(machine, report)
         return machine
@@ -115,8 +112,10 @@
 
     def observe(self, machine, report):
         """Takes in a report or the body of a direct answer; returns False if it is outdated."""
-        if report.token > machine.token or self._may_be_led_elsewhere(machine):
+        reported_token = shard_token_of(report.token)
+        if reported_token > machine.token or self._may_be_led_elsewhere(machine):
             return False
+        machine.command_fence.on_token_seen(report.token)
         machine.has_been_up = True
         message_number = (report.session, report.sequence)
         if message_number <= (machine.session, machine.sequence):
@@ -134,16 +133,15 @@
         machine.heard_at = now
         if report.notice_s is not None:
             machine.notice_at = now + report.notice_s
-        confirmed = report.token == machine.token
-        first = confirmed and machine.confirmed_token != report.token
+        confirmed = reported_token == machine.token
+        first = confirmed and machine.confirmed_token != reported_token
         if first:
-            machine.confirmed_token = report.token
+            machine.confirmed_token = reported_token
             machine.confirmed_at = now
             machine.lease.begin(now)
-            machine.launches.on_token_seen(report.token)
             self._reconciliation.mark_heard(machine)
         room_before = machine.free_capacity(), bool(machine.free_slots())
-        self._take_tasks(machine, report.tasks, confirmed)
+        self._take_tasks(machine, report.tasks, confirmed, all_launched_here=confirmed and not first)
         if confirmed:
             self._resolve_claims(machine)
         if first:
@@ -166,7 +164,12 @@
                 task.owner = owner
                 self._notifier.send_states(machine, [task], True)
 
-    def _take_tasks(self, machine, reported, confirmed):
+    def _take_tasks(self, machine, reported, confirmed, *, all_launched_here):
+        """Takes in a report's task list.
+
+        `confirmed`: the worker has seen this leader's token. `all_launched_here`: this is not the first such
+        list, so that it can show only attempts that are known here.
+        """
         if confirmed and reported == machine.reported:
             return  # the same list as last time
         machine.reports_read += 1
@@ -179,6 +182,8 @@
                 task = self._add_found_task(machine, item)
                 if task is None:
                     continue
+                if all_launched_here and not task.was_reported and task.status != LAUNCHING:
+                    self._stop_unexpected(machine, task)
             task.last_read = read_number
             old_status = task.status
             if old_status == item.status and task.cause == item.cause and task.was_reported:
@@ -208,6 +213,17 @@
                 self._notifier.attempt_gone(machine, task, "not there")
             machine.reported = reported
 
+    def _stop_unexpected(self, machine, task):
+        """Stops an attempt that no command under way can have launched; its task may run elsewhere."""
+        self._count("unexpected_attempts")
+        self._decisions.note(
+            Decision.UNEXPECTED_ATTEMPT,
+            decision_subject(machine, task),
+            status=task.status,
+            newest=f"{machine.session}.{machine.sequence}",
+        )
+        machine.stop(task, 0.0)
+
     def _add_found_task(self, machine, item):
         """The task of a report's entry, added to the machine if it is new; None if its name is invalid."""
         try:
--- a/roadhead/machines/shard_leader.py
+++ b/roadhead/machines/shard_leader.py
@@ -82,6 +82,7 @@
             self.failure_history,
             self._drain,
             need_spec,
+            counters,
             decisions,
         )
         self.task_commands = TaskCommands(
@@ -94,7 +95,6 @@
             send,
             ask,
             counters,
-            decisions,
         )
 
     # Terms
@@ -296,13 +296,6 @@
                 self.capacity_granter.grant(machine)
             if machine.quarantined_until and now >= machine.quarantined_until and not machine.draining:
                 self.failure_history.evaluate(machine)
-            if machine.pending_commands and any(
-                task.forget and machine.launches.direct_token(task) == machine.token
-                for task in machine.pending_commands.values()
-            ):
-                # Once forgotten, the attempt could be started again by the unanswered launch. Under a
-                # higher token the worker refuses that launch.
-                self._member.request_new_token(machine.shard)
             is_confirmed = machine.confirmed_token == machine.token
             heard_at = machine.heard_at if machine.heard_at is not None else now
             silent_s = now - max(heard_at, self.running_since)
--- a/roadhead/machines/task_commands.py
+++ b/roadhead/machines/task_commands.py
@@ -1,8 +1,6 @@
 """Handles what job owners ask of a shard leader's machines, and tracks commands on their way to workers."""
 
-from roadhead.decision_log import Decision
 from roadhead.machines.fitting import fits
-from roadhead.machines.machine import note_sent
 from roadhead.machines.task import EXITED, LAUNCHING, Task, TaskRequirements
 from roadhead.wire import frames
 
@@ -25,7 +23,6 @@
         send,
         ask,
         counters,
-        decisions,
     ):
         self._loop = loop
         self._registry = registry
@@ -36,7 +33,6 @@
         self._send = send
         self._ask = ask
         self._count = counters.add
-        self._decisions = decisions
 
     def on_start(self, label, incarnation, frame):
         """Starts tasks of one job on one granted machine; `frame.last` also returns the rest of the grant."""
@@ -165,17 +161,3 @@
                     machine.set_requirements(task, spec)
             self._notifier.send_states(machine, tasks, True)
             self._capacity_granter.on_capacity_changed(machine)
-
-    # Launches sent to workers directly
-
-    def begin_direct_send(self, machine, commands):
-        """Marks launches that are about to be sent directly; returns those sent for the first time.
-
-        The attempts are not forgotten before the request is answered (launches_in_flight.py).
-        """
-        repeated = [task for task in commands.launches if machine.launches.direct_token(task)]
-        first_sent = machine.launches.begin_direct(commands.launches, machine.token)
-        note_sent(self._decisions, Decision.LAUNCH_SENT, machine, first_sent, path="direct")
-        note_sent(self._decisions, Decision.LAUNCH_SENT, machine, repeated, path="repeat")
-        note_sent(self._decisions, Decision.FORGET_SENT, machine, commands.forgets, path="direct")
-        return first_sent
--- a/roadhead/machines/worker_client.py
+++ b/roadhead/machines/worker_client.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from roadhead.decision_log import Decision
-from roadhead.machines.machine import decision_subject
+from roadhead.machines.machine import decision_subject, note_sent
 from roadhead.machines.pending_commands import NO_COMMANDS
 from roadhead.wire import messages
 from roadhead.wire.http import HttpClient, NoResponseError
@@ -64,22 +64,17 @@
                 self._loop.spawn(self._run_requests(machine, silent), f"ask {machine.id}")
 
     async def _run_requests(self, machine, silent):
-        leader = self.shard_leader
         left = math.inf
         try:
             while True:
                 machine.request_again = False
-                if leader.machines.get(machine.id) is not machine or not self._member.joined:
-                    return
-                if not self._may_command():
-                    # A job may have been cancelled without word reaching this controller, and a worker
-                    # whose lease has ended would still accept a direct launch.
+                if not self._may_still_command(machine):
                     return
                 exchange = await self._send_once(machine)
                 if exchange is None:
                     return
-                if leader.machines.get(machine.id) is machine and self._member.joined:
-                    leader.report_processor.observe(machine, exchange.report)
+                if self._is_led_here(machine):
+                    self.shard_leader.report_processor.observe(machine, exchange.report)
                 has_more_to_send = 0 < exchange.left < left
                 left = exchange.left
                 if not machine.request_again and not has_more_to_send:
@@ -89,6 +84,18 @@
             self._in_flight[silent] -= 1
             self._next()
 
+    def _is_led_here(self, machine):
+        """Whether this controller still leads the machine."""
+        return self._member.joined and self.shard_leader.machines.get(machine.id) is machine
+
+    def _may_still_command(self, machine):
+        """Whether a command may be sent to the machine now.
+
+        Without authority a job may have been cancelled without word reaching this controller, and a worker
+        whose lease has ended would still accept a direct launch.
+        """
+        return self._is_led_here(machine) and self._may_command()
+
     def _client(self, machine):
         """The machine's connection; a new one may replace the connection unused for longest."""
         client = self._clients.pop(machine.id, None)
@@ -100,27 +107,27 @@
         return client
 
     async def _send_once(self, machine):
-        """Sends one message of commands, twice if the session was wrong; returns the Exchange or None."""
+        """Sends one message of commands, twice if its session or token was outdated.
+
+        Returns the Exchange, or None.
+        """
         client = self._client(machine)
         # The session of a machine never heard is a guess. A wrong one is answered with a report (409)
-        # that tells the right one.
+        # that tells the right one. The token may have been raised while the message was on its way.
         for _ in range(2):
             commands = NO_COMMANDS
             if machine.confirmed_token == machine.token:
-                commands = machine.commands()
+                commands = machine.direct_commands()
                 if not commands.orders:
                     return None
-            session = machine.session or 1
-            body = messages.commands(machine.token, session, commands.orders)
-            first_sent = self.shard_leader.task_commands.begin_direct_send(machine, commands)
+            session, token = machine.session or 1, machine.command_token
+            body = messages.commands(token, session, commands.orders)
+            note_sent(self._decisions, machine, commands, path="direct")
             try:
                 status, data, _headers = await client.request("POST", "/commands", body, self._timeout_s)
             except NoResponseError as error:
                 log.debug("commands to %s: %s", machine.id, error)
-                if not error.sent:
-                    machine.launches.end_direct(first_sent)
                 return None
-            machine.launches.end_direct(first_sent)
             if commands.orders and not (self._member.joined and self._may_command()):
                 # The request named the session: if it arrived late, that session's lease bounds what it did.
                 self._decisions.count("authority_lost")
@@ -141,13 +148,28 @@
                 report = messages.decode_as(data, messages.Report)
                 report.check()
             except messages.InvalidMessageError as error:
+                self._count("worker_answers_invalid")
                 log.error("machine %s answered a command with an invalid report: %s", machine.id, error)
                 return None
-            if status == 200 or report.session == session:
+            if status == 200:
+                if report.token < token:
+                    self._count("worker_answers_invalid")
+                    log.error(
+                        "machine %s carried out commands under token %d and reports token %d",
+                        machine.id,
+                        token,
+                        report.token,
+                    )
+                    return None
                 return Exchange(report, commands.left)
-            if self.shard_leader.machines.get(machine.id) is not machine:
-                return None  # its shard has another leader meanwhile, which hears and commands it
+            if not self._is_led_here(machine):
+                return None
             self.shard_leader.report_processor.observe(machine, report)
+            if (machine.session or 1, machine.command_token) == (session, token):
+                return None  # another leader commands it
+            if not self._may_command():
+                return None
+            self._count("commands_outdated")
         return None
 
     async def count_reachable(self, addresses):
--- a/roadhead/membership/member.py
+++ b/roadhead/membership/member.py
@@ -397,10 +397,6 @@
                     except (UnavailableError, UnknownOutcomeError):
                         pass
 
-    def request_new_token(self, shard):
-        """Requests a higher token for a shard, so that unanswered commands can't be executed any more."""
-        self._request_amendment("raise_share", shard)
-
     def relieve(self, label):
         """Requests other leaders for the shards of a live member that workers can't reach."""
         self._request_amendment("relieve", label)
--- a/roadhead/membership/term.py
+++ b/roadhead/membership/term.py
@@ -156,10 +156,6 @@
         members = {label: entry for label, entry in self.members.items() if label not in labels}
         return self._with_new_tokens(members, set())
 
-    def raise_share(self, shard):
-        """The next term, with a higher token for one shard."""
-        return self._next_term(self.members, self.relieved, {shard: self.shard_map.leaders[shard]})
-
     def move(self, moves, giver):
         """The next term, in which shards that `giver` still leads go to the leaders named in `moves`."""
         moves = {
--- a/roadhead/telemetry.py
+++ b/roadhead/telemetry.py
@@ -89,6 +89,7 @@
     "attempts_repaired": "attempts on which an owner and a shard leader disagreed (see the log)",
     "requests_repaired": "requests to shard leaders that were lost and sent again (see the log)",
     "grants_repaired": "grants that had lapsed and were not taken back (see the log)",
+    "unexpected_attempts": "attempts on a machine that nothing can have launched, stopped (see the log)",
     "commands_refused": "commands that workers refused (see the log)",
     "starts_unsent": "starts of tasks not sent, as the link to the shard leader had ended",
 }
--- a/tests/test_cost.py
+++ b/tests/test_cost.py
@@ -51,8 +51,12 @@
         return {0: 7}
 
 
+OPEN_GATE = FormatGate(4, ["here"])
+OPEN_GATE.take({"format": 4, "seen": {}}, 1)
+
+
 class Member:
-    label, incarnation, joined, term, format_gate = "here", 1, True, Term(), FormatGate(3, ["here"])
+    label, incarnation, joined, term, format_gate = "here", 1, True, Term(), OPEN_GATE
     revision, term_at = 1, 0.0
 
     def lease_may_have_expired(self):
--- a/tests/test_safety.py
+++ b/tests/test_safety.py
@@ -15,7 +15,9 @@
 from roadhead.jobs.quota import QuotaPartitions
 from roadhead.jobs.teams import Accounts
 from roadhead.local.world import World
-from roadhead.machines.launches_in_flight import LaunchesInFlight
+from roadhead.machines.command_fence import CommandFence
+from roadhead.machines.machine import Machine
+from roadhead.machines.pending_commands import next_commands
 from roadhead.machines.report_processor import ReportProcessor
 from roadhead.machines.shard_leader import ShardLeader
 from roadhead.machines.shard_reconciliation import ShardReconciliation
@@ -97,25 +99,30 @@
     patch.setattr(ReportProcessor, "answer", answer)
 
 
-def forget_unacknowledged_launches(patch):
-    """2: an attempt is forgotten although an unacknowledged launch of it may still arrive."""
-    patch.setattr(LaunchesInFlight, "may_arrive", lambda self, task: task in self._answered)
+def forget_under_the_same_token(patch):
+    """2: an attempt is forgotten under the token of its direct launch, of which a copy may still arrive."""
+    patch.setattr(CommandFence, "raise_count", lambda self: None)
 
 
-def forget_launches_in_answers(patch):
-    """2: an attempt is forgotten although the answer to a report may still launch it."""
-    patch.setattr(LaunchesInFlight, "may_arrive", lambda self, task: task in self._direct)
+def forget_answered_launches_under_the_same_token(patch):
+    """2: a direct launch that was answered counts as arrived for good."""
 
+    def commands_for_answer(machine):
+        commands = next_commands(machine.pending_commands, may_launch=True, may_forget=True)
+        if commands.forgets and machine.request_in_flight:
+            machine.command_fence.raise_count()
+        return commands
 
-def count_direct_answers_as_reports(patch):
-    """2: after any newer message of the worker, no answer to a report counts as in flight."""
-    real = ReportProcessor.observe
+    patch.setattr(Machine, "commands_for_answer", commands_for_answer)
 
-    def observe(self, machine, report):
-        machine.launches.on_newer_report()
-        return real(self, machine, report)
 
-    patch.setattr(ReportProcessor, "observe", observe)
+def forget_in_direct_commands(patch):
+    """2: direct commands forget attempts, although the answer to a report may still launch them."""
+
+    def direct_commands(machine):
+        return next_commands(machine.pending_commands, may_launch=True, may_forget=True)
+
+    patch.setattr(Machine, "direct_commands", direct_commands)
 
 
 def apply_limit_per_controller(patch):
@@ -278,9 +285,10 @@
         (answer_submission_before_durable, "crash-all-outage"),
         (apply_limit_per_controller, "limit"),
         (use_inherited_limits_unreconciled, "limit-takeover"),
-        (forget_unacknowledged_launches, "late-launch-cancel"),
-        (forget_launches_in_answers, "slow-answers"),
-        (count_direct_answers_as_reports, "slow-answers"),
+        (forget_under_the_same_token, "late-launch-cancel"),
+        (forget_under_the_same_token, "late-copies"),
+        (forget_answered_launches_under_the_same_token, "late-copies"),
+        (forget_in_direct_commands, "slow-answers"),
         (judge_leases_with_unconfirmed_term, "cut-in-two"),
         (keep_old_tokens, "back-takeover-room"),
         (start_inherited_jobs_unreconciled, "back-late-copies"),
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -113,6 +113,12 @@
 )
 
 
+def renew_token(term, shard):
+    """The next term, in which the shard has the same leader and a new token."""
+    leader = term.shard_map.leaders[shard]
+    return term.move({shard: leader}, leader)
+
+
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(changes, st.randoms(use_true_random=False))
 def test_each_shard_has_a_leader_and_tokens_only_grow_under_any_changes(steps, rng):
@@ -129,7 +135,7 @@
         elif how == "restore":
             term = term.restore(label)
         elif how == "raise":
-            term = term.raise_share(shard)
+            term = renew_token(term, shard)
         elif label in term.leaders:
             takers = [other for other in sorted(term.leaders) if other != label]
             term = term.move(plan_moves(term.shard_map, label, takers, machines), label)
@@ -286,7 +292,7 @@
         term.next_token = 999_900
         for _ in range(3):
             for shard in range(SHARD_COUNT):
-                term = term.raise_share(shard)
+                term = renew_token(term, shard)
         record = json.dumps(term.to_record(), separators=(",", ":"))
         limits = StateLimits(10.0, 5.0, 1.1 * len(record) / 1024, 3)
         assert state_faults(limits, labels) == []
@@ -397,9 +403,13 @@
     leader.apply_machine_list([listed("n-000001", "running")], 110.0)
     assert leader.report_processor.answer(make_report(1, 0)) is None
     assert not leader.report_processor.observe(leader.machines["n-000001"], make_report(1, 0))
-    assert leader.report_processor.answer(make_report(2, 0)).token == leader.machines["n-000002"].token
+    assert (
+        leader.report_processor.answer(make_report(2, 0)).token == leader.machines["n-000002"].command_token
+    )
     leader._member.may_take_on = lambda _shard: True
-    assert leader.report_processor.answer(make_report(1, 0)).token == leader.machines["n-000001"].token
+    assert (
+        leader.report_processor.answer(make_report(1, 0)).token == leader.machines["n-000001"].command_token
+    )
 
 
 def test_booting_machines_of_a_relieved_leader_are_waited_for():
--- a/tests/test_worker_limits.py
+++ b/tests/test_worker_limits.py
@@ -12,8 +12,10 @@
 from roadhead.local.sim import Sim
 from roadhead.local.world import World
 from roadhead.machines import pending_commands
+from roadhead.machines.command_fence import FIRST_COUNTED_TOKEN
 from roadhead.machines.machine import Machine
 from roadhead.machines.task import LAUNCHING, Task, TaskRequirements
+from roadhead.membership.format_gate import FormatGate
 from roadhead.tenants import ids
 from roadhead.wire import frames, messages
 from roadhead.wire.worker_limits import (
@@ -35,7 +37,8 @@
 
 def full_machine(count):
     """Returns a machine with so many tasks that are yet to be launched, of the longest names."""
-    machine = Machine("n-1", "", "box", "north", False, KIND, 0.0, {}, 0, 1)
+    machine = Machine("n-1", "", "box", "north", False, KIND, 0.0, {}, 0, 1, FormatGate(4, ["a"]))
+    machine.command_fence.on_token_seen(FIRST_COUNTED_TOKEN)
     for index in range(count):
         task = Task(
             LONGEST_JOB_ID, messages.MAX_TASKS - 1 - index, messages.COUNT_LIMIT - 1 - index, LAUNCHING
@@ -69,7 +72,7 @@
         machine.stop(task, 1.7976931348623157e308)
     for task in tasks[:100]:
         machine.stop(task, 1.7976931348623157e308)
-    sent = machine.commands()
+    sent = machine.direct_commands()
     assert {order["verb"] for order in sent.orders[:100]} == {"stop"}
     assert len(sent.orders) in (MAX_ORDERS_PER_MESSAGE, MAX_ORDERS_PER_MESSAGE - 1)
     assert sent.left == MAX_TASKS_PER_MACHINE + 100 - len(sent.orders)
@@ -79,7 +82,7 @@
         machine.set_status(task, "running")
     for task in tasks:
         task.stop_grace = None
-    following = machine.commands()
+    following = machine.direct_commands()
     assert following.left == 0
     assert not set(sent.launches) & set(following.launches)
     assert len(sent.launches) + len(following.launches) == MAX_TASKS_PER_MACHINE - 100
@@ -90,7 +93,7 @@
     machine = full_machine(1)
     (task,) = machine.tasks.values()
     machine.stop(task, 0.0)
-    assert [order["verb"] for order in machine.commands().orders] == ["launch", "stop"]
+    assert [order["verb"] for order in machine.direct_commands().orders] == ["launch", "stop"]
 
 
 def test_machines_are_rented_by_how_many_tasks_their_reports_hold():
