Attempts of a job that ended with its owner are found and forgotten

An ended attempt stayed on its machine for ever, and with it a machine that was to be returned: such a machine counts as room that there is, so that jobs taken for faulty, which rent nothing while a machine exists, waited for ever beside it.

Cause: the owner's ForgetAttempts was not sent, or lost, as it ended right after its job did. An open job of an ended owner gets a successor that asks all shard leaders; a job that is over gets none, and a shard leader that outlives the owner reads the records only of jobs that it knows nothing of. The comparison of attempts needs an owner that lives.

Change: with the comparison, once a lease, a shard leader has the records read of up to ten jobs with attempts whose owner the term does not name; one that is over is stopped and forgotten, as after a restart of the leader.

The new test test_an_attempt_whose_owner_ended_as_its_job_did_does_not_stay_on_its_machine failed before (5 exited attempts left) and passes.

--- a/roadhead/machines/shard_leader.py
+++ b/roadhead/machines/shard_leader.py
@@ -23,6 +23,7 @@
 log = logging.getLogger("roadhead.home")
 
 SILENT_REPORT_INTERVALS = 2.25  # report intervals without a report; a healthy worker's are at most 1.25 apart
+MAX_JOBS_LOOKED_UP = 10  # in a comparison, of jobs whose owner ended; each is a request to the state service
 MIN_MACHINES_HEARD = 3  # with fewer machines heard, their silence says nothing about the network
 SPARE_RATIO = 0.25  # free CPUs beside those in use above which idle machines are released sooner
 
@@ -55,6 +56,7 @@
         self._member = member
         self._workers = workers = deployment.workers
         self._ask = ask
+        self._need_spec = need_spec
         self._count = counters.add
         self._decisions = decisions
         self.running_since = 0.0  # end of this process's last stall, in loop time
@@ -312,6 +314,21 @@
         self.registry.prune(now, self.reconciliation.awaited_jobs)
         return release
 
+    def look_up_jobs_of_ended_owners(self):
+        """Has the records read of jobs with attempts here whose owner ended.
+
+        A job that was over by then has no successor that would have its attempts forgotten.
+        """
+        term, owner_of = self._member.term, self.notifier.owner_of
+        jobs = {}
+        for machine in self.machines.values():
+            for task in machine.tasks.values():
+                owner = owner_of(task)
+                if not task.forget and (owner is None or not term.serves(*owner)):
+                    jobs[task.job] = True
+        for job in list(jobs)[:MAX_JOBS_LOOKED_UP]:
+            self._need_spec(job)
+
     def judge_leases(self, term_confirmed_at):
         """Frees the tasks of machines whose lease has ended, and claims on machines never heard.
 
--- a/roadhead/periodic_duties.py
+++ b/roadhead/periodic_duties.py
@@ -160,6 +160,7 @@
         node = self._node
         node.dispatcher.drop_lapsed_grants()
         node.dispatcher.repeat_empty_demand()
+        node.shard_leader.look_up_jobs_of_ended_owners()
         if node.member.format_gate.is_open:
             node.owner_comparison.compare()
 
--- a/tests/test_anti_entropy.py
+++ b/tests/test_anti_entropy.py
@@ -267,3 +267,19 @@
         node.peers.send = send
     world.run()
     assert unsent and world.check() == []
+
+
+def test_an_attempt_whose_owner_ended_as_its_job_did_does_not_stay_on_its_machine():
+    """A job that is over has no successor who would have the attempts forgotten."""
+    world = World("""
+    capacity 4
+    boot_s 3
+    at 1 submit count=4 legs=1 vcpus=3 runS=200 expectS=200
+    at 20 submit count=6 legs=2 runS=3 expectS=3
+    at 20 lose-frames 1 14 ForgetAttempts
+    at 30 crash 0 0.1
+    until 110
+    """).run()
+    assert all(user.last_state == "done" for user in list(world.users.values())[4:])
+    left = [key for worker in world.cloud.rented.values() for key, task in worker.tasks.items() if task.cause]
+    assert left == []
