--- a/roadhead/local/server.py
+++ b/roadhead/local/server.py
@@ -60,11 +60,19 @@
 
         await http.serve(self.loop, stream, handle, 60.0)
 
+    def is_up(self):
+        """Returns whether requests still reach the server."""
+        return True
+
     def _schedule_copies(self, *request):
         """Has copies of a request that was carried out arrive later, if its fault window strikes it."""
         if self.copies_window is not None:
             window = getattr(self.world.fault_windows, self.copies_window)
-            schedule_copies(window, self.sim, self.loop, request[0], partial(self.handle, *request))
+            schedule_copies(window, self.sim, self.loop, request[0], partial(self._handle_copy, *request))
+
+    async def _handle_copy(self, *request):
+        if self.is_up():
+            await self.handle(*request)
 
     def _delay_of(self, method, path, body):
         """Returns by how many seconds to delay a request, or None."""
--- a/roadhead/local/worker.py
+++ b/roadhead/local/worker.py
@@ -60,6 +60,10 @@
         self.lease_s = world.settings["workers"]["lease_s"]
         self.loop.spawn(self._run(), name)
 
+    def is_up(self):
+        """Returns whether requests still reach the machine."""
+        return not self.dead
+
     def listed(self):
         """Returns the machine's status in the cloud's list."""
         if self.dead:
--- a/roadhead/scale/events.py
+++ b/roadhead/scale/events.py
@@ -69,10 +69,18 @@
         """Cuts workers off from all controllers for `for_s` seconds; their tasks keep running."""
         self._workers(event.count, cut_s=event.for_s)
 
+    def _open_fault_window(self, name, event):
+        """Opens the workers' fault window of that name for `count` percent of what it strikes."""
+        body = {"name": name, "share": event.count / PERCENT, "for_s": event.for_s}
+        request(self._document["cloud"], "POST", "/scale/fault-window", body)
+
     def _reports_slow(self, event):
         """Delays `count` percent of the workers' reports by some seconds."""
-        body = {"share": event.count / PERCENT, "for_s": event.for_s}
-        request(self._document["cloud"], "POST", "/scale/slow-reports", body)
+        self._open_fault_window("slow_reports", event)
+
+    def _commands_copied(self, event):
+        """Delivers late copies of `count` percent of the direct commands that workers have answered."""
+        self._open_fault_window("copied_commands", event)
 
     def _zone_ends(self, event):
         self._workers(0, zone_name(event.zone))
--- a/roadhead/scale/hollow.py
+++ b/roadhead/scale/hollow.py
@@ -114,12 +114,12 @@
         self._kind = {"name": MACHINE_TYPE, "vcpus": world.plan["plan"]["cluster"]["cpus_per_worker"]}
 
     async def handle(self, method, path, _args, body, _host):
-        """Handles commands of the cloud emulator (start, end, restart, cut; slow reports), and figures."""
+        """Handles commands of the cloud emulator (start, end, restart, cut; fault windows), and figures."""
         if path == "/scale/figures":
             return 200, self._figures()
-        if (method, path) == ("POST", "/scale/slow-reports"):
+        if (method, path) == ("POST", "/scale/fault-window"):
             window = FaultWindow(body["share"], self.sim.time + body["for_s"])
-            self.world.fault_windows.slow_reports = window
+            setattr(self.world.fault_windows, body["name"], window)
             return 200, {}
         if (method, path) != ("POST", "/scale/workers"):
             return 404, {}
@@ -155,6 +155,7 @@
             "sent": world.traffic.sent,
             "killed": world.killed,
             "no_rooms": world.no_rooms,
+            "copied_commands": world.fault_windows.copied_commands.struck,
         }
 
 
--- a/roadhead/scale/plan.py
+++ b/roadhead/scale/plan.py
@@ -16,11 +16,13 @@
     "workers_restart",
     "workers_cut",
     "reports_slow",
+    "commands_copied",
     "zone_ends",
     "state_outage",
     "cloud_outage",
     "power_loss",
 )
+PERCENT_OF = {"reports_slow": "reports", "commands_copied": "direct commands"}  # whose `count` is a share
 
 
 class PlanError(Exception):
@@ -203,7 +205,7 @@
             yield f"event {event.kind!r}: at_s: must be from 0 to {plan.load_s:g}, is {event.at_s}"
         if event.count < 1 or not 0 <= event.for_s < math.inf:
             yield f"event {event.kind!r}: count must be 1 or more, for_s not negative"
-        if event.kind == "reports_slow" and event.count > PERCENT:
-            yield f"event {event.kind!r}: count: percent of the reports, is {event.count}"
+        if event.kind in PERCENT_OF and event.count > PERCENT:
+            yield f"event {event.kind!r}: count: percent of the {PERCENT_OF[event.kind]}, is {event.count}"
         if event.kind == "zone_ends" and not 0 <= event.zone < plan.cluster.zones:
             yield f"event {event.kind!r}: zone: must be from 0 to {plan.cluster.zones - 1}, is {event.zone}"
--- a/roadhead/scale/services.py
+++ b/roadhead/scale/services.py
@@ -158,7 +158,7 @@
         if path == "/scale/workers":
             await self._fail_machines(body)
             return 200, {}
-        if path == "/scale/slow-reports":
+        if path == "/scale/fault-window":
             for client in self._hosts:
                 await self._send_command(client, path, body)
             return 200, {}
--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -2,6 +2,7 @@
 
 import copy
 
+import hunt
 import pytest
 
 from roadhead.local.fault_injector import COPIES_WINDOWS
@@ -116,3 +117,13 @@
 def test_an_unknown_receiver_of_copies_is_refused():
     with pytest.raises(ValueError, match="unknown receiver 'users', not one of"):
         World("until 1").do(["late-copies", "users", "1", "30"])
+
+
+@pytest.mark.parametrize("seed", range(1, 61))
+def test_no_copy_of_a_direct_command_breaks_a_rule_on_a_drawn_day(seed):
+    assert hunt.run_late_copy_day(seed) == (seed, [])
+
+
+@pytest.mark.parametrize("seed", range(1, 21))
+def test_no_copy_of_a_request_to_the_services_or_by_a_user_breaks_a_rule_on_a_drawn_day(seed):
+    assert hunt.run_service_copy_day(seed) == (seed, [])
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -37,6 +37,10 @@
         (f"{ONE_CLASS}[[event]]\nat_s = 999.0\nkind = 'workers_end'", "at_s: must be from 0 to 40"),
         (f"{ONE_CLASS}[[event]]\nat_s = 1.0\nkind = 'zone_ends'\nzone = 9", "zone: must be from 0 to 2"),
         (f"{ONE_CLASS}[[event]]\nat_s = 1.0\nkind = 'reports_slow'\ncount = 101", "percent of the reports"),
+        (
+            f"{ONE_CLASS}[[event]]\nat_s = 1.0\nkind = 'commands_copied'\ncount = 101",
+            "percent of the direct commands",
+        ),
     ],
 )
 def test_each_fault_of_a_plan_is_reported(text, fault):
@@ -140,6 +144,7 @@
     assert found["faults"] == found["unended"] == []
     assert found["accepted"] == found["jobs"] == len(Workload(plan.load(SMALL)).arrivals)
     assert [text for _at_s, text in found["events"]] == [
+        "commands_copied",
         "controllers_end",
         "controller_back",
         "reports_slow",
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,7 +10,9 @@
 
 from roadhead.gateway.types import Submission
 from roadhead.local import cluster as local
+from roadhead.local.worker import EmulatedWorker
 from roadhead.local.world import World
+from roadhead.machines.command_fence import FIRST_COUNTED_TOKEN
 from roadhead.membership import format_gate
 from roadhead.membership.format_gate import FIRST_FORMAT, FormatGate, next_record
 
@@ -170,6 +172,65 @@
     assert len(world.nodes[1].member.term.quota_leaders) == 12
 
 
+def test_while_versions_lead_machines_in_turn_tokens_never_fall_and_new_ones_launch_nothing_directly(
+    monkeypatch,
+):
+    """No worker could refuse a copy of a direct launch under an uncounted token."""
+    commands = []  # (worker, whether the sender is new, token, launches something), as they arrive
+    real = EmulatedWorker.handle
+
+    async def handle(worker, method, path, args, body, host):
+        if path == "/commands":
+            launches = any(order["verb"] == "launch" for order in body["orders"])
+            is_new = not world.serves_old[int(host.rpartition(".")[2]) - 1]
+            commands.append((worker.name, is_new, body["brand"], launches, world.gate()))
+        return await real(worker, method, path, args, body, host)
+
+    monkeypatch.setattr(EmulatedWorker, "handle", handle)
+    lines = [f"at {at} submit count=2 legs=3 runS=3 expectS=3" for at in range(15, 110, 3)]
+    world = UpgradeWorld(f"""{LIMITS}
+    capacity 4
+    boot_s 3
+    at 1 submit count=6 legs=1 vcpus=2 runS=200 expectS=200
+    at 20 upgrade 0
+    at 40 upgrade 1
+    at 55 downgrade 0
+    at 70 upgrade 0
+    at 80 upgrade 2
+    {chr(10).join(lines)}
+    until 320
+    """)
+    tokens, led_by = {}, {}  # worker -> its tokens, sampled; worker -> in turn, whether its leader is new
+
+    def sample():
+        terms = [
+            node.member.term
+            for number, node in world.nodes.items()
+            if not world.serves_old[number] and node.member.joined
+        ]
+        for worker in world.cloud.rented.values():
+            tokens.setdefault(worker.name, []).append(worker.token)
+            if terms:
+                leader = world.labels.index(max(terms, key=lambda term: term.number).leader_of(worker.name))
+                turns = led_by.setdefault(worker.name, [])
+                if turns[-1:] != [not world.serves_old[leader]]:
+                    turns.append(not world.serves_old[leader])
+
+    for at in range(10, 130):
+        world.sim.call_at(float(at), sample)
+    world.run()
+    assert world.check() == [] and world.gate() == 4
+    assert all(seen == sorted(seen) for seen in tokens.values())
+    mixed = [row for row in commands if row[4] == FIRST_FORMAT]
+    assert all(token < FIRST_COUNTED_TOKEN for _worker, _new, token, _launches, _gate in mixed)
+    assert not any(launches for _worker, new, _token, launches, _gate in mixed if new)
+    assert any(launches for _worker, new, _token, launches, _gate in mixed if not new)
+    assert any(len(turns) >= 3 for turns in led_by.values())
+    assert any(
+        launches and token >= FIRST_COUNTED_TOKEN for _worker, _new, token, launches, _gate in commands
+    )
+
+
 def test_new_fields_are_refused_and_not_written_until_all_configured_members_are_upgraded():
     """The last one is down, not old, but may come back old, so upgrading the live ones doesn't suffice."""
     world = UpgradeWorld(f"""{LIMITS}
