--- a/tests/test_worker_limits.py
+++ b/tests/test_worker_limits.py
@@ -179,3 +179,16 @@
         world = small_tasks(4000)
     assert any("a message of" in fault for fault in world.check())
     assert world.counter("commands_refused") > 0
+
+
+def test_a_full_machine_of_ended_attempts_is_forgotten_by_one_answer_under_one_higher_token():
+    machine = full_machine(MAX_TASKS_PER_MACHINE)
+    token = machine.command_token
+    for task in machine.tasks.values():
+        machine.set_status(task, "exited")
+        machine.forget(task)
+    assert machine.direct_commands().orders == []
+    answer = machine.commands_for_answer()
+    assert (len(answer.forgets), answer.left) == (MAX_TASKS_PER_MACHINE, 0)
+    assert machine.command_token == token + 1
+    assert size_in_json(messages.report_answer(machine.command_token, answer.orders)) <= MAX_MESSAGE_BYTES
