--- a/roadhead/cli.py
+++ b/roadhead/cli.py
@@ -12,6 +12,17 @@
 from roadhead import __version__
 
 
+def _share(text):
+    """Returns a share from 0 to 1. Raises argparse.ArgumentTypeError for any other text."""
+    try:
+        share = float(text)
+    except ValueError:
+        share = -1.0
+    if not 0.0 <= share <= 1.0:
+        raise argparse.ArgumentTypeError(f"not a share from 0 to 1: {text!r}")
+    return share
+
+
 def _parser(hosting):
     """Returns the argument parser; `hosting`: whether it includes the verbs for administering tenants."""
     parser = argparse.ArgumentParser(
@@ -45,6 +56,13 @@
     local.add_argument("--run", metavar="FILE", help="run the jobs of a file (TOML), then stop")
     local.add_argument("--keep", metavar="DIR", help="keep everything in DIR; without --run: serve on")
     local.add_argument("--crash", metavar="N", type=int, default=0, help="kill controllers N times meanwhile")
+    local.add_argument(
+        "--late-copies",
+        metavar="SHARE",
+        type=_share,
+        default=0.0,
+        help="of that share of direct commands that a worker has answered copies arrive later",
+    )
     local.add_argument("--timeout", metavar="SECONDS", type=float, default=50.0, help="for --run")
     scale = verbs.add_parser("scale", help="a cluster with hollow workers on this machine, measured")
     scale.add_argument("file", metavar="FILE", help="sizes, load and failures (TOML)")
--- a/roadhead/local/cluster.py
+++ b/roadhead/local/cluster.py
@@ -38,9 +38,12 @@
 
 
 class Cluster:
-    """A cluster of local processes. `directory` keeps their data and addresses across restarts."""
+    """A cluster of local processes. `directory` keeps their data and addresses across restarts.
 
-    def __init__(self, directory, program):
+    `late_copies`: share of the direct commands that workers have answered of which copies arrive later.
+    """
+
+    def __init__(self, directory, program, late_copies=0.0):
         self.directory = Path(directory).resolve()
         self.directory.mkdir(parents=True, exist_ok=True)
         self._plan_path = self.directory / "cluster.json"
@@ -49,6 +52,7 @@
         else:
             self.plan = self._new_plan()
         self.plan["program"] = program
+        self.plan["late_copies"] = late_copies
         self._plan_path.write_text(json.dumps(self.plan))
         self._write_settings()
         self._secrets = Secrets((self.directory / "secret").read_bytes().strip())
@@ -373,7 +377,7 @@
     directory = args.keep or args.directory
     if args.run:
         read_jobs(args.run)  # reports an invalid file before any process starts
-    cluster = Cluster(directory, program)
+    cluster = Cluster(directory, program, args.late_copies)
     try:
         cluster.start()
         if args.run:
--- a/roadhead/local/processes.py
+++ b/roadhead/local/processes.py
@@ -5,6 +5,7 @@
 
 import ctypes
 import json
+import math
 import os
 import random
 import signal
@@ -18,7 +19,7 @@
 
 from roadhead.local.cloud_api import CloudEmulator
 from roadhead.local.disk_store import DiskStore
-from roadhead.local.fault_windows import FaultWindows
+from roadhead.local.fault_windows import FaultWindow, FaultWindows
 from roadhead.local.state_service import StateServiceEmulator
 from roadhead.local.worker import EmulatedWorker
 from roadhead.runtime.loop import Loop
@@ -59,7 +60,8 @@
         self.fetch_s, self.stuck_boots, self.no_rooms, self.killed = 0.05, 0, 0, 0
         self.given_back = 0
         self.oversized = []
-        self.fault_windows = FaultWindows()
+        copied_commands = FaultWindow(self.plan.get("late_copies", 0.0), math.inf)
+        self.fault_windows = FaultWindows(copied_commands=copied_commands)
         self.completed, self.gangs = set(), {}
 
     def host_loop(self, _host):
--- a/roadhead/machines/report_processor.py
+++ b/roadhead/machines/report_processor.py
@@ -38,7 +38,6 @@
         failure_history,
         drain,
         need_spec,
-        counters,
         decisions,
     ):
         self._loop = loop
@@ -50,7 +49,6 @@
         self._failure_history = failure_history
         self._drain = drain
         self._need_spec = need_spec
-        self._count = counters.add
         self._decisions = decisions
 
     def answer(self, report):
@@ -215,7 +213,7 @@
 
     def _stop_unexpected(self, machine, task):
         """Stops an attempt that no command under way can have launched; its task may run elsewhere."""
-        self._count("unexpected_attempts")
+        self._decisions.count("unexpected_attempts")
         self._decisions.note(
             Decision.UNEXPECTED_ATTEMPT,
             decision_subject(machine, task),
--- a/roadhead/machines/shard_leader.py
+++ b/roadhead/machines/shard_leader.py
@@ -84,7 +84,6 @@
             self.failure_history,
             self._drain,
             need_spec,
-            counters,
             decisions,
         )
         self.task_commands = TaskCommands(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -229,6 +229,13 @@
     assert refused == []
 
 
+@pytest.mark.parametrize("share", ["1.1", "-0.1", "nan", "half"])
+def test_a_share_of_late_copies_is_from_0_to_1(share, capsys):
+    with pytest.raises(SystemExit) as ended:
+        cli._parser(False).parse_args(["local", f"--late-copies={share}"])
+    assert ended.value.code == 2 and "not a share from 0 to 1" in capsys.readouterr().err
+
+
 @pytest.mark.parametrize(
     ("given", "expected"),
     [
--- a/tests/test_local.py
+++ b/tests/test_local.py
@@ -52,7 +52,7 @@
 id = "faulty"
 command = ["sh", "-c", "echo no luck; exit 3"]
 """)
-    cluster = local.Cluster(directory / "crashes", PROGRAM)
+    cluster = local.Cluster(directory / "crashes", PROGRAM, late_copies=0.6)
     try:
         cluster.start()
         assert local.run(cluster, str(jobs), crashes=2, timeout_s=TIMEOUT_S) == 1
