An owner learns at once that the attempts of a cancelled job ended

Since forgets travel in answers to reports only, the owner of a cancelled job learned of its attempts' ends 2.4 to 3.0 s after the cancellation, 0.01 s before: the shard leader itself has them forgotten, and told no state of an attempt to be forgotten, only that it was gone. That held the team's limit, and the cancellation's mark for 2.5 s longer (4.0 -> 6.5 s); a quota leader that takes over starts nothing until cancel_s after the newest mark.

The end of an attempt of a cancelled job is sent as any other state. An ended attempt can't start again while it is known, nor once it is forgotten (command_fence.py), so its end is as good as its absence.

--- a/roadhead/machines/owner_notifier.py
+++ b/roadhead/machines/owner_notifier.py
@@ -58,6 +58,13 @@
             if rows:
                 self.notify(owner, frames.TaskStates(machine.id, machine.zone, rows))
 
+    def _is_to_be_sent(self, task, state, again):
+        """Whether the owner must be told a task's state; `again`: as for `send_states`."""
+        if task.forget:
+            # Of a cancelled job the owner has not had it forgotten, and waits for its end.
+            return not again and task.job in self._registry.cancelled and state != task.sent_state
+        return again or (state != task.sent_state and task.status != LAUNCHING)
+
     def send_states(self, machine, tasks, again=False):
         """Sends owners the states of tasks, one frame per owner.
 
@@ -67,7 +74,7 @@
         rows = {}
         for task in tasks:
             state = (task.status, task.cause, task.owner)
-            if (not again and (state == task.sent_state or task.status == LAUNCHING)) or task.forget:
+            if not self._is_to_be_sent(task, state, again):
                 continue
             task.sent_state = state
             owner = self.owner_of(task)
--- a/tests/test_command_fence.py
+++ b/tests/test_command_fence.py
@@ -9,6 +9,7 @@
 import pytest
 from test_worker_leases import LeasedMachine
 
+from roadhead.local.world import World
 from roadhead.machines.command_fence import (
     COUNTED_TOKENS_FORMAT,
     FIRST_COUNTED_TOKEN,
@@ -190,6 +191,20 @@
     assert any("nothing can have launched" in line for line in launching.node.counters.events())
 
 
+def test_an_owner_learns_at_once_that_cancelled_attempts_ended():
+    """Guards against 2.5 s more of a team's limit and of a cancellation mark for each cancelled job."""
+    world = World("""
+    capacity 4
+    boot_s 3
+    at 1 submit count=4 legs=1 vcpus=3 runS=200 expectS=200
+    at 20 submit legs=4 runS=90 expectS=90
+    at 30 cancel 5
+    until 30.3
+    """).run()
+    jobs = [node.job_store.jobs.get("req-000005") for node in world.nodes.values()]
+    assert world.cancelled_at and not any(job.bound for job in jobs if job is not None)
+
+
 # Beside a version that knows uncounted tokens only
 
 
