A test: impossible answers to direct commands are counted and change nothing

A worker that carried commands out and reports a lower token than it was sent, a 409 without a report, a body that is not CBOR: one log line, the counter worker_answers_invalid, no exception, the machine's state untouched.

--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -6,6 +6,7 @@
 import json
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_cost import HostedNode, Member, make_report, make_shard_leader
@@ -321,6 +322,32 @@
     return routine
 
 
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (200, messages.encode_struct(make_report(0, 1, sequence=5))),  # its token is lower than the one sent
+        (409, b""),
+        (200, b"\xff"),
+    ],
+)
+def test_an_impossible_answer_to_a_command_is_counted_and_changes_nothing(status, body):
+    leader, counters = make_shard_leader(1, 1), Counters()
+    machine = leader.machines["n-000000"]
+    machine.add_task(Task("req-9", 0, 1, LAUNCHING, ("here", 1)))
+    before = machine.sequence, dict(machine.tasks)
+
+    class Answering:
+        address = machine.address
+
+        async def request(self, *_request):
+            return status, body, None
+
+    routine = run_direct_command(leader, machine, Answering(), counters)
+    assert routine.done.done and routine.done.result() is None
+    assert counters.counts["worker_answers_invalid"] == 1
+    assert (machine.sequence, machine.tasks) == before
+
+
 def test_the_answer_of_a_machine_handed_over_during_a_command_is_ignored():
     """The answer names another session and arrives after the machine's shard has moved: the machine is no
     longer registered and must not be commanded again. A simulated day once made the
