Tests: two orders of messages of the former guard, played at the fence

The tests of LaunchesInFlight that replaced had two orders more: a launch in the answer to an older report, and a held answer under a higher shard token.

--- a/tests/test_command_fence.py
+++ b/tests/test_command_fence.py
@@ -139,6 +139,34 @@
     assert launching.worker.tasks[launching.key()].status == EXITED
 
 
+def test_a_launch_in_the_answer_to_an_older_report_keeps_the_attempt_until_a_newer_one(launching):
+    """Which of the two answers the worker is waiting for is not known here."""
+    older, newest = launching.worker.report(), launching.worker.report()
+    launching.report(newest)
+    launching.report(older)
+    launching.run_directly()
+    launching.fail_and_forget()
+    launching.run_directly()
+    assert launching.is_known()
+
+
+def test_a_held_answer_under_a_higher_shard_token_starts_no_forgotten_attempt(launching):
+    """The worker takes an answer with the new token to a report that it sent under the old one."""
+    old_report = {**launching.worker.report(), "brand": launching.machine.command_token}
+    launching.machine.token += 1
+    held_answer = launching.report(old_report)
+    launching.worker.token = launching.machine.command_token
+    launching.worker.execute(held_answer.orders)
+    launching.observe(launching.worker.report())
+    assert launching.machine.confirmed_token == launching.machine.token
+    launching.fail_and_forget()
+    launching.run_directly()
+    assert launching.is_known()
+    launching.take(launching.report())
+    launching.take(held_answer)
+    assert not launching.is_known()
+
+
 def test_direct_commands_forget_nothing(launching):
     launching.run_directly()
     launching.report()
